--- /dev/null
+++ b/include/marjoramloom/contract/object_id.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+
+namespace marjoramloom {
+
+/// Identity of a configuration object: the sequence of the change that created it, and its place in that change.
+///
+/// Stays the same while the object is edited, is never used again after it is deleted, and is short on the wire.
+struct object_id
+{
+    std::uint64_t value = 0;
+
+    auto operator<=>(const object_id &) const = default;
+};
+
+} // namespace marjoramloom
+
+template<>
+struct std::hash<marjoramloom::object_id>
+{
+    auto operator()(const marjoramloom::object_id &id) const noexcept -> std::size_t
+    {
+        return std::hash<std::uint64_t>()(id.value);
+    }
+};
--- /dev/null
+++ b/tests/standins/main.cpp
@@ -0,0 +1,4 @@
+auto main() -> int
+{
+    return 0;
+}
