share: a first dispatcher, ledger and placement

Grants go to the account with the lowest virtual service, within slot limits and deadlines. Use is charged as it is reported; a router's total and the report of the same use may come in either order and count once. Lifts and reliefs of an account in one service travel among the totals under reserved incarnation numbers, so that an empty ledger is rebuilt whole. An account that comes back within a second keeps its place: without that, a caller that sends its next request after the last one ended lost its claim at each round (unit test, red before).

Tests: share.dispatcher_test, share.share_ledger_test.

--- a/include/marjoramloom/share/dispatcher.h
+++ b/include/marjoramloom/share/dispatcher.h
@@ -18,9 +18,10 @@
     double pullThreshold = 1000; ///< Weighted tokens that a remote account must be behind before it is pulled.
     std::uint32_t shortReserve = 0; ///< Slots that long work leaves free while short work arrives.
     bool suspendLongWork = true; ///< Long work gives its place to waiting short work.
-    double estimateCap =
-        4; ///< Running work is charged beyond its estimate at once; its estimate is capped at this factor.
     duration digestAge = std::chrono::seconds(5); ///< A remote digest older than this is not used.
+    double debtLimit = 100'000; ///< Weighted tokens that an account may be ahead when it becomes backlogged.
+    duration warmUp = std::chrono::seconds(2); ///< No lifts before the routers' totals had time to arrive.
+    std::uint32_t queueLimit = 4'096; ///< Waiting tickets of an account without a limit of its own.
 };
 
 /// Accounts with waiting tickets, and spare slots, of one pool; what dispatchers tell each other.
@@ -75,9 +76,11 @@
     auto withdraw(ticket_id id, time_point now) -> void;
 
     /// A granted request used \p cost so far (weighted tokens, cumulative); what exceeds the estimate is charged now.
+    ///
+    /// The request's router adds the same use to its own total with share_ledger::count or merge, in either order.
     auto progress(ticket_id id, double cost, time_point now) -> void;
 
-    /// A granted request ended with the total \p cost, and its slot is free.
+    /// A granted request ended with the total \p cost, and its slot is free. One that was not run has cost 0.
     auto settle(ticket_id id, double cost, time_point now) -> void;
 
     /// A router says it runs this request on that server, which this dispatcher may not have granted itself.
@@ -86,6 +89,9 @@
     /// Forgets everything of a router that is gone for good; its slots are free.
     auto forgetRouter(incarnation_id router, time_point now) -> void;
 
+    /// Highest number of waiting tickets by account; the latest ones beyond it are refused.
+    auto setQueueLimits(const std::map<object_id, std::uint32_t> &limits) -> void;
+
     /// The servers of this pool, their limits and their recent pace.
     [[nodiscard]] auto placement() -> server_placement &;
 
@@ -101,6 +107,8 @@
     /// One pass: grants for free slots, refusals of what is past its deadline, suspensions, pulls.
     [[nodiscard]] auto decide(time_point now) -> dispatch_decisions;
 
+    /// The request waits or runs here.
+    [[nodiscard]] auto knows(ticket_id id) const -> bool;
     [[nodiscard]] auto waitingTickets() const -> std::size_t;
     [[nodiscard]] auto runningTickets() const -> std::size_t;
     [[nodiscard]] auto pool() const -> const pool_id &;
--- a/include/marjoramloom/share/server_placement.h
+++ b/include/marjoramloom/share/server_placement.h
@@ -60,13 +60,16 @@
     auto observe(const pace_sample &sample, time_point now) -> void;
     auto observe(const load_report &report, time_point now) -> void;
 
-    /// A request started on or left a server.
+    /// A request started on or left a server; a server that is not configured is ignored.
     auto start(object_id server, work_length length) -> void;
     auto finish(object_id server, work_length length) -> void;
 
     /// A server with a free slot for \p waiting, or nothing.
     [[nodiscard]] auto choose(const ticket &waiting, time_point now) -> std::optional<placement_choice>;
 
+    /// Whether any configured server, busy or not, may take \p waiting at all.
+    [[nodiscard]] auto anyUsable(const ticket &waiting) const -> bool;
+
     [[nodiscard]] auto freeSlots(time_point now) const -> std::uint32_t;
     [[nodiscard]] auto totalSlots(time_point now) const -> std::uint32_t;
 
@@ -83,8 +86,13 @@
         time_point retryAt; ///< Not chosen before, after failures.
         std::uint32_t failures = 0; ///< In a row.
         std::uint32_t reportedElsewhere = 0; ///< Running work that this dispatcher did not grant.
+
+        [[nodiscard]] auto running() const -> std::uint32_t;
+        [[nodiscard]] auto free(time_point now) const -> std::uint32_t;
     };
 
+    [[nodiscard]] auto score(const server_entry &entry, const ticket &waiting) const -> double;
+
     std::unordered_map<object_id, server_entry> m_servers;
 };
 
