share: pull rule, learnt costs, suspension, placement by recent pace

Cause: with shared counters alone, an account in a crowded data centre falls behind one that is alone in a quiet one without end.

Also: costs learnt per account and profile with capped observations, a slot limit per server learnt from first-token time and pace, slowed servers passed over for short work (at most a third), prefix affinity with bounded load, load reports less what this dispatcher granted, starvation limit, queue limits. Ruled out: holding a slot until a pulled ticket arrives (idles it for a round trip); lifting an account that waits at another pool already (it would lose its claim at each pull).

--- a/include/marjoramloom/share/dispatcher.h
+++ b/include/marjoramloom/share/dispatcher.h
@@ -16,11 +16,13 @@
 struct dispatcher_settings
 {
     double pullThreshold = 1000; ///< Weighted tokens that a remote account must be behind before it is pulled.
-    std::uint32_t shortReserve = 0; ///< Slots that long work leaves free while short work arrives.
+    double shortAdvance = 1000; ///< Weighted tokens by which short work may be ahead of long work that it passes.
+    std::uint32_t shortReserve = 0; ///< Slots that long work leaves free while short work arrives; 0: a fiftieth.
     bool suspendLongWork = true; ///< Long work gives its place to waiting short work.
     duration digestAge = std::chrono::seconds(5); ///< A remote digest older than this is not used.
-    double debtLimit = 100'000; ///< Weighted tokens that an account may be ahead when it becomes backlogged.
+    double debtLimit = 0; ///< Weighted tokens an account may be ahead after idling or a partition; 0: from the bound.
     duration warmUp = std::chrono::seconds(2); ///< No lifts before the routers' totals had time to arrive.
+    duration starvationLimit = std::chrono::seconds(5); ///< After it an account without running work goes first.
     std::uint32_t queueLimit = 4'096; ///< Waiting tickets of an account without a limit of its own.
 };
 
--- a/include/marjoramloom/share/server_placement.h
+++ b/include/marjoramloom/share/server_placement.h
@@ -2,9 +2,9 @@
 
 #include "marjoramloom/share/ticket.h"
 
+#include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace marjoramloom {
@@ -50,10 +50,16 @@
     std::string reason; ///< Scores of the alternatives, for the log.
 };
 
-/// Servers of one pool: slots, recent pace, prefix affinity; chooses one for a ticket. Not thread safe.
+/// Servers of one pool: slots, recent pace, prefix affinity; chooses one for a ticket.
+///
+/// Routers' own observations decide which servers are slow; a server's load report only tells of work that another
+/// dispatcher gave it. At most a third of the servers is passed over for being slow or failing. Not thread safe.
 class server_placement
 {
 public:
+    server_placement();
+    ~server_placement();
+
     /// The configured servers; known ones keep their running work and pace.
     auto setServers(const std::vector<backend_server> &servers, time_point now) -> void;
     auto setState(object_id server, server_state state, time_point now) -> void;
@@ -61,39 +67,29 @@
     auto observe(const load_report &report, time_point now) -> void;
 
     /// A request started on or left a server; a server that is not configured is ignored.
-    auto start(object_id server, work_length length) -> void;
-    auto finish(object_id server, work_length length) -> void;
+    auto start(object_id server, work_length length, time_point now) -> void;
+    auto finish(object_id server, work_length length, time_point now) -> void;
 
-    /// A server with a free slot for \p waiting, or nothing.
-    [[nodiscard]] auto choose(const ticket &waiting, time_point now) -> std::optional<placement_choice>;
+    /// A server with a free slot for \p waiting, or nothing. Short work goes to a slowed server only where it would
+    /// wait longer for another one: \p queueSeconds is how long a slot is expected to take.
+    [[nodiscard]] auto choose(const ticket &waiting, time_point now, double queueSeconds = 0)
+        -> std::optional<placement_choice>;
 
-    /// Whether any configured server, busy or not, may take \p waiting at all.
+    /// Whether any server, busy or not, may take \p waiting at all.
     [[nodiscard]] auto anyUsable(const ticket &waiting) const -> bool;
 
+    /// Whether short work may use a server at all: it takes work and is not passed over.
+    [[nodiscard]] auto mayServeShort(object_id server, time_point now) -> bool;
+
     [[nodiscard]] auto freeSlots(time_point now) const -> std::uint32_t;
     [[nodiscard]] auto totalSlots(time_point now) const -> std::uint32_t;
 
-private:
-    struct server_entry
-    {
-        backend_server contract;
-        server_state state = server_state::available;
-        std::uint32_t runningShort = 0;
-        std::uint32_t runningLong = 0;
-        double firstToken = 0; ///< Smoothed seconds.
-        double tokenPace = 0; ///< Smoothed seconds.
-        time_point lastSample;
-        time_point retryAt; ///< Not chosen before, after failures.
-        std::uint32_t failures = 0; ///< In a row.
-        std::uint32_t reportedElsewhere = 0; ///< Running work that this dispatcher did not grant.
-
-        [[nodiscard]] auto running() const -> std::uint32_t;
-        [[nodiscard]] auto free(time_point now) const -> std::uint32_t;
-    };
-
-    [[nodiscard]] auto score(const server_entry &entry, const ticket &waiting) const -> double;
+    /// How many times slower than the middle of the pool a server answers; 1 where nothing is known.
+    [[nodiscard]] auto slowness(object_id server, time_point now) -> double;
 
-    std::unordered_map<object_id, server_entry> m_servers;
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
 };
 
 } // namespace marjoramloom
--- /dev/null
+++ b/src/share/dispatcher_state.cpp
@@ -0,0 +1,337 @@
+#include "share/dispatcher_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marjoramloom {
+
+namespace {
+
+constexpr auto shortestRetryAfter = duration(std::chrono::seconds(1));
+constexpr auto longestRetryAfter = duration(std::chrono::seconds(30));
+
+/// Tickets of one account that are tried in a pass where servers they exclude are the only free ones.
+constexpr auto excludedLookahead = 4;
+
+/// A ticket that excludes every server is refused after this long, as the servers may be about to change.
+constexpr auto noServerGrace = duration(std::chrono::seconds(2));
+
+/// Accounts that wait too long get at most this part of the grants out of order.
+constexpr auto starvationShare = 1.0 / 8;
+constexpr auto mostStarvationCredit = 2.0;
+
+/// Short work counts as arriving for this long after its last ticket.
+constexpr auto shortArrivalMemory = duration(std::chrono::seconds(10));
+constexpr auto reserveFraction = 50U; ///< One slot in this many is kept from long work.
+
+/// A wait that the next ends of requests will serve within this time needs no suspension.
+constexpr auto toleratedWaitSeconds = 0.1;
+
+/// Totals of the other side of a partition arrive within this time after its first digest.
+constexpr auto rejoinDelay = duration(std::chrono::seconds(1));
+
+constexpr auto debtFactor = 2.0; ///< Debt limit over the fairness bound, so that it never hides a gap.
+constexpr auto fewestDebtThresholds = 10.0; ///< Least debt limit, in thresholds of the pull rule.
+constexpr auto chargeWeight = 0.05; ///< Of a new grant in the mean charge.
+constexpr auto pullAheadFraction = 32U; ///< An idle pool asks ahead for one ticket per this many slots.
+constexpr auto fewestPulls = 4U; ///< Tickets that may be asked for at once by the smallest pool.
+
+} // namespace
+
+dispatcher::state::state(pool_id where, dispatcher_settings with, share_ledger &shared)
+    : pool(std::move(where))
+    , settings(with)
+    , ledger(shared)
+    , running(shared)
+    , pulls(pool, settings, shared)
+{
+}
+
+auto dispatcher::state::service(object_id account) const -> double
+{
+    return ledger.virtualService(account, pool.service);
+}
+
+auto dispatcher::state::floor(time_point now) const -> std::optional<double>
+{
+    auto lowest = pulls.lowestRemote(now);
+    for (const auto &[account, queue] : waiting.accounts()) {
+        if (backlog.contains(account)) {
+            lowest = std::min(lowest.value_or(service(account)), service(account));
+        }
+    }
+    return lowest ? lowest : lastGrantService;
+}
+
+auto dispatcher::state::debtLimit(time_point now) const -> double
+{
+    if (settings.debtLimit > 0) {
+        return settings.debtLimit;
+    }
+    const auto slots = placement.totalSlots(now) * double(1 + pulls.pools(now));
+    const auto bound = settings.pullThreshold + slots * std::max(costs.largestCost(), typicalCharge());
+    return std::max(debtFactor * bound, fewestDebtThresholds * settings.pullThreshold);
+}
+
+auto dispatcher::state::limitOf(object_id account) const -> std::uint32_t
+{
+    const auto own = queueLimits.find(account);
+    return own == queueLimits.end() ? settings.queueLimit : own->second;
+}
+
+auto dispatcher::state::longReserve(time_point now) const -> std::uint32_t
+{
+    if (!lastShortArrival || now - *lastShortArrival > shortArrivalMemory) {
+        return 0;
+    }
+    return settings.shortReserve > 0 ? settings.shortReserve : placement.totalSlots(now) / reserveFraction;
+}
+
+auto dispatcher::state::queueSeconds(time_point now) const -> double
+{
+    const auto rate = ends.perSecond(now);
+    return rate > 0 ? double(waiting.count(work_length::shortWork)) / rate : 0;
+}
+
+auto dispatcher::state::expectedWait(object_id account, time_point now) const -> std::optional<duration>
+{
+    const auto grants = accountGrants.find(account);
+    if (grants == accountGrants.end() || !backlog.contains(account)) {
+        return std::nullopt;
+    }
+    const auto rate = grants->second.perSecond(now);
+    if (rate <= 0) {
+        return std::nullopt;
+    }
+    const auto seconds = double(waiting.count(account)) / rate;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::min(seconds, 3600.0)));
+}
+
+auto dispatcher::state::typicalCharge() const -> double
+{
+    return std::max(1.0, meanCharge);
+}
+
+auto dispatcher::state::refuse(const ticket &refused, refusal_reason reason, time_point now) -> void
+{
+    const auto wait = expectedWait(refused.account, now).value_or(shortestRetryAfter);
+    const auto retryAfter = std::clamp(wait, shortestRetryAfter, longestRetryAfter);
+    decided.refusals.push_back({ refused.id, refused.account, refused.origin, reason, retryAfter });
+}
+
+auto dispatcher::state::takeWaiting(ticket_id id, time_point now) -> std::optional<ticket>
+{
+    auto taken = waiting.take(id);
+    if (taken && waiting.count(taken->account) == 0) {
+        backlog.depart(taken->account, now);
+    }
+    return taken;
+}
+
+auto dispatcher::state::refuseOverdue(time_point now) -> void
+{
+    for (const auto &overdue : waiting.takeOverdue(now)) {
+        refuse(overdue, refusal_reason::deadline, now);
+        if (waiting.count(overdue.account) == 0) {
+            backlog.depart(overdue.account, now);
+        }
+    }
+}
+
+auto dispatcher::state::enterBacklogs(time_point now) -> void
+{
+    started = started.value_or(now);
+    if (now - *started < settings.warmUp || waiting.size() <= placement.freeSlots(now)) {
+        return;
+    }
+    const auto lowest = floor(now);
+    const auto limit = debtLimit(now);
+    for (const auto &[account, queue] : waiting.accounts()) {
+        if (backlog.contains(account)) {
+            continue;
+        }
+        if (lowest && !pulls.waitsElsewhere(account, now)) {
+            ledger.lift(account, pool.service, *lowest);
+            ledger.relieve(account, pool.service, *lowest + limit);
+        }
+        backlog.enter(account);
+    }
+}
+
+auto dispatcher::state::forgiveAfterPartition(time_point now) -> void
+{
+    if (!rejoined || now - *rejoined < rejoinDelay) {
+        return;
+    }
+    rejoined.reset();
+    const auto lowest = floor(now);
+    for (const auto &[account, queue] : waiting.accounts()) {
+        if (lowest) {
+            ledger.relieve(account, pool.service, *lowest + debtLimit(now));
+        }
+    }
+}
+
+auto dispatcher::state::placeInOrder(object_id account) -> void
+{
+    const auto queue = waiting.accounts().find(account);
+    const auto exists = queue != waiting.accounts().end();
+    const auto hasShort = exists && !queue->second.of(work_length::shortWork).empty();
+    const auto hasLong = exists && !queue->second.of(work_length::longWork).empty();
+    order.place({ service(account), ledger.receivedService(account), account }, hasShort, hasLong);
+}
+
+auto dispatcher::state::grantAll(time_point now) -> void
+{
+    order = {};
+    auto free = placement.freeSlots(now);
+    if (free == 0 || waiting.size() == 0) {
+        return;
+    }
+    for (const auto &[account, queue] : waiting.accounts()) {
+        placeInOrder(account);
+    }
+    grantStarving(now);
+    const auto reserve = longReserve(now);
+    free = placement.freeSlots(now);
+    while (free > 0) {
+        const auto turn = order.next(settings.shortAdvance, free > reserve);
+        if (!turn) {
+            return;
+        }
+        if (grantTurn(*turn, now)) {
+            placeInOrder(turn->account);
+            --free;
+        }
+    }
+}
+
+auto dispatcher::state::grantStarving(time_point now) -> void
+{
+    while (starvationCredit >= 1) {
+        auto oldest = std::optional<std::pair<time_point, grant_order::turn>>();
+        for (const auto &[account, queue] : waiting.accounts()) {
+            if (running.count(account) > 0) {
+                continue;
+            }
+            for (const auto length : { work_length::shortWork, work_length::longWork }) {
+                const auto &tickets = queue.of(length);
+                if (!tickets.empty() && (!oldest || tickets.begin()->first.first < oldest->first)) {
+                    oldest = { tickets.begin()->first.first, { account, length } };
+                }
+            }
+        }
+        if (!oldest || now - oldest->first < settings.starvationLimit || !grantTurn(oldest->second, now)) {
+            return;
+        }
+        placeInOrder(oldest->second.account);
+        starvationCredit -= 1;
+    }
+}
+
+auto dispatcher::state::grantTurn(const grant_order::turn &turn, time_point now) -> bool
+{
+    const auto &queue = waiting.accounts().at(turn.account);
+    auto tries = excludedLookahead;
+    for (const auto &[key, candidate] : queue.of(turn.length)) {
+        if (const auto choice = placement.choose(candidate, now, queueSeconds(now))) {
+            const auto chosen = takeWaiting(candidate.id, now);
+            start(*chosen, *choice, now);
+            return true;
+        }
+        if (candidate.excluded.empty()) {
+            order.close(turn.length); // No other ticket without exclusions can be placed either.
+            return false;
+        }
+        if (now - candidate.submitted > noServerGrace && !placement.anyUsable(candidate)) {
+            const auto hopeless = takeWaiting(candidate.id, now);
+            refuse(*hopeless, refusal_reason::noServer, now);
+            break;
+        }
+        if (--tries == 0) {
+            break;
+        }
+    }
+    order.skip(turn);
+    return false;
+}
+
+auto dispatcher::state::start(const ticket &chosen, const placement_choice &choice, time_point now) -> void
+{
+    auto piece = running_piece();
+    piece.hint = std::max(1.0, chosen.expectedCost);
+    const auto charged = costs.expected(chosen.account, chosen.profile, piece.hint);
+    piece.granted = { chosen.id, chosen.account, choice.server, chosen.origin, charged, choice.reason };
+    piece.profile = chosen.profile;
+    piece.length = chosen.length;
+    piece.grantedAt = now;
+    piece.suspendable = chosen.suspendable;
+    lastGrantService = service(chosen.account);
+    meanCharge = meanCharge > 0 ? meanCharge + chargeWeight * (charged - meanCharge) : charged;
+    starvationCredit = std::min(mostStarvationCredit, starvationCredit + starvationShare);
+    accountGrants[chosen.account].add(now);
+    running.start(piece);
+    placement.start(choice.server, chosen.length, now);
+    decided.grants.push_back(piece.granted);
+}
+
+auto dispatcher::state::finish(ticket_id id, double cost, time_point now) -> void
+{
+    if (running.progress(id, cost, now) == nullptr) {
+        return;
+    }
+    const auto piece = running.finish(id);
+    placement.finish(piece.granted.server, piece.length, now);
+    ends.add(now);
+    const auto whole = cost > 0 && piece.hint > 0 && !piece.suspendedAt;
+    if (whole) {
+        costs.observe(piece.granted.account, piece.profile, piece.hint, cost);
+    }
+}
+
+auto dispatcher::state::suspendLong(time_point now) -> void
+{
+    const auto waitingShort = double(waiting.count(work_length::shortWork));
+    if (!settings.suspendLongWork || waitingShort == 0) {
+        return;
+    }
+    const auto soonFree = ends.perSecond(now) * toleratedWaitSeconds;
+    auto due = std::optional<due_account>();
+    for (const auto &[account, queue] : waiting.accounts()) {
+        const auto candidate = due_account{ service(account), ledger.receivedService(account), account };
+        if (!queue.of(work_length::shortWork).empty() && (!due || candidate < *due)) {
+            due = candidate;
+        }
+    }
+    if (waitingShort <= soonFree) {
+        return;
+    }
+    auto wanted = suspension_policy::demand();
+    wanted.slots = std::size_t(std::ceil(waitingShort - soonFree));
+    wanted.shortAccount = due->account;
+    wanted.shortService = due->virtualService;
+    wanted.allowance = settings.shortAdvance;
+    const auto chosen = suspensions.choose(
+        running, wanted, [this](object_id account) { return service(account); },
+        [&](object_id server) { return placement.mayServeShort(server, now); }, now);
+    decided.suspensions.insert(decided.suspensions.end(), chosen.begin(), chosen.end());
+}
+
+auto dispatcher::state::pull(time_point now) -> void
+{
+    const auto slots = placement.totalSlots(now);
+    if (slots == 0) {
+        return;
+    }
+    auto lowest = std::optional<double>();
+    for (const auto &[account, queue] : waiting.accounts()) {
+        lowest = std::min(lowest.value_or(service(account)), service(account));
+    }
+    const auto room = placement.freeSlots(now) + std::max(1U, slots / pullAheadFraction);
+    const auto idle = waiting.size() < room;
+    const auto budget = idle ? room - std::uint32_t(waiting.size()) : std::max(fewestPulls, slots / 2);
+    const auto asked = pulls.choose(idle ? std::nullopt : lowest, budget, typicalCharge(), now);
+    decided.pulls.insert(decided.pulls.end(), asked.begin(), asked.end());
+}
+
+} // namespace marjoramloom
--- a/src/share/running_work.cpp
+++ b/src/share/running_work.cpp
@@ -7,6 +7,13 @@
 
 namespace marjoramloom {
 
+namespace {
+
+/// Short work that used more than this factor of its estimate is treated as long work.
+constexpr auto outgrownFactor = 4.0;
+
+} // namespace
+
 auto running_piece::remaining() const -> double
 {
     return std::max(0.0, granted.charged - used);
@@ -22,6 +29,7 @@
     [[maybe_unused]] const auto added = m_pieces.emplace(piece.granted.ticket, piece).second;
     assert(added);
     m_ledger.charge(piece.granted.account, piece.remaining());
+    ++m_counts[piece.granted.account];
 }
 
 auto running_work::progress(ticket_id id, double cost, time_point now) -> running_piece *
@@ -36,6 +44,9 @@
         m_ledger.observeUse(id.router, piece.granted.account, cost - piece.used, now);
         piece.used = cost;
         m_ledger.charge(piece.granted.account, piece.remaining() - before);
+        if (piece.used > outgrownFactor * piece.granted.charged) {
+            piece.length = work_length::longWork;
+        }
     }
     return &piece;
 }
@@ -45,6 +56,10 @@
     auto node = m_pieces.extract(id);
     assert(!node.empty());
     m_ledger.charge(node.mapped().granted.account, -node.mapped().remaining());
+    const auto count = m_counts.find(node.mapped().granted.account);
+    if (--count->second == 0) {
+        m_counts.erase(count);
+    }
     return std::move(node.mapped());
 }
 
@@ -59,6 +74,12 @@
     return m_pieces;
 }
 
+auto running_work::count(object_id account) const -> std::size_t
+{
+    const auto found = m_counts.find(account);
+    return found == m_counts.end() ? 0 : found->second;
+}
+
 auto running_work::of(incarnation_id router) const -> std::vector<ticket_id>
 {
     auto ids = std::vector<ticket_id>();
--- a/src/share/running_work.h
+++ b/src/share/running_work.h
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/share/ticket.h"
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -14,10 +15,12 @@
 {
     grant granted;
     work_length length = work_length::shortWork;
+    object_id profile;
+    double hint = 0; ///< Expected cost as its router put it; 0 where unknown.
     time_point grantedAt;
     double used = 0; ///< Weighted tokens so far.
     bool suspendable = false;
-    bool suspending = false; ///< Its router was asked to suspend it.
+    std::optional<time_point> suspendedAt; ///< Its router was asked to suspend it.
     std::uint32_t suspensions = 0; ///< Before this grant.
 
     /// Charged and not used yet, in weighted tokens.
@@ -44,12 +47,16 @@
     [[nodiscard]] auto find(ticket_id id) -> running_piece *;
     [[nodiscard]] auto all() const -> const std::unordered_map<ticket_id, running_piece> &;
 
+    /// Number of pieces of an account.
+    [[nodiscard]] auto count(object_id account) const -> std::size_t;
+
     /// Ids of the pieces that a router runs.
     [[nodiscard]] auto of(incarnation_id router) const -> std::vector<ticket_id>;
 
 private:
     share_ledger &m_ledger;
     std::unordered_map<ticket_id, running_piece> m_pieces;
+    std::unordered_map<object_id, std::size_t> m_counts; ///< By account.
 };
 
 } // namespace marjoramloom
