--- /dev/null
+++ b/src/call/connection_pool.cpp
@@ -0,0 +1,42 @@
+#include "marjoramloom/call/connection_pool.h"
+
+#include "marjoramloom/call/http_connection.h"
+
+namespace marjoramloom {
+
+auto connection_pool::take(const std::string &peer, const boost::asio::any_io_executor &executor)
+    -> std::shared_ptr<http_connection>
+{
+    const auto oldest = std::chrono::steady_clock::now() - IDLE_LIMIT;
+    const auto lock = std::lock_guard(m_mutex);
+    auto &idle = m_idle[peer];
+    while (!idle.empty() && idle.front().since < oldest) {
+        idle.pop_front();
+    }
+    while (!idle.empty()) {
+        auto newest = std::move(idle.back().connection);
+        idle.pop_back();
+        if (newest->idleAndOpen()) {
+            newest->adopt(executor);
+            return newest;
+        }
+    }
+    return nullptr;
+}
+
+auto connection_pool::giveBack(std::shared_ptr<http_connection> connection) -> void
+{
+    if (!connection->endedCleanly()) {
+        connection->interrupt();
+        return;
+    }
+    connection->release();
+    const auto lock = std::lock_guard(m_mutex);
+    auto &idle = m_idle[connection->peer()];
+    idle.push_back({ std::move(connection), std::chrono::steady_clock::now() });
+    if (idle.size() > IDLE_PER_PEER) {
+        idle.pop_front();
+    }
+}
+
+} // namespace marjoramloom
--- /dev/null
+++ b/src/call/http_connection.cpp
@@ -0,0 +1,198 @@
+#include "marjoramloom/call/http_connection.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cassert>
+#include <charconv>
+
+namespace marjoramloom {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+http_connection::http_connection(const asio::any_io_executor &executor, std::string peer)
+    : m_peer(std::move(peer))
+    , m_socket(executor)
+{
+    adopt(executor);
+}
+
+auto http_connection::adopt(const asio::any_io_executor &executor) -> void
+{
+    m_limit = std::make_shared<step_limit>(executor, [this] { interrupt(); });
+}
+
+auto http_connection::release() -> void
+{
+    m_limit->detach();
+}
+
+http_connection::~http_connection()
+{
+    release();
+}
+
+auto http_connection::connect(duration limit, last_reason &why) -> asio::awaitable<bool>
+{
+    const auto endpoint = parseEndpoint(m_peer, why);
+    if (!endpoint) {
+        co_return false;
+    }
+    auto error = error_code();
+    m_limit->arm(limit);
+    co_await m_socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+    m_limit->disarm();
+    if (error || m_limit->expired()) {
+        why.fail(failure_kind::notSent, "connect", m_peer, m_limit->expired() ? "timed out" : error.message());
+        co_return false;
+    }
+    m_socket.set_option(asio::ip::tcp::no_delay(true), error);
+    co_return true;
+}
+
+auto http_connection::send(const request &message, duration limit, last_reason &why) -> asio::awaitable<bool>
+{
+    auto error = error_code();
+    m_anythingSent = true;
+    m_parser.reset();
+    m_limit->arm(limit);
+    co_await http::async_write(m_socket, message, asio::redirect_error(asio::use_awaitable, error));
+    m_limit->disarm();
+    if (error) {
+        fail("send request", error, why);
+        co_return false;
+    }
+    co_return true;
+}
+
+auto http_connection::readHead(duration limit, last_reason &why) -> asio::awaitable<bool>
+{
+    auto error = error_code();
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    m_limit->arm(limit);
+    co_await http::async_read_header(m_socket, m_buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
+    m_limit->disarm();
+    if (error) {
+        fail("read answer head", error, why);
+        co_return false;
+    }
+    co_return true;
+}
+
+auto http_connection::readPart(duration limit, last_reason &why) -> asio::awaitable<std::optional<std::string_view>>
+{
+    assert(m_parser && m_parser->is_header_done());
+    m_limit->arm(limit);
+    while (!m_parser->is_done()) {
+        auto &body = m_parser->get().body();
+        body.data = m_part.data();
+        body.size = m_part.size();
+        body.more = true;
+        auto error = error_code();
+        co_await http::async_read_some(m_socket, m_buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
+        const auto read = m_part.size() - m_parser->get().body().size;
+        if (error && error != http::error::need_buffer) {
+            m_limit->disarm();
+            fail("read answer", error, why);
+            co_return std::nullopt;
+        }
+        if (read > 0) {
+            m_limit->disarm();
+            co_return std::string_view(m_part.data(), read);
+        }
+    }
+    m_limit->disarm();
+    co_return std::string_view();
+}
+
+auto http_connection::readRest(std::size_t sizeLimit, duration limit, last_reason &why)
+    -> asio::awaitable<std::optional<std::string>>
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    auto whole = std::string();
+    while (true) {
+        const auto left = end - std::chrono::steady_clock::now();
+        const auto part = co_await readPart(left, why);
+        if (!part) {
+            co_return std::nullopt;
+        }
+        if (part->empty()) {
+            co_return whole;
+        }
+        if (whole.size() + part->size() > sizeLimit) {
+            interrupt();
+            co_return why.fail(failure_kind::protocolViolation, "read answer", m_peer, "answer over the size limit");
+        }
+        whole += *part;
+    }
+}
+
+auto http_connection::status() const -> unsigned
+{
+    assert(m_parser && m_parser->is_header_done());
+    return m_parser->get().result_int();
+}
+
+auto http_connection::header(std::string_view name) const -> std::string
+{
+    assert(m_parser && m_parser->is_header_done());
+    const auto value = m_parser->get()[boost::beast::string_view(name.data(), name.size())];
+    return { value.data(), value.size() };
+}
+
+auto http_connection::anythingSent() const -> bool
+{
+    return m_anythingSent;
+}
+
+auto http_connection::endedCleanly() const -> bool
+{
+    return m_socket.is_open() && m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
+}
+
+auto http_connection::idleAndOpen() -> bool
+{
+    auto error = error_code();
+    auto byte = char();
+    m_socket.non_blocking(true, error);
+    m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+auto http_connection::interrupt() -> void
+{
+    auto ignored = error_code();
+    m_socket.close(ignored);
+}
+
+auto http_connection::peer() const -> const std::string &
+{
+    return m_peer;
+}
+
+auto http_connection::fail(std::string_view step, const error_code &error, last_reason &why) -> void
+{
+    why.fail(m_limit->expired() ? failure_kind::deadlineExceeded : failure_kind::unknownOutcome, step, m_peer,
+             m_limit->expired() ? "timed out" : error.message());
+    interrupt();
+}
+
+auto parseEndpoint(const std::string &address, last_reason &why) -> std::optional<asio::ip::tcp::endpoint>
+{
+    const auto colon = address.rfind(':');
+    auto error = error_code();
+    auto port = std::uint16_t();
+    if (colon != std::string::npos) {
+        const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+        const auto *end = address.data() + address.size();
+        const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+        if (!error && parsed.ec == std::errc() && parsed.ptr == end && port != 0) {
+            return asio::ip::tcp::endpoint(ip, port);
+        }
+    }
+    return why.fail(failure_kind::notSent, "parse address", address, "not IP:port");
+}
+
+} // namespace marjoramloom
