--- /dev/null
+++ b/tests/standins/object_log.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace standins {
+
+/// One write to the store: a value, or a deletion.
+struct object_write
+{
+    std::string kind;
+    std::string name;
+    std::uint64_t revision = 0;
+    std::string value;
+    bool deleted = false;
+};
+
+/// Versioned objects with every write kept, so that reads can be answered at an older revision. Not thread safe.
+class object_log
+{
+public:
+    [[nodiscard]] auto revision() const -> std::uint64_t
+    {
+        return m_writes.size();
+    }
+
+    /// The object as it stood at \p revision; its revision is 0 where none stood.
+    [[nodiscard]] auto at(const std::string &kind, const std::string &name, std::uint64_t revision) const
+        -> object_write;
+
+    /// All objects of a kind as they stood at \p revision.
+    [[nodiscard]] auto listAt(const std::string &kind, std::uint64_t revision) const -> std::vector<object_write>;
+
+    /// Appends a write; its revision is set here.
+    auto append(object_write write) -> object_write;
+
+    /// Writes after \p since, in order.
+    [[nodiscard]] auto after(std::uint64_t since) const -> std::vector<object_write>;
+
+private:
+    std::vector<object_write> m_writes; ///< The write at index N has revision N + 1.
+    std::map<std::string, std::map<std::string, std::vector<std::uint64_t>>> m_revisions; ///< By kind and name.
+};
+
+} // namespace standins
