--- /dev/null
+++ b/tests/unit/router/settings_test.cpp
@@ -0,0 +1,83 @@
+#include "marjoramloom/router/settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace marjoramloom;
+
+namespace {
+
+const auto complete = std::string(R"([instance]
+name = "a1"
+data_centre = "a"
+[listen]
+callers = "127.0.0.1:8001"
+operators = "127.0.0.1:8002"
+peers = "127.0.0.1:8003"
+[operators]
+key_hash = "0000000000000000000000000000000000000000000000000000000000000000"
+[platform]
+addresses = ["127.0.0.1:9000"]
+)");
+
+auto errorOf(const std::string &text) -> std::string
+{
+    auto why = last_reason();
+    const auto parsed = parseSettings(text, "router.toml", why);
+    return parsed ? std::string() : why.detail;
+}
+
+auto contains(const std::string &text, const std::string &part) -> bool
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(settings_test)
+
+BOOST_AUTO_TEST_CASE(a_complete_file_is_accepted_with_defaults)
+{
+    auto why = last_reason();
+    const auto parsed = parseSettings(complete, "router.toml", why);
+    BOOST_REQUIRE_MESSAGE(parsed, why.text());
+    BOOST_TEST(parsed->instance == "a1");
+    BOOST_TEST(parsed->region == "a");
+    BOOST_TEST(parsed->heartbeat.count() == 500);
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_key_is_named_with_its_line)
+{
+    const auto error = errorOf(complete + "[log]\ncolour = \"red\"\n");
+    BOOST_TEST(contains(error, "router.toml:13: 'log.colour' is not a known key"), error);
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_table_is_named)
+{
+    BOOST_TEST(contains(errorOf(complete + "[extra]\n"), "'extra' is not a known table"));
+}
+
+BOOST_AUTO_TEST_CASE(a_value_out_of_range_names_the_range)
+{
+    const auto error = errorOf(complete + "[peers]\nheartbeat_ms = 1\n");
+    BOOST_TEST(contains(error, "router.toml:13: 'peers.heartbeat_ms' must be from 50 to 10000"), error);
+}
+
+BOOST_AUTO_TEST_CASE(a_wrong_type_is_named)
+{
+    const auto error = errorOf(complete + "[limits]\nqueue = \"many\"\n");
+    BOOST_TEST(contains(error, "'limits.queue' must be a whole number"), error);
+}
+
+BOOST_AUTO_TEST_CASE(contradicting_values_are_refused)
+{
+    const auto error = errorOf(complete + "[peers]\nheartbeat_ms = 1000\ntimeout_ms = 1500\n");
+    BOOST_TEST(contains(error, "at least three times heartbeat_ms"), error);
+}
+
+BOOST_AUTO_TEST_CASE(missing_keys_and_text_that_is_not_toml_are_refused)
+{
+    BOOST_TEST(contains(errorOf(""), "'instance.name' is missing"));
+    BOOST_TEST(contains(errorOf("[instance\n"), "router.toml:1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
