--- /dev/null
+++ b/include/marjoramloom/router/http_server.inl
@@ -0,0 +1,234 @@
+#include "marjoramloom/core/endpoint.h"
+#include "marjoramloom/core/log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace marjoramloom {
+
+/// How long an idle connection stays open once its server stops.
+constexpr auto idleCloseDelay = std::chrono::seconds(2);
+/// Pause after an accept that failed, as when no file descriptor is free.
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+/// Largest head of a request, in bytes.
+constexpr std::uint32_t headerBytes = 32U << 10U;
+
+template<http_handler Handler>
+http_server<Handler>::http_server(boost::asio::io_context &context, Handler &handler, counter_registry &counters,
+                                  std::string name, http_limits limits)
+    : m_context(context)
+    , m_handler(handler)
+    , m_counters(counters)
+    , m_name(std::move(name))
+    , m_limits(limits)
+    , m_acceptor(boost::asio::make_strand(context))
+{
+}
+
+template<http_handler Handler>
+auto http_server<Handler>::listen(const std::string &address, last_reason &why) -> std::optional<std::uint16_t>
+{
+    const auto endpoint = parseEndpoint(address, why);
+    if (!endpoint) {
+        return std::nullopt;
+    }
+    auto error = boost::system::error_code();
+    m_acceptor.open(endpoint->protocol(), error);
+    if (!error) {
+        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+        m_acceptor.bind(*endpoint, error);
+    }
+    if (!error) {
+        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return why.fail(failure_kind::unavailable, "listen", address, error.message());
+    }
+    boost::asio::co_spawn(
+        m_acceptor.get_executor(), [self = this->shared_from_this()] { return self->acceptLoop(); },
+        boost::asio::detached);
+    return m_acceptor.local_endpoint().port();
+}
+
+template<http_handler Handler>
+auto http_server<Handler>::stopAccepting() -> void
+{
+    m_stopping = true;
+    boost::asio::post(m_acceptor.get_executor(), [self = this->shared_from_this()] {
+        auto error = boost::system::error_code();
+        self->m_acceptor.close(error);
+    });
+}
+
+template<http_handler Handler>
+auto http_server<Handler>::connections() const -> std::size_t
+{
+    return m_connections;
+}
+
+template<http_handler Handler>
+auto http_server<Handler>::acceptLoop() -> boost::asio::awaitable<void>
+{
+    auto error = boost::system::error_code();
+    auto pause = boost::asio::steady_timer(m_acceptor.get_executor());
+    while (!m_stopping) {
+        auto strand = boost::asio::make_strand(m_context);
+        auto socket =
+            co_await m_acceptor.async_accept(strand, boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        if (error) {
+            pause.expires_after(acceptRetryDelay);
+            co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
+            continue;
+        }
+        auto connection = std::make_shared<tcp::socket>(std::move(socket));
+        boost::asio::co_spawn(
+            strand, [self = this->shared_from_this(), connection] { return self->serve(std::move(*connection)); },
+            boost::asio::detached);
+    }
+}
+
+template<http_handler Handler>
+auto http_server<Handler>::serve(tcp::socket socket) -> boost::asio::awaitable<void>
+{
+    ++m_connections;
+    auto error = boost::system::error_code();
+    socket.set_option(tcp::no_delay(true), error);
+    const auto remote = socket.remote_endpoint(error);
+    auto peer = error ? std::string("unknown") : endpointText(remote);
+    auto stream = boost::beast::tcp_stream(std::move(socket));
+    try {
+        co_await serveRequests(stream, peer);
+    } catch (const std::exception &failure) {
+        m_counters.at("marjoramloom_session_failures_total", "listener=\"" + m_name + "\"").add();
+        log_line(log_level::error, "session_failed").with("peer", peer).with("detail", failure.what());
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_both, error);
+    --m_connections;
+}
+
+template<http_handler Handler>
+auto http_server<Handler>::serveRequests(boost::beast::tcp_stream &stream, std::string peer)
+    -> boost::asio::awaitable<void>
+{
+    auto buffer = boost::beast::flat_buffer();
+    while (co_await waitForRequest(stream, buffer)) {
+        if (!co_await serveOne(stream, buffer, peer)) {
+            co_return;
+        }
+    }
+}
+
+/// Waits for the first byte of a request; false once the connection is to be closed.
+template<http_handler Handler>
+auto http_server<Handler>::waitForRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer)
+    -> boost::asio::awaitable<bool>
+{
+    using namespace boost::asio::experimental::awaitable_operators;
+    constexpr auto tupled = boost::asio::as_tuple(boost::asio::use_awaitable);
+    constexpr std::size_t readSize = 4096;
+    auto waited = duration::zero();
+    auto timer = boost::asio::steady_timer(stream.get_executor());
+    while (buffer.size() == 0) {
+        const auto step = std::min<duration>(idleCloseDelay, m_limits.idleTimeout - waited);
+        timer.expires_after(step);
+        const auto first =
+            co_await (stream.socket().async_wait(tcp::socket::wait_read, tupled) || timer.async_wait(tupled));
+        if (first.index() == 1) {
+            waited += step;
+            if (m_stopping || waited >= m_limits.idleTimeout) {
+                co_return false;
+            }
+            continue;
+        }
+        auto error = boost::system::error_code();
+        const auto count = co_await stream.async_read_some(
+            buffer.prepare(readSize), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        if (error) {
+            co_return false;
+        }
+        buffer.commit(count);
+    }
+    co_return true;
+}
+
+template<http_handler Handler>
+auto http_server<Handler>::serveOne(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer,
+                                    const std::string &peer) -> boost::asio::awaitable<bool>
+{
+    auto parser = boost::beast::http::request_parser<boost::beast::http::string_body>();
+    parser.body_limit(m_limits.bodyBytes);
+    parser.header_limit(headerBytes);
+    auto error = boost::system::error_code();
+    stream.expires_after(m_limits.headerTimeout);
+    co_await boost::beast::http::async_read(stream, buffer, parser,
+                                            boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    stream.expires_never();
+    if (error) {
+        co_await refuse(stream, buffer, peer, error);
+        co_return false;
+    }
+    auto exchange = http_exchange(stream, buffer, parser.release(), peer, m_limits.idleTimeout);
+    if (m_stopping) {
+        exchange.closeAfterwards();
+    }
+    co_await runHandler(exchange);
+    co_return exchange.reusable() && !m_stopping;
+}
+
+template<http_handler Handler>
+auto http_server<Handler>::refuse(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer,
+                                  const std::string &peer, boost::system::error_code error)
+    -> boost::asio::awaitable<void>
+{
+    m_counters.at("marjoramloom_bad_requests_total", "listener=\"" + m_name + "\"").add();
+    log_line(log_level::warning, "bad_request").with("peer", peer).with("detail", error.message());
+    if (error == boost::beast::http::error::end_of_stream) {
+        co_return;
+    }
+    auto why = last_reason();
+    why.fail(failure_kind::invalidInput, "read request", peer, error.message());
+    auto answer = errorReply(why);
+    if (error == boost::beast::http::error::body_limit) {
+        answer.status = 413;
+    } else if (error == boost::beast::error::timeout) {
+        answer.status = 408;
+    }
+    answer.headers.emplace_back("X-Not-Run", "invalid_input");
+    auto exchange = http_exchange(stream, buffer, {}, peer, m_limits.headerTimeout);
+    exchange.closeAfterwards();
+    co_await exchange.reply(std::move(answer));
+}
+
+template<http_handler Handler>
+auto http_server<Handler>::runHandler(http_exchange &exchange) -> boost::asio::awaitable<void>
+{
+    auto failure = std::string();
+    try {
+        co_await m_handler.handle(exchange);
+    } catch (const std::exception &error) {
+        failure = error.what();
+    }
+    if (failure.empty() && exchange.answered()) {
+        co_return;
+    }
+    auto why = last_reason();
+    why.fail(failure_kind::internal, "handle request", exchange.peer(), failure);
+    log_line(log_level::error, "handler_failed").with("peer", exchange.peer()).with("detail", failure);
+    exchange.closeAfterwards();
+    if (exchange.answered()) {
+        exchange.abandonEvents();
+    } else {
+        auto answer = errorReply(why);
+        co_await exchange.reply(std::move(answer));
+    }
+}
+
+} // namespace marjoramloom
--- a/include/marjoramloom/share/ticket.h
+++ b/include/marjoramloom/share/ticket.h
@@ -56,6 +56,7 @@
     object_id account;
     object_id server;
     pool_id origin;
+    pool_id pool; ///< Whose dispatcher granted it, to be told of progress and the end.
     double charged = 0; ///< Expected cost that the account was charged.
     std::string reason; ///< For the log: why this server, with the alternatives' scores.
 };
--- /dev/null
+++ b/src/router/http_exchange.cpp
@@ -0,0 +1,228 @@
+#include "marjoramloom/router/http_exchange.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json.hpp>
+#include <cassert>
+#include <cstdio>
+
+namespace marjoramloom {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Pause between looks at a connection on which a pipelined request already waits.
+constexpr auto pipelinedPollPeriod = std::chrono::seconds(1);
+
+constexpr std::string_view bearerPrefix = "Bearer ";
+
+auto chunkOf(const std::string &text) -> std::string
+{
+    auto size = std::array<char, 24>{};
+    const auto length = std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    auto chunk = std::string(size.data(), static_cast<std::size_t>(length));
+    return chunk.append(text).append("\r\n");
+}
+
+} // namespace
+
+http_exchange::http_exchange(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, request_type request,
+                             std::string peer, duration writeTimeout)
+    : m_stream(stream)
+    , m_buffer(buffer)
+    , m_request(std::move(request))
+    , m_peer(std::move(peer))
+    , m_writeTimeout(writeTimeout)
+    , m_reusable(m_request.keep_alive())
+{
+}
+
+auto http_exchange::request() const -> const request_type &
+{
+    return m_request;
+}
+
+auto http_exchange::target() const -> std::string_view
+{
+    const auto target = m_request.target();
+    return { target.data(), target.size() };
+}
+
+auto http_exchange::header(std::string_view name) const -> std::string_view
+{
+    const auto found = m_request.find(boost::beast::string_view(name.data(), name.size()));
+    if (found == m_request.end()) {
+        return {};
+    }
+    return { found->value().data(), found->value().size() };
+}
+
+auto http_exchange::peer() const -> const std::string &
+{
+    return m_peer;
+}
+
+auto http_exchange::bearerToken() const -> std::string_view
+{
+    const auto value = header("Authorization");
+    return value.starts_with(bearerPrefix) ? value.substr(bearerPrefix.size()) : std::string_view();
+}
+
+auto http_exchange::closeAfterwards() -> void
+{
+    m_reusable = false;
+}
+
+auto http_exchange::reply(http_reply answer) -> asio::awaitable<bool>
+{
+    assert(!m_answered);
+    m_answered = true;
+    auto response = http::response<http::string_body>(http::int_to_status(answer.status), m_request.version());
+    response.set(http::field::content_type, answer.contentType);
+    for (const auto &[name, value] : answer.headers) {
+        response.set(name, value);
+    }
+    response.keep_alive(m_reusable);
+    response.body() = std::move(answer.body);
+    response.prepare_payload();
+    auto error = boost::system::error_code();
+    m_stream.expires_after(m_writeTimeout);
+    co_await http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, error));
+    m_reusable = m_reusable && !error;
+    co_return !error;
+}
+
+auto http_exchange::startEvents(std::vector<std::pair<std::string, std::string>> headers) -> asio::awaitable<bool>
+{
+    assert(!m_answered);
+    m_answered = true;
+    auto head = http::response<http::empty_body>(http::status::ok, 11);
+    head.set(http::field::content_type, "text/event-stream");
+    head.set(http::field::cache_control, "no-store");
+    for (const auto &[name, value] : headers) {
+        head.set(name, value);
+    }
+    head.keep_alive(m_reusable);
+    head.chunked(true);
+    auto serializer = http::response_serializer<http::empty_body>(head);
+    auto error = boost::system::error_code();
+    m_stream.expires_after(m_writeTimeout);
+    co_await http::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+    m_reusable = m_reusable && !error;
+    co_return !error;
+}
+
+auto http_exchange::writeEvent(std::string text) -> asio::awaitable<bool>
+{
+    assert(m_answered);
+    co_return co_await write(chunkOf(text));
+}
+
+auto http_exchange::finishEvents() -> asio::awaitable<bool>
+{
+    assert(m_answered);
+    co_return co_await write("0\r\n\r\n");
+}
+
+auto http_exchange::abandonEvents() -> void
+{
+    m_reusable = false;
+    auto error = boost::system::error_code();
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, error);
+}
+
+auto http_exchange::waitForCallerToLeave() -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor);
+    auto error = boost::system::error_code();
+    while (true) {
+        co_await m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                              asio::redirect_error(asio::use_awaitable, error));
+        if (error || m_stream.socket().available(error) == 0 || error) {
+            co_return;
+        }
+        // Bytes of a pipelined request wait in the socket: the end of the connection shows only behind them.
+        timer.expires_after(pipelinedPollPeriod);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+auto http_exchange::answered() const -> bool
+{
+    return m_answered;
+}
+
+auto http_exchange::reusable() const -> bool
+{
+    return m_reusable;
+}
+
+auto http_exchange::write(std::string text) -> asio::awaitable<bool>
+{
+    auto error = boost::system::error_code();
+    m_stream.expires_after(m_writeTimeout);
+    const auto buffer = asio::buffer(text);
+    co_await asio::async_write(m_stream, buffer, asio::redirect_error(asio::use_awaitable, error));
+    m_reusable = m_reusable && !error;
+    co_return !error;
+}
+
+auto errorBody(const last_reason &why) -> std::string
+{
+    const auto error = boost::json::object{
+        { "kind", nameOf(why.kind) },
+        { "step", why.step },
+        { "peer", why.peer },
+        { "detail", why.detail },
+    };
+    return boost::json::serialize(boost::json::object{ { "error", error } }) + "\n";
+}
+
+auto statusOf(failure_kind kind) -> unsigned
+{
+    switch (kind) {
+    case failure_kind::none:
+        return 200;
+    case failure_kind::invalidInput:
+        return 400;
+    case failure_kind::unauthorized:
+        return 401;
+    case failure_kind::notFound:
+        return 404;
+    case failure_kind::conflict:
+        return 409;
+    case failure_kind::overloaded:
+        return 429;
+    case failure_kind::protocolViolation:
+        return 502;
+    case failure_kind::notSent:
+    case failure_kind::unavailable:
+    case failure_kind::deadlineExceeded:
+    case failure_kind::leaving:
+        return 503;
+    case failure_kind::unknownOutcome:
+        return 504;
+    case failure_kind::cancelled:
+        return 499;
+    case failure_kind::internal:
+        return 500;
+    }
+    return 500;
+}
+
+auto errorReply(const last_reason &why) -> http_reply
+{
+    auto answer = http_reply();
+    answer.status = statusOf(why.kind);
+    answer.body = errorBody(why);
+    return answer;
+}
+
+} // namespace marjoramloom
--- /dev/null
+++ b/src/router/ticket_queue.cpp
@@ -0,0 +1,211 @@
+#include "marjoramloom/router/ticket_queue.h"
+
+#include "marjoramloom/core/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cassert>
+
+namespace marjoramloom {
+
+namespace asio = boost::asio;
+
+ticket_queue::ticket_queue(strand_type strand, incarnation_id incarnation, counter_registry &counters)
+    : m_strand(std::move(strand))
+    , m_incarnation(incarnation)
+    , m_counters(counters)
+{
+}
+
+auto ticket_queue::setPort(dispatch_port port) -> void
+{
+    m_port = std::move(port);
+}
+
+auto ticket_queue::setLimits(std::function<std::uint32_t(object_id)> perAccount, std::uint32_t overall) -> void
+{
+    m_accountLimit = std::move(perAccount);
+    m_overallLimit = overall;
+}
+
+auto ticket_queue::acquire(ticket waiting, last_reason &why) -> asio::awaitable<std::optional<grant>>
+{
+    // The reason is shared, as a cancelled caller's frame may end before the decision strand is done.
+    auto shared = std::make_shared<last_reason>();
+    auto granted = co_await asio::co_spawn(m_strand, acquireOnStrand(std::move(waiting), shared), asio::use_awaitable);
+    if (!granted) {
+        why = *shared;
+    }
+    co_return granted;
+}
+
+auto ticket_queue::acquireOnStrand(ticket waiting, std::shared_ptr<last_reason> why)
+    -> asio::awaitable<std::optional<grant>>
+{
+    assert(m_port.submit);
+    if (!admit(waiting, *why)) {
+        co_return std::nullopt;
+    }
+    waiting.id = { m_incarnation, ++m_lastSerial };
+    auto request = std::make_shared<waiting_request>(m_strand);
+    request->entry = waiting;
+    request->wake.expires_at(waiting.deadline);
+    m_waiting[waiting.id] = request;
+    ++m_waitingByAccount[waiting.account];
+    m_waitingCount = m_waiting.size();
+    m_port.submit(waiting);
+    auto error = boost::system::error_code();
+    if (!request->granted && !request->refused) {
+        co_await request->wake.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+    co_return outcome(request, *why);
+}
+
+auto ticket_queue::admit(const ticket &waiting, last_reason &why) -> bool
+{
+    const auto limit = m_accountLimit ? m_accountLimit(waiting.account) : m_overallLimit;
+    const auto found = m_waitingByAccount.find(waiting.account);
+    const auto ofAccount = found == m_waitingByAccount.end() ? 0 : found->second;
+    if (ofAccount < limit && m_waiting.size() < m_overallLimit) {
+        return true;
+    }
+    m_counters.at("marjoramloom_refused_total", "reason=\"queue_full\"").add();
+    why.fail(failure_kind::overloaded, "queue", "", "too many waiting requests of this account");
+    return false;
+}
+
+auto ticket_queue::outcome(const std::shared_ptr<waiting_request> &request, last_reason &why) -> std::optional<grant>
+{
+    const auto &entry = request->entry;
+    m_waiting.erase(entry.id);
+    auto &ofAccount = m_waitingByAccount[entry.account];
+    if (--ofAccount == 0) {
+        m_waitingByAccount.erase(entry.account);
+    }
+    m_waitingCount = m_waiting.size();
+    if (request->granted) {
+        return request->granted;
+    }
+    m_port.withdraw(entry.origin, entry.id);
+    const auto reason = request->refused ? request->refused->reason : refusal_reason::deadline;
+    m_counters.at("marjoramloom_refused_total", "reason=\"" + std::string(nameOf(reason)) + "\"").add();
+    const auto kind = reason == refusal_reason::deadline ? failure_kind::deadlineExceeded : failure_kind::overloaded;
+    return why.fail(kind, "wait for a backend server", entry.origin.dataCentre, nameOf(reason));
+}
+
+auto ticket_queue::handleGrant(const grant &granted) -> void
+{
+    const auto found = m_waiting.find(granted.ticket);
+    if (found == m_waiting.end() || found->second->granted || found->second->refused) {
+        const auto known = m_running.find(granted.ticket);
+        const auto repeated = known != m_running.end() && known->second.granted.pool == granted.pool
+            && known->second.granted.server == granted.server;
+        if (!repeated) {
+            m_counters.at("marjoramloom_surplus_grants_total").add();
+            m_port.settle(granted.pool, granted.ticket, 0);
+        }
+        return;
+    }
+    const auto &request = found->second;
+    request->granted = granted;
+    m_running[granted.ticket] = { granted, request->entry.length, 0, {} };
+    m_runningCount = m_running.size();
+    if (granted.pool != request->entry.origin) {
+        m_port.withdraw(request->entry.origin, granted.ticket);
+    }
+    request->wake.cancel();
+}
+
+auto ticket_queue::handleRefusal(const refusal &refused) -> void
+{
+    const auto found = m_waiting.find(refused.ticket);
+    if (found == m_waiting.end() || found->second->granted) {
+        return;
+    }
+    found->second->refused = refused;
+    found->second->wake.cancel();
+}
+
+auto ticket_queue::handleSuspension(const suspension &asked) -> void
+{
+    const auto found = m_running.find(asked.ticket);
+    if (found != m_running.end() && found->second.suspend) {
+        found->second.suspend();
+    }
+}
+
+auto ticket_queue::progress(ticket_id id, double cost) -> void
+{
+    asio::post(m_strand, [this, id, cost] {
+        const auto found = m_running.find(id);
+        if (found != m_running.end()) {
+            found->second.cost = cost;
+            m_port.progress(found->second.granted.pool, id, cost);
+        }
+    });
+}
+
+auto ticket_queue::settle(ticket_id id, double cost) -> void
+{
+    asio::post(m_strand, [this, id, cost] { settleOnStrand(id, cost); });
+}
+
+auto ticket_queue::settleOnStrand(ticket_id id, double cost) -> void
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end()) {
+        return;
+    }
+    const auto pool = found->second.granted.pool;
+    m_running.erase(found);
+    m_runningCount = m_running.size();
+    m_port.settle(pool, id, cost);
+}
+
+auto ticket_queue::onSuspend(ticket_id id, std::function<void()> suspend) -> void
+{
+    asio::post(m_strand, [this, id, suspend = std::move(suspend)]() mutable {
+        const auto found = m_running.find(id);
+        if (found != m_running.end()) {
+            found->second.suspend = std::move(suspend);
+        }
+    });
+}
+
+auto ticket_queue::resubmit() -> void
+{
+    // Copied first: a dispatcher in this process may grant at once, which changes the map.
+    auto waiting = std::vector<ticket>();
+    for (const auto &[id, request] : m_waiting) {
+        if (!request->granted && !request->refused) {
+            waiting.push_back(request->entry);
+        }
+    }
+    for (const auto &entry : waiting) {
+        m_port.submit(entry);
+    }
+}
+
+auto ticket_queue::running() const -> std::vector<running_request>
+{
+    auto all = std::vector<running_request>();
+    for (const auto &[id, request] : m_running) {
+        all.push_back(request);
+    }
+    return all;
+}
+
+auto ticket_queue::waitingCount() const -> std::size_t
+{
+    return m_waitingCount;
+}
+
+auto ticket_queue::runningCount() const -> std::size_t
+{
+    return m_runningCount;
+}
+
+} // namespace marjoramloom
