--- a/src/share/dispatcher.cpp
+++ b/src/share/dispatcher.cpp
@@ -144,7 +144,9 @@
 auto dispatcher::state::start(const ticket &chosen, const placement_choice &choice, time_point now) -> void
 {
     auto piece = running_piece();
-    piece.granted = { chosen.id, chosen.account, choice.server, chosen.origin, chosen.expectedCost, choice.reason };
+    piece.granted = {
+        chosen.id, chosen.account, choice.server, chosen.origin, pool, chosen.expectedCost, choice.reason
+    };
     piece.length = chosen.length;
     piece.grantedAt = now;
     piece.suspendable = chosen.suspendable;
