--- a/src/share/dispatcher_state.cpp
+++ b/src/share/dispatcher_state.cpp
@@ -261,7 +261,7 @@
     auto piece = running_piece();
     piece.hint = std::max(1.0, chosen.expectedCost);
     const auto charged = costs.expected(chosen.account, chosen.profile, piece.hint);
-    piece.granted = { chosen.id, chosen.account, choice.server, chosen.origin, charged, choice.reason };
+    piece.granted = { chosen.id, chosen.account, choice.server, chosen.origin, pool, charged, choice.reason };
     piece.profile = chosen.profile;
     piece.length = chosen.length;
     piece.grantedAt = now;
