share: recovery of running and waiting state, starvation limit by fair share, debt after a partition

Released tickets are now taken back after 5 s, and a router's list of running requests frees slots whose end was not heard. Ruled out: a small debt limit for accounts that idle (large requests, a pause, and all is forgiven).

--- a/include/marjoramloom/share/dispatcher.h
+++ b/include/marjoramloom/share/dispatcher.h
@@ -88,6 +88,10 @@
     /// A router says it runs this request on that server, which this dispatcher may not have granted itself.
     auto adopt(const grant &running, work_length length, time_point now) -> void;
 
+    /// All requests that a router runs for this dispatcher. One that was granted a while ago and is not among them
+    /// ended without this dispatcher hearing of it; its slot is free.
+    auto confirmRunning(incarnation_id router, const std::vector<ticket_id> &running, time_point now) -> void;
+
     /// Forgets everything of a router that is gone for good; its slots are free.
     auto forgetRouter(incarnation_id router, time_point now) -> void;
 
--- a/src/share/dispatcher.cpp
+++ b/src/share/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "share/dispatcher_state.h"
 
 #include <algorithm>
+#include <set>
 
 namespace marjoramloom {
 
@@ -11,6 +12,9 @@
 /// A ticket that is sent again this long after its grant means that the grant was lost.
 constexpr auto regrantDelay = duration(std::chrono::seconds(1));
 
+/// A grant takes at most this long to reach its router and to show among what the router runs.
+constexpr auto confirmationDelay = duration(std::chrono::seconds(3));
+
 /// A ticket is refused at once where its account's wait exceeds what is left to its deadline by this factor.
 constexpr auto hopelessFactor = 1.5;
 
@@ -34,6 +38,9 @@
         }
         return;
     }
+    if (m_state->released.contains(waiting.id, now)) {
+        return;
+    }
     m_state->pulls.noteArrival(waiting);
     if (m_state->waiting.contains(waiting.id)) {
         m_state->waiting.insert(waiting);
@@ -84,10 +91,21 @@
     piece.granted = running;
     piece.length = length;
     piece.grantedAt = now;
+    piece.adopted = true;
     m_state->running.start(piece);
     m_state->placement.start(running.server, length, now);
 }
 
+auto dispatcher::confirmRunning(incarnation_id router, const std::vector<ticket_id> &running, time_point now) -> void
+{
+    const auto known = std::set<ticket_id>(running.begin(), running.end());
+    for (const auto id : m_state->running.of(router)) {
+        if (!known.contains(id) && now - m_state->running.find(id)->grantedAt >= confirmationDelay) {
+            m_state->finish(id, 0, now);
+        }
+    }
+}
+
 auto dispatcher::forgetRouter(incarnation_id router, time_point now) -> void
 {
     for (const auto &lost : m_state->waiting.takeOf(router)) {
@@ -157,6 +175,7 @@
     }
     for (const auto id : ids) {
         released.push_back(*m_state->takeWaiting(id, now));
+        m_state->released.add(id, now);
     }
     return released;
 }
--- a/src/share/dispatcher_state.cpp
+++ b/src/share/dispatcher_state.cpp
@@ -20,6 +20,10 @@
 constexpr auto starvationShare = 1.0 / 8;
 constexpr auto mostStarvationCredit = 2.0;
 
+/// Such an account waits for this many times the time in which its fair share is one request, so that grants out of
+/// order come to less than its share and never widen a gap.
+constexpr auto starvationFactor = 3.0;
+
 /// Short work counts as arriving for this long after its last ticket.
 constexpr auto shortArrivalMemory = duration(std::chrono::seconds(10));
 constexpr auto reserveFraction = 50U; ///< One slot in this many is kept from long work.
@@ -30,8 +34,13 @@
 /// Totals of the other side of a partition arrive within this time after its first digest.
 constexpr auto rejoinDelay = duration(std::chrono::seconds(1));
 
-constexpr auto debtFactor = 2.0; ///< Debt limit over the fairness bound, so that it never hides a gap.
-constexpr auto fewestDebtThresholds = 10.0; ///< Least debt limit, in thresholds of the pull rule.
+/// An account that idled and comes back keeps debt up to this factor of the fairness bound: less would let it run large
+/// requests, pause, and be forgiven.
+constexpr auto debtFactor = 2.0;
+
+/// What an account got beyond others during a partition is forgiven down to this many thresholds of the pull rule: the
+/// others could not have used it, and no account can bring a partition about.
+constexpr auto rejoinDebtThresholds = 10.0;
 constexpr auto chargeWeight = 0.05; ///< Of a new grant in the mean charge.
 constexpr auto pullAheadFraction = 32U; ///< An idle pool asks ahead for one ticket per this many slots.
 constexpr auto fewestPulls = 4U; ///< Tickets that may be asked for at once by the smallest pool.
@@ -69,8 +78,8 @@
         return settings.debtLimit;
     }
     const auto slots = placement.totalSlots(now) * double(1 + pulls.pools(now));
-    const auto bound = settings.pullThreshold + slots * std::max(costs.largestCost(), typicalCharge());
-    return std::max(debtFactor * bound, fewestDebtThresholds * settings.pullThreshold);
+    const auto largest = std::max(costs.largestCost(), typicalCharge());
+    return debtFactor * (settings.pullThreshold + slots * largest);
 }
 
 auto dispatcher::state::limitOf(object_id account) const -> std::uint32_t
@@ -107,6 +116,25 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::min(seconds, 3600.0)));
 }
 
+auto dispatcher::state::starvationLimit(object_id account, time_point now) const -> duration
+{
+    auto weights = std::map<object_id, double>();
+    for (const auto &[other, queue] : waiting.accounts()) {
+        weights[other] = ledger.weight(other);
+    }
+    for (const auto other : pulls.waitingAccounts(now)) {
+        weights[other] = ledger.weight(other);
+    }
+    auto sum = 0.0;
+    for (const auto &[other, weight] : weights) {
+        sum += weight;
+    }
+    const auto fleetRate = std::max(1.0, running.useRate(now) * double(1 + pulls.pools(now)));
+    const auto fairSeconds = typicalCharge() * sum / (ledger.weight(account) * fleetRate);
+    const auto scaled = std::chrono::duration<double>(starvationFactor * fairSeconds);
+    return std::max(settings.starvationLimit, std::chrono::duration_cast<duration>(scaled));
+}
+
 auto dispatcher::state::typicalCharge() const -> double
 {
     return std::max(1.0, meanCharge);
@@ -165,9 +193,10 @@
     }
     rejoined.reset();
     const auto lowest = floor(now);
+    const auto limit = settings.debtLimit > 0 ? settings.debtLimit : rejoinDebtThresholds * settings.pullThreshold;
     for (const auto &[account, queue] : waiting.accounts()) {
         if (lowest) {
-            ledger.relieve(account, pool.service, *lowest + debtLimit(now));
+            ledger.relieve(account, pool.service, *lowest + limit);
         }
     }
 }
@@ -221,10 +250,14 @@
                 }
             }
         }
-        if (!oldest || now - oldest->first < settings.starvationLimit || !grantTurn(oldest->second, now)) {
+        if (!oldest || now - oldest->first < settings.starvationLimit) {
             return;
         }
-        placeInOrder(oldest->second.account);
+        const auto account = oldest->second.account;
+        if (now - oldest->first < starvationLimit(account, now) || !grantTurn(oldest->second, now)) {
+            return;
+        }
+        placeInOrder(account);
         starvationCredit -= 1;
     }
 }
--- a/src/share/dispatcher_state.h
+++ b/src/share/dispatcher_state.h
@@ -8,6 +8,7 @@
 #include "share/grant_order.h"
 #include "share/pull_policy.h"
 #include "share/rate_meter.h"
+#include "share/released_tickets.h"
 #include "share/running_work.h"
 #include "share/suspension_policy.h"
 #include "share/waiting_tickets.h"
@@ -37,6 +38,7 @@
     [[nodiscard]] auto longReserve(time_point now) const -> std::uint32_t;
     [[nodiscard]] auto queueSeconds(time_point now) const -> double;
     [[nodiscard]] auto expectedWait(object_id account, time_point now) const -> std::optional<duration>;
+    [[nodiscard]] auto starvationLimit(object_id account, time_point now) const -> duration;
     [[nodiscard]] auto typicalCharge() const -> double;
     auto refuse(const ticket &waiting, refusal_reason reason, time_point now) -> void;
     auto takeWaiting(ticket_id id, time_point now) -> std::optional<ticket>;
@@ -52,6 +54,7 @@
     server_placement placement;
     waiting_tickets waiting;
     running_work running;
+    released_tickets released;
     backlog_tracker backlog;
     cost_estimator costs;
     pull_policy pulls;
--- a/src/share/pull_policy.cpp
+++ b/src/share/pull_policy.cpp
@@ -75,6 +75,19 @@
     });
 }
 
+auto pull_policy::waitingAccounts(time_point now) const -> std::set<object_id>
+{
+    auto accounts = std::set<object_id>();
+    for (const auto &[pool, remote] : m_remotes) {
+        if (now - remote.absorbed <= m_settings.digestAge) {
+            for (const auto &waiting : remote.digest.waiting) {
+                accounts.insert(waiting.account);
+            }
+        }
+    }
+    return accounts;
+}
+
 auto pull_policy::pools(time_point now) const -> std::size_t
 {
     return std::size_t(std::ranges::count_if(
--- a/src/share/pull_policy.h
+++ b/src/share/pull_policy.h
@@ -34,6 +34,9 @@
     /// Whether an account has tickets at another pool.
     [[nodiscard]] auto waitsElsewhere(object_id account, time_point now) const -> bool;
 
+    /// Accounts with tickets at other pools.
+    [[nodiscard]] auto waitingAccounts(time_point now) const -> std::set<object_id>;
+
     /// Number of other pools heard lately.
     [[nodiscard]] auto pools(time_point now) const -> std::size_t;
 
--- a/src/share/rate_meter.h
+++ b/src/share/rate_meter.h
@@ -7,18 +7,18 @@
 
 namespace marjoramloom {
 
-/// Events a second over the last seconds, by exponential decay. Not thread safe.
+/// Events or amounts a second over the last seconds, by exponential decay. Not thread safe.
 class rate_meter
 {
 public:
-    auto add(time_point now) -> void
+    auto add(time_point now, double amount = 1) -> void
     {
-        m_count = decayed(now) + 1;
+        m_count = decayed(now) + amount;
         m_started = m_started == time_point() ? now : m_started;
         m_last = now;
     }
 
-    /// Events a second; 0 before the first.
+    /// Sum a second; 0 before the first.
     [[nodiscard]] auto perSecond(time_point now) const -> double
     {
         const auto observed = std::chrono::duration<double>(now - m_started).count();
--- a/src/share/running_work.cpp
+++ b/src/share/running_work.cpp
@@ -41,7 +41,10 @@
     auto &piece = found->second;
     if (cost > piece.used) {
         const auto before = piece.remaining();
-        m_ledger.observeUse(id.router, piece.granted.account, cost - piece.used, now);
+        if (!std::exchange(piece.adopted, false)) {
+            m_ledger.observeUse(id.router, piece.granted.account, cost - piece.used, now);
+            m_use.add(now, cost - piece.used);
+        }
         piece.used = cost;
         m_ledger.charge(piece.granted.account, piece.remaining() - before);
         if (piece.used > outgrownFactor * piece.granted.charged) {
@@ -80,6 +83,11 @@
     return found == m_counts.end() ? 0 : found->second;
 }
 
+auto running_work::useRate(time_point now) const -> double
+{
+    return m_use.perSecond(now);
+}
+
 auto running_work::of(incarnation_id router) const -> std::vector<ticket_id>
 {
     auto ids = std::vector<ticket_id>();
--- a/src/share/running_work.h
+++ b/src/share/running_work.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramloom/share/ticket.h"
+#include "share/rate_meter.h"
 
 #include <optional>
 #include <unordered_map>
@@ -19,6 +20,7 @@
     double hint = 0; ///< Expected cost as its router put it; 0 where unknown.
     time_point grantedAt;
     double used = 0; ///< Weighted tokens so far.
+    bool adopted = false; ///< Its router counted its use before this dispatcher knew of it.
     bool suspendable = false;
     std::optional<time_point> suspendedAt; ///< Its router was asked to suspend it.
     std::uint32_t suspensions = 0; ///< Before this grant.
@@ -50,6 +52,9 @@
     /// Number of pieces of an account.
     [[nodiscard]] auto count(object_id account) const -> std::size_t;
 
+    /// Weighted tokens a second that all pieces together use.
+    [[nodiscard]] auto useRate(time_point now) const -> double;
+
     /// Ids of the pieces that a router runs.
     [[nodiscard]] auto of(incarnation_id router) const -> std::vector<ticket_id>;
 
@@ -57,6 +62,7 @@
     share_ledger &m_ledger;
     std::unordered_map<ticket_id, running_piece> m_pieces;
     std::unordered_map<object_id, std::size_t> m_counts; ///< By account.
+    rate_meter m_use;
 };
 
 } // namespace marjoramloom
--- a/tests/unit/share/fleet_schedule.h
+++ b/tests/unit/share/fleet_schedule.h
@@ -226,6 +226,7 @@
             runPieces(index);
             if (m_steps % std::uint64_t(digestSeconds / stepSeconds) == 0) {
                 exchange(index);
+                sendAgain(index);
             }
             if (!m_sites[index].paused) {
                 carryOut(index, m_sites[index].desk->decide(now()));
@@ -284,6 +285,28 @@
         });
     }
 
+    /// What routers send each second, so that lost messages and new dispatchers do no harm.
+    auto sendAgain(std::size_t index) -> void
+    {
+        for (const auto &[id, waiting] : m_sites[index].waiting) {
+            send(index, index, [this, index, waiting] { m_sites[index].desk->submit(waiting, now()); });
+        }
+        for (auto desk = std::size_t(0); desk < m_sites.size(); ++desk) {
+            auto running = std::vector<ticket_id>();
+            for (const auto &[id, row] : m_sites[index].running) {
+                if (row.desk == desk) {
+                    running.push_back(id);
+                }
+            }
+            const auto router = m_sites[index].router;
+            send(index, desk,
+                 [this, desk, router, running] { m_sites[desk].desk->confirmRunning(router, running, now()); });
+            if (!reachable(index, desk)) {
+                m_sites[desk].desk->forgetRouter(router, now());
+            }
+        }
+    }
+
     auto exchange(std::size_t index) -> void
     {
         auto &site = m_sites[index];
