Platform client, configuration log and store, order ledger: first version

The object API over keep-alive connections with truthful write outcomes; configuration as a log of committed changes that only moves forward; orders as a pure state machine with its driver.

--- /dev/null
+++ b/include/marjoramloom/platform/platform_client.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "marjoramloom/core/clock.h"
+#include "marjoramloom/core/counters.h"
+#include "marjoramloom/platform/http_connection.h"
+#include "marjoramloom/platform/instance_list.h"
+#include "marjoramloom/platform/object_store.h"
+#include "marjoramloom/platform/watch_event.h"
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <cassert>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace marjoramloom {
+
+/// Limits and addresses of a platform_client.
+struct platform_options
+{
+    std::vector<std::string> addresses; ///< IP:port each; any of them serves.
+    std::chrono::milliseconds timeout{ 2'000 }; ///< Of one call, with its retries.
+    std::chrono::milliseconds watchSilence{ 3'500 }; ///< A watch without a line for this long is dialled anew.
+    std::chrono::milliseconds idleLimit{ 15'000 }; ///< Idle connections are not used again after this long.
+    std::chrono::milliseconds retryFirst{ 100 };
+    std::chrono::milliseconds retryLimit{ 3'000 };
+};
+
+/// The instance list at one revision.
+struct instance_snapshot
+{
+    std::uint64_t revision = 0;
+    std::vector<listed_instance> instances;
+};
+
+/// Client of the platform's object API and instance list, over keep-alive connections.
+///
+/// Reads are tried again on a fresh connection; a write is sent at most once per call, and its outcome says truthfully
+/// what is known. Thread safe; callbacks of a watch run on the executor of the coroutine that watches.
+class platform_client
+{
+public:
+    /// Precondition: at least one address; \p executor and \p counters outlive the client.
+    platform_client(boost::asio::any_io_executor executor, platform_options options, counter_registry &counters);
+
+    /// The object; revision 0 where none stands. Nothing where the platform gave no clear answer.
+    auto get(std::string kind, std::string name, last_reason &why)
+        -> boost::asio::awaitable<std::optional<stored_object>>;
+
+    /// All objects of a kind.
+    auto list(std::string kind, last_reason &why) -> boost::asio::awaitable<std::optional<object_list>>;
+
+    /// Creates an object where none of that name stands.
+    auto create(std::string kind, std::string name, std::string value, last_reason &why)
+        -> boost::asio::awaitable<write_outcome>;
+
+    /// Replaces the object that stands at \p revision.
+    auto update(std::string kind, std::string name, std::string value, std::uint64_t revision, last_reason &why)
+        -> boost::asio::awaitable<write_outcome>;
+
+    /// Deletes the object that stands at \p revision.
+    auto remove(std::string kind, std::string name, std::uint64_t revision, last_reason &why)
+        -> boost::asio::awaitable<write_outcome>;
+
+    /// The platform's list of instances, which lags.
+    auto instances(last_reason &why) -> boost::asio::awaitable<std::optional<instance_snapshot>>;
+
+    /// Hands every change of \p kinds after revision \p since to \p callback, in order and each once, with bookmarks
+    /// between them. Dials anew whenever the connection ends or falls silent. Ends when the callback returns false, or
+    /// when the platform no longer keeps the changes after the last revision seen: then list again.
+    auto watch(std::vector<std::string> kinds, std::uint64_t since, watch_callback callback)
+        -> boost::asio::awaitable<watch_end>;
+
+    /// Time since the platform last gave a clear answer; the largest duration before the first.
+    [[nodiscard]] auto silence() const -> duration;
+
+private:
+    struct idle_connection
+    {
+        std::shared_ptr<http_connection> connection;
+        time_point since;
+    };
+
+    struct call_budget;
+
+    auto call(http_request request, bool repeatable, sent_state &sent, last_reason &why)
+        -> boost::asio::awaitable<std::optional<http_response>>;
+    auto attempt(call_budget &state, http_request request, sent_state &sent, last_reason &why)
+        -> boost::asio::awaitable<std::optional<http_response>>;
+    auto write(http_request request, last_reason &why) -> boost::asio::awaitable<write_outcome>;
+    auto watchOnce(std::vector<std::string> kinds, std::uint64_t &revision, watch_callback &callback, last_reason &why)
+        -> boost::asio::awaitable<watch_end>;
+    auto takeIdle(const std::string &address) -> std::shared_ptr<http_connection>;
+    auto giveBack(std::shared_ptr<http_connection> connection) -> void;
+    auto dropIdle(const std::string &address) -> void;
+    auto preferredAddress() const -> std::string;
+    auto preferNext(const std::string &failed) -> void;
+    auto noteAnswer() -> void;
+
+    boost::asio::any_io_executor m_executor;
+    platform_options m_options;
+    counter &m_calls;
+    counter &m_failures;
+    counter &m_redials;
+    std::atomic<std::size_t> m_preferred = 0;
+    std::atomic<duration::rep> m_lastAnswer = 0;
+    std::mutex m_mutex;
+    std::deque<idle_connection> m_idle;
+};
+
+} // namespace marjoramloom
--- /dev/null
+++ b/tests/unit/order/order_ledger_test.cpp
@@ -0,0 +1,175 @@
+#include "marjoramloom/order/order_ledger.h"
+
+#include "support/memory_store.h"
+#include "support/run_coroutine.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace marjoramloom;
+
+namespace {
+
+auto makeOptions() -> order_options
+{
+    return { .incarnation = 7,
+             .router = "router-1",
+             .claimLimit = std::chrono::milliseconds(20),
+             .waitForOther = std::chrono::milliseconds(20),
+             .retryFirst = std::chrono::milliseconds(1),
+             .retryLimit = std::chrono::milliseconds(2),
+             .answerInRecordBytes = 64,
+             .creatorEnded = {} };
+}
+
+auto deposit(std::string bodyHash = "b1") -> order_request
+{
+    return {
+        .accountName = "authority", .idempotencyKey = "k1", .service = "deposits", .bodyHash = std::move(bodyHash)
+    };
+}
+
+struct ledger_fixture
+{
+    counter_registry counters;
+    memory_store store;
+    order_ledger<memory_store> ledger{ store, makeOptions(), counters };
+
+    auto admit(order_request request) -> order_admission
+    {
+        auto why = last_reason();
+        return runCoroutine(ledger.admit(std::move(request), why));
+    }
+
+    auto conclude(order_permit permit, order_conclusion conclusion) -> void
+    {
+        auto work = [&]() -> boost::asio::awaitable<bool> {
+            co_await ledger.conclude(std::move(permit), std::move(conclusion));
+            co_return true;
+        };
+        runCoroutine(work());
+    }
+
+    auto state() -> order_state
+    {
+        auto why = last_reason();
+        return parseOrderRecord(store.current(orderKind, orderName(deposit())).value, why)->state;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(order_ledger_test, ledger_fixture)
+
+BOOST_AUTO_TEST_CASE(a_retry_gets_the_stored_answer)
+{
+    for (const auto size : { std::size_t(3), std::size_t(1000) }) {
+        const auto body = std::string(size, '\xF0');
+        auto request = deposit();
+        request.idempotencyKey += std::to_string(size);
+        auto first = admit(request);
+        BOOST_TEST_REQUIRE(first.permit.has_value());
+        BOOST_TEST(first.permit->beginSending());
+        BOOST_TEST(!first.permit->beginSending());
+        conclude(std::move(*first.permit), { sending_result::answered, { 201, "application/json", body } });
+        const auto retry = admit(request);
+        BOOST_TEST(!retry.permit.has_value());
+        BOOST_TEST((retry.verdict == order_verdict::answered));
+        BOOST_TEST(retry.answer.status == 201U);
+        BOOST_TEST((retry.answer.body == body));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(another_body_under_the_same_key_is_refused)
+{
+    auto first = admit(deposit());
+    const auto other = admit(deposit("b2"));
+    BOOST_TEST((other.verdict == order_verdict::bodyDiffers));
+}
+
+BOOST_AUTO_TEST_CASE(the_platform_down_sends_nothing)
+{
+    store.down = true;
+    const auto refused = admit(deposit());
+    BOOST_TEST((refused.verdict == order_verdict::attemptNotRun));
+    BOOST_TEST(!refused.permit.has_value());
+    BOOST_TEST(ledger.unsettled() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_answer_to_the_claim_is_found_again)
+{
+    store.faults = { write_fault::answerLost };
+    const auto admission = admit(deposit());
+    BOOST_TEST(admission.permit.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_claim_that_lands_after_it_was_given_up_is_released)
+{
+    store.faults = std::deque<write_fault>(1000, write_fault::late);
+    const auto refused = admit(deposit());
+    BOOST_TEST((refused.verdict == order_verdict::attemptNotRun));
+    store.faults.clear();
+    BOOST_TEST(ledger.unsettled() == 1U);
+    store.landLate();
+    const auto left = runCoroutine(ledger.drain(std::chrono::seconds(5)));
+    BOOST_TEST(left == 0U);
+    BOOST_TEST((state() == order_state::released));
+    BOOST_TEST(admit(deposit()).permit.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_claim_still_under_way_cannot_land_after_its_release)
+{
+    store.faults = std::deque<write_fault>(1000, write_fault::late);
+    admit(deposit());
+    store.faults.clear();
+    runCoroutine(ledger.drain(std::chrono::seconds(5)));
+    store.landLate();
+    BOOST_TEST((state() == order_state::released));
+}
+
+BOOST_AUTO_TEST_CASE(an_outcome_that_cannot_be_written_is_written_at_the_drain)
+{
+    auto first = admit(deposit());
+    BOOST_TEST(first.permit->beginSending());
+    store.down = true;
+    conclude(std::move(*first.permit), { sending_result::answered, { 200, "text/plain", "done" } });
+    BOOST_TEST(ledger.unsettled() == 1U);
+    BOOST_TEST(runCoroutine(ledger.drain(std::chrono::milliseconds(5))) == 1U);
+    store.down = false;
+    BOOST_TEST(runCoroutine(ledger.drain(std::chrono::seconds(5))) == 0U);
+    BOOST_TEST(admit(deposit()).answer.body == "done");
+}
+
+BOOST_AUTO_TEST_CASE(a_permit_that_is_dropped_is_settled_by_what_it_did)
+{
+    {
+        const auto dropped = admit(deposit());
+    }
+    runCoroutine(ledger.drain(std::chrono::seconds(5)));
+    BOOST_TEST((state() == order_state::released));
+    {
+        auto dropped = admit(deposit());
+        BOOST_TEST(dropped.permit->beginSending());
+    }
+    runCoroutine(ledger.drain(std::chrono::seconds(5)));
+    BOOST_TEST((state() == order_state::unknownOutcome));
+    BOOST_TEST((admit(deposit()).verdict == order_verdict::unknownOutcome));
+}
+
+BOOST_AUTO_TEST_CASE(a_claim_whose_creator_ended_is_never_taken_over)
+{
+    auto first = admit(deposit());
+    auto options = makeOptions();
+    options.creatorEnded = [](incarnation_id) {
+        return true;
+    };
+    auto other = order_ledger<memory_store>(store, options, counters);
+    auto why = last_reason();
+    const auto retry = runCoroutine(other.admit(deposit(), why));
+    BOOST_TEST((retry.verdict == order_verdict::inProgress));
+    const auto open = runCoroutine(other.listOpen(why));
+    BOOST_TEST_REQUIRE(open.has_value());
+    BOOST_TEST_REQUIRE(open->size() == 1U);
+    BOOST_TEST(open->front().creatorEnded);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
