--- a/src/contract/configuration_check.cpp
+++ b/src/contract/configuration_check.cpp
@@ -1,6 +1,6 @@
 #include "marjoramloom/contract/configuration_check.h"
 
-#include "marjoramloom/platform/http_connection.h"
+#include "marjoramloom/core/endpoint.h"
 
 #include <set>
 
@@ -99,7 +99,9 @@
         if (server.dataCentre.empty()) {
             add(object_kind::backendServer, server.name, "data_centre", "is required");
         }
-        if (!parseEndpoint(server.address)) {
+        auto why = last_reason();
+        const auto endpoint = parseEndpoint(server.address, why);
+        if (!endpoint || endpoint->port() == 0) {
             add(object_kind::backendServer, server.name, "address", "IP:port is expected");
             return;
         }
--- a/src/platform/platform_watch.cpp
+++ b/src/platform/platform_watch.cpp
@@ -1,3 +1,4 @@
+#include "marjoramloom/core/endpoint.h"
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/platform/platform_client.h"
 #include "marjoramloom/platform/retry_backoff.h"
@@ -34,9 +35,8 @@
     /// Sends the request and reads the answer's head; its status, or 0 with a reason.
     auto open(std::string target, last_reason &why) -> asio::awaitable<unsigned>
     {
-        const auto endpoint = parseEndpoint(m_address);
+        const auto endpoint = parseEndpoint(m_address, why);
         if (!endpoint) {
-            why.fail(failure_kind::notSent, "connect", m_address, "the address is not IP:port");
             co_return 0;
         }
         m_stream.expires_after(m_silence);
