share: an idle pool asks the busiest pools every 50 ms for any tickets

Cause: an idle pool learnt of another's queue from its next digest, up to half a second late, and two idle pools then asked for the same tickets. A request without an account is now answered from the holder's present queue, lowest virtual service first, and goes to the three pools with fewest spare slots. Ruled out: a digest at each new queue (to all pools, as often as queues form).

--- a/src/share/dispatcher.cpp
+++ b/src/share/dispatcher.cpp
@@ -154,30 +154,8 @@
 
 auto dispatcher::releaseForPull(const pull_request &request, time_point now) -> std::vector<ticket>
 {
-    auto released = std::vector<ticket>();
-    const auto &accounts = m_state->waiting.accounts();
-    const auto queue = accounts.find(request.account);
-    if (queue == accounts.end()) {
-        return released;
-    }
-    // A ticket that was pulled here stays, or two idle pools would pass it to and fro; unless this pool has no server.
-    const auto closed = m_state->placement.totalSlots(now) == 0;
-    auto ids = std::vector<ticket_id>();
-    for (const auto length : { work_length::shortWork, work_length::longWork }) {
-        for (const auto &[key, candidate] : queue->second.of(length)) {
-            if (ids.size() == request.tickets) {
-                break;
-            }
-            if (closed || candidate.origin == m_state->pool) {
-                ids.push_back(candidate.id);
-            }
-        }
-    }
-    for (const auto id : ids) {
-        released.push_back(*m_state->takeWaiting(id, now));
-        m_state->released.add(id, now);
-    }
-    return released;
+    return request.account == object_id() ? m_state->releaseDue(request.tickets, now)
+                                          : m_state->release(request.account, request.tickets, now);
 }
 
 auto dispatcher::decide(time_point now) -> dispatch_decisions
--- a/src/share/dispatcher_state.cpp
+++ b/src/share/dispatcher_state.cpp
@@ -361,10 +361,56 @@
         lowest = std::min(lowest.value_or(service(account)), service(account));
     }
     const auto room = placement.freeSlots(now) + std::max(1U, slots / pullAheadFraction);
-    const auto idle = waiting.size() < room;
-    const auto budget = idle ? room - std::uint32_t(waiting.size()) : std::max(fewestPulls, slots / 2);
-    const auto asked = pulls.choose(idle ? std::nullopt : lowest, budget, typicalCharge(), now);
+    const auto queued = std::uint32_t(waiting.size());
+    const auto idle = queued < room;
+    const auto asked = idle ? pulls.chooseIdle(room - queued, slots, now)
+                            : pulls.chooseBehind(*lowest, std::max(fewestPulls, slots / 2), typicalCharge(), now);
     decided.pulls.insert(decided.pulls.end(), asked.begin(), asked.end());
 }
 
+auto dispatcher::state::release(object_id account, std::uint32_t tickets, time_point now) -> std::vector<ticket>
+{
+    auto given = std::vector<ticket>();
+    const auto queue = waiting.accounts().find(account);
+    if (queue == waiting.accounts().end()) {
+        return given;
+    }
+    // A ticket that was pulled here stays, or two idle pools would pass it to and fro; unless this pool has no server.
+    const auto closed = placement.totalSlots(now) == 0;
+    auto ids = std::vector<ticket_id>();
+    for (const auto length : { work_length::shortWork, work_length::longWork }) {
+        for (const auto &[key, candidate] : queue->second.of(length)) {
+            if (ids.size() == tickets) {
+                break;
+            }
+            if (closed || candidate.origin == pool) {
+                ids.push_back(candidate.id);
+            }
+        }
+    }
+    for (const auto id : ids) {
+        given.push_back(*takeWaiting(id, now));
+        released.add(id, now);
+    }
+    return given;
+}
+
+auto dispatcher::state::releaseDue(std::uint32_t tickets, time_point now) -> std::vector<ticket>
+{
+    auto due = std::set<std::pair<double, object_id>>();
+    for (const auto &[account, queue] : waiting.accounts()) {
+        due.emplace(service(account), account);
+    }
+    auto given = std::vector<ticket>();
+    for (const auto &[virtualService, account] : due) {
+        const auto wanted = tickets - std::uint32_t(given.size());
+        if (wanted == 0) {
+            break;
+        }
+        auto part = release(account, wanted, now);
+        given.insert(given.end(), part.begin(), part.end());
+    }
+    return given;
+}
+
 } // namespace marjoramloom
--- a/src/share/dispatcher_state.h
+++ b/src/share/dispatcher_state.h
@@ -30,6 +30,10 @@
     auto suspendLong(time_point now) -> void;
     auto pull(time_point now) -> void;
 
+    /// Hands tickets of an account, or of those that are due first, to another pool.
+    auto release(object_id account, std::uint32_t tickets, time_point now) -> std::vector<ticket>;
+    auto releaseDue(std::uint32_t tickets, time_point now) -> std::vector<ticket>;
+
     // Answers and small steps that several of them share.
     [[nodiscard]] auto service(object_id account) const -> double;
     [[nodiscard]] auto floor(time_point now) const -> std::optional<double>;
--- a/src/share/pull_policy.cpp
+++ b/src/share/pull_policy.cpp
@@ -12,6 +12,14 @@
 /// A request without an answer counts no more after this long.
 constexpr auto requestLifetime = duration(std::chrono::milliseconds(300));
 
+constexpr auto idlePeriod = duration(std::chrono::milliseconds(50)); ///< Between two requests of an idle pool.
+constexpr auto idleTargets = std::size_t(3); ///< Pools that an idle pool asks at a time.
+
+/// An idle pool asks pools with at most this part of its own number of slots to spare.
+constexpr auto busyFraction = 4U;
+
+constexpr auto anyAccount = object_id{ 0 };
+
 } // namespace
 
 pull_policy::pull_policy(const pool_id &pool, const dispatcher_settings &settings, const share_ledger &ledger)
@@ -40,7 +48,8 @@
 
 auto pull_policy::noteArrival(const ticket &arrived) -> void
 {
-    const auto open = m_open.find({ arrived.origin, arrived.account });
+    auto open = m_open.find({ arrived.origin, arrived.account });
+    open = open == m_open.end() ? m_open.find({ arrived.origin, anyAccount }) : open;
     if (open != m_open.end() && --open->second.tickets == 0) {
         m_open.erase(open);
     }
@@ -115,21 +124,17 @@
     std::erase_if(m_open, [&](const auto &row) { return row.second.expiry <= now; });
 }
 
-auto pull_policy::choose(std::optional<double> localLowest, std::uint32_t tickets, double ticketCost, time_point now)
+auto pull_policy::chooseBehind(double localLowest, std::uint32_t tickets, double ticketCost, time_point now)
     -> std::vector<pull_request>
 {
     expire(now);
     auto chosen = std::vector<pull_request>();
     auto budget = tickets > requested() ? tickets - requested() : 0;
-    if (budget == 0) {
-        return chosen;
-    }
     for (const auto &next : candidates(now)) {
-        const auto wanted = localLowest ? behind(next, *localLowest, ticketCost) : budget;
-        const auto count = std::min({ wanted, budget, next.tickets });
+        const auto count = std::min({ behind(next, localLowest, ticketCost), budget, next.tickets });
         if (count > 0) {
             chosen.push_back({ m_pool, next.pool, next.account, count });
-            note(chosen.back(), now);
+            note(chosen.back(), requestLifetime, now);
             budget -= count;
         }
         if (budget == 0) {
@@ -139,6 +144,34 @@
     return chosen;
 }
 
+auto pull_policy::chooseIdle(std::uint32_t tickets, std::uint32_t slots, time_point now) -> std::vector<pull_request>
+{
+    auto chosen = std::vector<pull_request>();
+    if (now < m_nextIdle) {
+        return chosen;
+    }
+    expire(now);
+    const auto budget = tickets > requested() ? tickets - requested() : 0;
+    auto busiest = std::vector<std::pair<std::uint32_t, pool_id>>();
+    for (const auto &[pool, remote] : m_remotes) {
+        if (now - remote.absorbed <= m_settings.digestAge && remote.digest.spareSlots * busyFraction <= slots) {
+            busiest.emplace_back(remote.digest.spareSlots, pool);
+        }
+    }
+    if (budget == 0 || busiest.empty()) {
+        return chosen;
+    }
+    std::ranges::sort(busiest);
+    busiest.resize(std::min(busiest.size(), idleTargets));
+    const auto each = (budget + std::uint32_t(busiest.size()) - 1) / std::uint32_t(busiest.size());
+    for (const auto &[spare, pool] : busiest) {
+        chosen.push_back({ m_pool, pool, anyAccount, each });
+        note(chosen.back(), idlePeriod, now);
+    }
+    m_nextIdle = now + idlePeriod;
+    return chosen;
+}
+
 auto pull_policy::behind(const candidate &next, double localLowest, double ticketCost) const -> std::uint32_t
 {
     const auto lead = localLowest - next.service;
@@ -152,11 +185,11 @@
     return level > asked ? level - asked : 0;
 }
 
-auto pull_policy::note(const pull_request &request, time_point now) -> void
+auto pull_policy::note(const pull_request &request, duration lifetime, time_point now) -> void
 {
     auto &open = m_open[{ request.to, request.account }];
     open.tickets += request.tickets;
-    open.expiry = now + requestLifetime;
+    open.expiry = now + lifetime;
     for (auto &waiting : m_remotes.at(request.to).digest.waiting) {
         if (waiting.account == request.account) {
             waiting.tickets -= std::min(waiting.tickets, request.tickets);
--- a/src/share/pull_policy.h
+++ b/src/share/pull_policy.h
@@ -40,10 +40,15 @@
     /// Number of other pools heard lately.
     [[nodiscard]] auto pools(time_point now) const -> std::size_t;
 
-    /// Requests that make room for accounts which are behind \p localLowest, the virtual service of the account that
-    /// is granted next here, or nothing where none waits; at most \p tickets in all.
-    [[nodiscard]] auto choose(std::optional<double> localLowest, std::uint32_t tickets, double ticketCost,
-                              time_point now) -> std::vector<pull_request>;
+    /// Requests for tickets of accounts that are behind \p localLowest, the virtual service of the account that is
+    /// granted next here; at most \p tickets in all, of about \p ticketCost each.
+    [[nodiscard]] auto chooseBehind(double localLowest, std::uint32_t tickets, double ticketCost, time_point now)
+        -> std::vector<pull_request>;
+
+    /// Requests of an idle pool with \p slots in all for \p tickets of any account. They go to the pools with fewest
+    /// spare slots, again and again, as a digest tells too late of a queue that has just formed.
+    [[nodiscard]] auto chooseIdle(std::uint32_t tickets, std::uint32_t slots, time_point now)
+        -> std::vector<pull_request>;
 
     /// Tickets asked for and not arrived.
     [[nodiscard]] auto requested() const -> std::uint32_t;
@@ -75,7 +80,7 @@
     [[nodiscard]] auto estimate(const remote_pool &remote, const pool_digest::waiting_account &waiting) const -> double;
     [[nodiscard]] auto candidates(time_point now) const -> std::set<candidate>;
     [[nodiscard]] auto behind(const candidate &next, double localLowest, double ticketCost) const -> std::uint32_t;
-    auto note(const pull_request &request, time_point now) -> void;
+    auto note(const pull_request &request, duration lifetime, time_point now) -> void;
     auto expire(time_point now) -> void;
 
     pool_id m_pool;
@@ -83,6 +88,7 @@
     const share_ledger &m_ledger;
     std::map<pool_id, remote_pool> m_remotes;
     std::map<std::pair<pool_id, object_id>, open_request> m_open;
+    time_point m_nextIdle; ///< When an idle pool asks again.
 };
 
 } // namespace marjoramloom
