--- a/include/marjoramloom/peer/membership.h
+++ b/include/marjoramloom/peer/membership.h
@@ -93,6 +93,13 @@
     auto setListed(std::vector<listed_instance> listed) -> void;
     [[nodiscard]] auto listed() const -> const std::vector<listed_instance> &;
 
+    /// Remembers \p address as one where routers of another data centre were found; the latest few are kept. True where
+    /// nothing of that data centre was known. Says nothing about who is alive.
+    auto hint(const std::string &dataCentre, const std::string &address) -> bool;
+
+    /// Hinted addresses by data centre, the latest last.
+    [[nodiscard]] auto hints() const -> const std::map<std::string, std::vector<std::string>> &;
+
     [[nodiscard]] auto self() -> member &;
     [[nodiscard]] auto self() const -> const member &;
 
@@ -143,6 +150,7 @@
     std::map<incarnation_id, time_point> m_replaced;
     std::map<std::pair<std::string, incarnation_id>, roster_entry> m_rosters;
     std::vector<listed_instance> m_listed;
+    std::map<std::string, std::vector<std::string>> m_hints;
     std::vector<member_event> m_events;
 };
 
--- a/include/marjoramloom/peer/peer_mesh.h
+++ b/include/marjoramloom/peer/peer_mesh.h
@@ -15,6 +15,11 @@
 #include <unordered_map>
 #include <vector>
 
+namespace marjoramloom::wire {
+class Envelope;
+class Heartbeat;
+}
+
 namespace marjoramloom {
 
 /// Names one dialled connection; a transport gives none twice.
@@ -106,7 +111,8 @@
         std::map<std::string, roster_sent> rostersSent;
         std::set<std::string> rostersAsked; ///< The peer asked for them whole.
         std::set<std::string> rostersWanted; ///< To be asked of the peer.
-        std::vector<incarnation_id> peerSuspects; ///< The peer asks whether they are heard here.
+        std::set<incarnation_id> membersToTell; ///< The peer suspects or may not know them.
+        std::set<std::string> hintsToTell; ///< Data centres that the peer may not know.
     };
 
     struct peer_counters
@@ -129,6 +135,11 @@
     auto takeAcknowledgement(const wire::Envelope &message, peer_link &link, time_point now) -> void;
     auto publishEvents(time_point now) -> void;
     auto arrangeLinks(time_point now) -> void;
+    auto bindLink(peer_link &link, incarnation_id peer, time_point now) -> void;
+    auto tellOthers(const member &joined) -> void;
+    auto takeHint(const std::string &dataCentre, const std::string &address) -> void;
+    auto addHints(peer_link &link, wire::Heartbeat &heartbeat) -> void;
+    auto addMembers(peer_link &link, wire::Heartbeat &heartbeat, time_point now) -> void;
     auto openLink(const std::string &address, time_point now) -> peer_link &;
     auto redial(const std::string &address, peer_link &link, time_point now) -> void;
     auto linkOf(incarnation_id peer) -> peer_link *;
@@ -137,7 +148,7 @@
     auto addRosters(peer_link &link, const member &peer, wire::Envelope &message, time_point now) -> void;
     auto addRoster(peer_link &link, const roster &news, wire::Envelope &message) -> void;
     [[nodiscard]] auto heartbeatPeriod(const peer_link &link) const -> duration;
-    [[nodiscard]] auto sessionLimits(const std::string &address) const -> peer_session_settings;
+    [[nodiscard]] auto silenceLimit(const peer_link &link) const -> duration;
 
     peer_mesh_settings m_limits;
     Transport &m_transport;
--- a/include/marjoramloom/peer/peer_mesh.inl
+++ b/include/marjoramloom/peer/peer_mesh.inl
@@ -158,14 +158,16 @@
     if (found != m_links.end()) {
         auto &link = found->second;
         if (link.session->peer() != message.sender()) {
-            link.session->bind(message.sender(), ++m_lastStream, now);
-            link.rostersSent.clear();
-            link.nextHeartbeat = now;
+            bindLink(link, message.sender(), now);
         }
-        link.peerSuspects.assign(heartbeat.suspects().begin(), heartbeat.suspects().end());
+        link.membersToTell.insert(heartbeat.suspects().begin(), heartbeat.suspects().end());
     }
     for (const auto &digest : heartbeat.members()) {
-        m_membership.hearThrough(memberFrom(digest), now);
+        if (digest.incarnation() == 0) {
+            takeHint(digest.data_centre(), digest.peer_address());
+        } else {
+            m_membership.hearThrough(memberFrom(digest), now);
+        }
     }
 }
 
@@ -211,25 +213,15 @@
         if (bound && !event.joined) {
             link->second.session->bind(0, ++m_lastStream, now);
         }
+        if (event.joined) {
+            tellOthers(event.who);
+        }
         if (m_listener) {
             m_listener(event);
         }
     }
 }
 
-template<link_transport Transport>
-auto peer_mesh<Transport>::sessionLimits(const std::string &address) const -> peer_session_settings
-{
-    constexpr auto heartbeatsOfSilence = 4;
-    auto limits = m_limits.session;
-    for (const auto &row : m_membership.listed()) {
-        if (row.address == address && row.dataCentre != m_membership.self().dataCentre) {
-            limits.silence = std::max(limits.silence, m_limits.farHeartbeat * heartbeatsOfSilence);
-        }
-    }
-    return limits;
-}
-
 template<link_transport Transport>
 auto peer_mesh<Transport>::heartbeatPeriod(const peer_link &link) const -> duration
 {
@@ -241,6 +233,77 @@
     return peer->region == self.region ? m_limits.nearHeartbeat : m_limits.farHeartbeat;
 }
 
+template<link_transport Transport>
+auto peer_mesh<Transport>::silenceLimit(const peer_link &link) const -> duration
+{
+    constexpr auto heartbeats = 4; // Acknowledgements come with the peer's heartbeats.
+    return heartbeatPeriod(link) * heartbeats;
+}
+
+template<link_transport Transport>
+auto peer_mesh<Transport>::bindLink(peer_link &link, incarnation_id peer, time_point now) -> void
+{
+    link.session->bind(peer, ++m_lastStream, now);
+    link.rostersSent.clear();
+    link.nextHeartbeat = now;
+    const auto *bound = m_membership.find(peer);
+    for (const auto &who : m_membership.members(now)) {
+        if (bound && who.dataCentre == bound->dataCentre) {
+            link.membersToTell.insert(who.incarnation);
+        }
+    }
+    for (const auto &[dataCentre, addresses] : m_membership.hints()) {
+        link.hintsToTell.insert(dataCentre);
+    }
+}
+
+template<link_transport Transport>
+auto peer_mesh<Transport>::tellOthers(const member &joined) -> void
+{
+    for (auto &[address, link] : m_links) {
+        const auto *peer = m_membership.find(link.session->peer());
+        if (peer && peer->dataCentre == joined.dataCentre) {
+            link.membersToTell.insert(joined.incarnation);
+        }
+    }
+    takeHint(joined.dataCentre, joined.peerAddress);
+}
+
+template<link_transport Transport>
+auto peer_mesh<Transport>::takeHint(const std::string &dataCentre, const std::string &address) -> void
+{
+    if (!m_membership.hint(dataCentre, address)) {
+        return;
+    }
+    m_linksDirty = true;
+    for (auto &[peerAddress, link] : m_links) {
+        link.hintsToTell.insert(dataCentre);
+    }
+}
+
+template<link_transport Transport>
+auto peer_mesh<Transport>::addHints(peer_link &link, wire::Heartbeat &heartbeat) -> void
+{
+    for (const auto &dataCentre : link.hintsToTell) {
+        auto &digest = *heartbeat.add_members();
+        digest.set_data_centre(dataCentre);
+        digest.set_peer_address(m_membership.hints().at(dataCentre).back());
+    }
+    link.hintsToTell.clear();
+}
+
+template<link_transport Transport>
+auto peer_mesh<Transport>::addMembers(peer_link &link, wire::Heartbeat &heartbeat, time_point now) -> void
+{
+    for (const auto asked : link.membersToTell) {
+        const auto *heard = m_membership.find(asked);
+        if (heard && asked != link.session->peer() && m_membership.isDirect(asked, now)) {
+            encodeMember(*heard, *heartbeat.add_members());
+        }
+    }
+    link.membersToTell.clear();
+}
+
 template<link_transport Transport>
 auto peer_mesh<Transport>::openLink(const std::string &address, time_point now) -> peer_link &
 {
@@ -248,7 +311,7 @@
     assert(!link.session);
     link.number = m_transport.open(address);
     link.session = std::make_unique<peer_session>(m_membership.self().incarnation, ++m_lastStream,
-                                                  sessionLimits(address), now);
+                                                  m_limits.session, now);
     link.nextHeartbeat = now;
     return link;
 }
@@ -291,8 +354,7 @@
     for (const auto &who : m_membership.members(now)) {
         const auto link = m_links.find(who.peerAddress);
         if (link != m_links.end() && link->second.session->peer() == 0) {
-            link->second.session->bind(who.incarnation, ++m_lastStream, now);
-            link->second.rostersSent.clear();
+            bindLink(link->second, who.incarnation, now);
         }
     }
 }
@@ -311,7 +373,7 @@
         arrangeLinks(now);
     }
     for (auto &[address, link] : m_links) {
-        if (link.session->isSilent(now)) {
+        if (link.session->isSilent(silenceLimit(link), now)) {
             redial(address, link, now);
         }
         if (now >= link.nextHeartbeat) {
@@ -338,15 +400,10 @@
         for (const auto silent : m_membership.suspects(now)) {
             heartbeat.add_suspects(silent);
         }
-        for (const auto asked : link.peerSuspects) {
-            const auto *heard = m_membership.find(asked);
-            if (heard && m_membership.isDirect(asked, now)) {
-                encodeMember(*heard, *heartbeat.add_members());
-            }
-        }
-        link.peerSuspects.clear();
     }
     if (peer) {
+        addMembers(link, heartbeat, now);
+        addHints(link, heartbeat);
         addRosters(link, *peer, *message, now);
     }
     link.session->queue(std::move(message));
@@ -424,8 +481,7 @@
     const auto found = m_links.find(who->peerAddress);
     auto &link = found == m_links.end() ? openLink(who->peerAddress, now) : found->second;
     if (link.session->peer() != to) {
-        link.session->bind(to, ++m_lastStream, now);
-        link.rostersSent.clear();
+        bindLink(link, to, now);
     }
     const auto accepted = link.session->queue(std::move(message));
     m_counters.refused.add(accepted ? 0 : 1);
--- a/include/marjoramloom/peer/peer_network.h
+++ b/include/marjoramloom/peer/peer_network.h
@@ -1,13 +1,9 @@
 #pragma once
 
-#include "marjoramloom/core/clock.h"
-#include "marjoramloom/core/last_reason.h"
-#include "marjoramloom/share/ticket.h"
+#include "marjoramloom/peer/member.h"
 
-#include <cstdint>
-#include <functional>
+#include <concepts>
 #include <memory>
-#include <string>
 #include <vector>
 
 namespace marjoramloom::wire {
@@ -16,21 +12,6 @@
 
 namespace marjoramloom {
 
-/// A router as this one knows it.
-struct member
-{
-    incarnation_id incarnation = 0;
-    std::string instance;
-    std::string dataCentre;
-    std::string region;
-    std::string peerAddress; ///< IP:port.
-    std::uint64_t configurationSequence = 0;
-    bool leaving = false;
-    bool ready = false;
-    bool direct = false; ///< Heard on its own link, not through another member.
-    duration age{}; ///< Since it was last heard.
-};
-
 /// Sends messages to other routers and hands over what they send.
 ///
 /// Every function is to be called on the decision strand, and callbacks run there.
--- a/include/marjoramloom/peer/peer_session.h
+++ b/include/marjoramloom/peer/peer_session.h
@@ -21,7 +21,6 @@
     std::size_t envelopeBytes = 64U << 10U; ///< Messages are merged into one envelope up to this size.
     std::size_t pendingBytes = 1U << 20U; ///< Not yet sent; more is refused.
     std::size_t windowBytes = 1U << 20U; ///< Sent and not acknowledged; beyond it nothing is sent.
-    duration silence = std::chrono::milliseconds(2'000); ///< Without acknowledgement before the link is dialled again.
     duration redialLimit = std::chrono::seconds(5); ///< Longest pause between two attempts to dial.
 };
 
@@ -65,8 +64,8 @@
     /// Whether the peer never acknowledged anything since the link was dialled.
     [[nodiscard]] auto isUnproved() const -> bool;
 
-    /// Whether the link is to be dialled again, as nothing is acknowledged for too long.
-    [[nodiscard]] auto isSilent(time_point now) const -> bool;
+    /// Whether the link is to be dialled again, as nothing was acknowledged for \p limit, doubled with each dial.
+    [[nodiscard]] auto isSilent(duration limit, time_point now) const -> bool;
 
     /// The link was dialled again.
     auto redialled(time_point now) -> void;
--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -206,6 +206,27 @@
     return m_listed;
 }
 
+auto membership::hint(const std::string &dataCentre, const std::string &address) -> bool
+{
+    constexpr auto mostHints = std::size_t(3);
+    if (dataCentre == m_self.dataCentre || dataCentre.empty() || address.empty()) {
+        return false;
+    }
+    auto &known = m_hints[dataCentre];
+    const auto isNew = known.empty();
+    std::erase(known, address);
+    known.push_back(address);
+    if (known.size() > mostHints) {
+        known.erase(known.begin());
+    }
+    return isNew;
+}
+
+auto membership::hints() const -> const std::map<std::string, std::vector<std::string>> &
+{
+    return m_hints;
+}
+
 auto membership::listedAsLeaving(const member &who) const -> bool
 {
     return std::any_of(m_listed.begin(), m_listed.end(), [&](const listed_instance &row) {
--- a/src/peer/topology.cpp
+++ b/src/peer/topology.cpp
@@ -11,17 +11,19 @@
 /// A gateway that hears nothing of its counterpart tries the next ones too, up to this many.
 constexpr auto mostGatewayTries = std::size_t(3);
 
-auto otherDataCentres(const std::vector<member> &live, const std::vector<listed_instance> &listed,
-                      const std::string &own) -> std::set<std::string>
+auto otherDataCentres(const topology_input &input, const std::vector<member> &live) -> std::set<std::string>
 {
     auto names = std::set<std::string>();
     for (const auto &who : live) {
         names.insert(who.dataCentre);
     }
-    for (const auto &row : listed) {
+    for (const auto &row : input.routers.listed()) {
         names.insert(row.dataCentre);
     }
-    names.erase(own);
+    for (const auto &[name, addresses] : input.routers.hints()) {
+        names.insert(name);
+    }
+    names.erase(input.routers.self().dataCentre);
     return names;
 }
 
@@ -53,8 +55,14 @@
             return;
         }
     }
+    if (!order.empty()) {
+        return;
+    }
+    if (const auto hinted = input.routers.hints().find(other); hinted != input.routers.hints().end()) {
+        wanted.insert(hinted->second.begin(), hinted->second.end());
+    }
     for (const auto &row : input.routers.listed()) {
-        if (order.empty() && row.dataCentre == other && tries++ < mostGatewayTries) {
+        if (row.dataCentre == other && tries++ < mostGatewayTries) {
             wanted.insert(row.address);
         }
     }
@@ -63,7 +71,7 @@
 auto addGateways(const topology_input &input, const std::vector<member> &live, std::set<std::string> &wanted) -> void
 {
     const auto &self = input.routers.self();
-    for (const auto &other : otherDataCentres(live, input.routers.listed(), self.dataCentre)) {
+    for (const auto &other : otherDataCentres(input, live)) {
         if (dutyHolder(live, gatewayDuty(self.dataCentre, other)) == self.incarnation) {
             addCounterpart(input, live, other, wanted);
         }
--- /dev/null
+++ b/tests/unit/peer/peer_links_test.cpp
@@ -0,0 +1,155 @@
+#include "marjoramloom/peer/peer_links.h"
+
+#include "peer.pb.h"
+#include "tcp_relay.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace marjoramloom;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Bound on waiting for real sockets; no test passes or fails by a shorter time.
+constexpr auto patience = std::chrono::seconds(20);
+
+/// Two routers of one data centre on loopback, driven by one thread.
+struct two_routers
+{
+    /// With \p relayed, the second is reached through a relay only.
+    explicit two_routers(bool relayed = false)
+        : relay(relayed ? std::make_unique<tcp_relay>(context) : nullptr)
+        , first(context.get_executor(), named("r1", 1, ""), {}, counters)
+        , second(context.get_executor(), named("r2", 2, relayed ? relay->address() : ""), {}, counters)
+    {
+        for (auto *links : { &first, &second }) {
+            links->setReady(true);
+        }
+        second.setReceiver([this](incarnation_id, const wire::Envelope &message) {
+            for (const auto &withdrawal : message.withdrawals()) {
+                received.push_back(withdrawal.serial());
+            }
+        });
+    }
+
+    static auto named(const std::string &instance, incarnation_id incarnation, const std::string &address) -> member
+    {
+        auto self = member();
+        self.instance = instance;
+        self.incarnation = incarnation;
+        self.peerAddress = address;
+        self.dataCentre = "a-1";
+        self.region = "a";
+        return self;
+    }
+
+    /// Starts both; the second knows the first as a seed.
+    auto start() -> void
+    {
+        auto why = last_reason();
+        BOOST_REQUIRE_MESSAGE(first.start("127.0.0.1:0", why), why.text());
+        BOOST_REQUIRE_MESSAGE(second.start("127.0.0.1:0", why), why.text());
+        second.setSeeds({ first.self().peerAddress });
+    }
+
+    template<typename Condition>
+    auto runUntil(Condition condition) -> bool
+    {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            context.run_one_for(50ms);
+            context.restart();
+        }
+        return condition();
+    }
+
+    auto know() -> bool
+    {
+        return first.members().size() == 2 && second.members().size() == 2;
+    }
+
+    auto send(std::uint64_t serial) -> bool
+    {
+        auto message = std::make_unique<wire::Envelope>();
+        message->add_withdrawals()->set_serial(serial);
+        return first.send(2, std::move(message));
+    }
+
+    boost::asio::io_context context;
+    counter_registry counters;
+    std::unique_ptr<tcp_relay> relay;
+    peer_links first;
+    peer_links second;
+    std::vector<std::uint64_t> received;
+};
+
+auto writeRaw(boost::asio::io_context &context, const std::string &address, const std::string &bytes)
+    -> std::shared_ptr<boost::asio::ip::tcp::socket>
+{
+    const auto port = static_cast<unsigned short>(std::stoi(address.substr(address.rfind(':') + 1)));
+    auto socket = std::make_shared<boost::asio::ip::tcp::socket>(context);
+    socket->connect({ boost::asio::ip::address_v4::loopback(), port });
+    auto ignored = boost::system::error_code();
+    boost::asio::write(*socket, boost::asio::buffer(bytes), ignored);
+    return socket;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_links_test)
+
+BOOST_AUTO_TEST_CASE(two_routers_meet_and_messages_arrive_in_order)
+{
+    auto routers = two_routers();
+    routers.start();
+    BOOST_TEST(routers.runUntil([&] { return routers.know(); }));
+    auto expected = std::vector<std::uint64_t>();
+    for (auto serial = std::uint64_t(1); serial <= 1'000; ++serial) {
+        BOOST_TEST(routers.send(serial));
+        expected.push_back(serial);
+    }
+    BOOST_TEST(routers.runUntil([&] { return routers.received.size() >= expected.size(); }));
+    BOOST_TEST(routers.received == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_that_went_silent_is_dialled_again_and_loses_nothing)
+{
+    auto routers = two_routers(true);
+    auto &relay = *routers.relay;
+    routers.start();
+    relay.setTarget(routers.second.listenAddress());
+    BOOST_TEST(routers.runUntil([&] { return routers.know(); }));
+    BOOST_TEST(routers.send(1));
+    BOOST_TEST(routers.runUntil([&] { return routers.received.size() == 1; }));
+    relay.freezeConnections();
+    const auto before = relay.accepted();
+    BOOST_TEST(routers.send(2));
+    BOOST_TEST(routers.runUntil([&] { return routers.received.size() == 2; }));
+    BOOST_TEST(relay.accepted() > before);
+    BOOST_TEST(routers.received.back() == 2U);
+    BOOST_TEST(routers.runUntil([&] { return routers.know(); }));
+}
+
+BOOST_AUTO_TEST_CASE(garbage_on_the_peer_port_is_counted_and_harms_nobody)
+{
+    auto routers = two_routers();
+    routers.start();
+    BOOST_TEST(routers.runUntil([&] { return routers.know(); }));
+    const auto port = routers.second.self().peerAddress;
+    const auto http = writeRaw(routers.context, port, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    // The handshake of a push socket, then a message of one gigabyte.
+    const auto huge = writeRaw(routers.context, port,
+                               std::string("\0SP\0\0\x50\0\0", 8) + std::string("\0\0\0\0\x40\0\0\0", 8) + "x");
+    // The handshake, then a short message that is no envelope.
+    const auto noise = writeRaw(routers.context, port,
+                                std::string("\0SP\0\0\x50\0\0", 8) + std::string("\0\0\0\0\0\0\0\x04", 8)
+                                    + "\xff\xff\xff\xff");
+    auto &malformed = routers.counters.at("peer_dropped_envelopes", "reason=\"malformed\"");
+    BOOST_TEST(routers.runUntil([&] { return malformed.value() > 0; }));
+    BOOST_TEST(routers.runUntil([&] { return routers.second.rejectedConnections() >= 2; }));
+    BOOST_TEST(routers.send(1));
+    BOOST_TEST(routers.runUntil([&] { return !routers.received.empty(); }));
+    BOOST_TEST(routers.know());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
