--- a/include/marjoramloom/call/model_call.inl
+++ b/include/marjoramloom/call/model_call.inl
@@ -172,8 +172,8 @@
     armHedge();
     while (!ended) {
         auto closed = boost::system::error_code();
-        auto event = co_await m_signals->channel->async_receive(
-            boost::asio::redirect_error(boost::asio::use_awaitable, closed));
+        auto event =
+            co_await m_signals->channel->async_receive(boost::asio::redirect_error(boost::asio::use_awaitable, closed));
         ended = co_await handle(std::move(event));
     }
     endRound();
--- a/src/call/plain_call.cpp
+++ b/src/call/plain_call.cpp
@@ -1,7 +1,9 @@
 #include "marjoramloom/call/plain_call.h"
 
 #include "marjoramloom/call/connection_pool.h"
+#include "marjoramloom/call/http_connection.h"
 
+#include <algorithm>
 #include <boost/asio/this_coro.hpp>
 
 namespace marjoramloom {
@@ -30,20 +32,36 @@
     return message;
 }
 
-/// An open connection, from the pool only where the call may be repeated.
-auto openConnection(connection_pool &connections, const std::string &address, bool repeatable, duration limit,
-                    last_reason &why) -> asio::awaitable<std::shared_ptr<http_connection>>
+/// Sends \p message and reads the answer's head, whose limit is \p headLimit.
+auto exchangeHead(http_connection &connection, const http_connection::request &message, duration headLimit,
+                  last_reason &why) -> asio::awaitable<bool>
 {
-    const auto executor = co_await asio::this_coro::executor;
-    auto connection = repeatable ? connections.take(address, executor) : nullptr;
-    if (!connection) {
-        connection = std::make_shared<http_connection>(executor, address);
-        const auto opened = co_await connection->connect(limit, why);
-        if (!opened) {
-            co_return nullptr;
-        }
+    const auto sent = co_await connection.send(message, headLimit, why);
+    if (!sent) {
+        co_return false;
     }
-    co_return connection;
+    co_return co_await connection.readHead(headLimit, why);
+}
+
+/// Reads the answer of \p connection after its head.
+auto readAnswer(http_connection &connection, const plain_limits &limits, plain_result result)
+    -> asio::awaitable<plain_result>
+{
+    auto answer = plain_answer();
+    answer.status = connection.status();
+    answer.contentType = connection.header("Content-Type");
+    result.leaving = answer.status == static_cast<unsigned>(http::status::service_unavailable)
+        && connection.header("X-Leaving") == "true";
+    auto body = co_await connection.readRest(limits.answerBytes, limits.answer, result.reason);
+    if (result.leaving) {
+        result.state = call_state::notRun;
+        result.reason.fail(failure_kind::leaving, "send request", connection.peer(), "leaving");
+    } else if (body) {
+        result.state = call_state::complete;
+        answer.body = std::move(*body);
+        result.answer = std::move(answer);
+    }
+    co_return result;
 }
 
 } // namespace
@@ -52,38 +70,78 @@
     -> asio::awaitable<plain_result>
 {
     auto result = plain_result();
-    const auto connection =
-        co_await openConnection(connections, address, request.repeatable, limits.connect, result.reason);
-    if (!connection) {
-        co_return result;
-    }
-    result.state = call_state::unknownOutcome;
+    result.attempts = 1;
+    const auto executor = co_await asio::this_coro::executor;
     const auto message = toMessage(request, address);
-    if (!co_await connection->send(message, limits.answer, result.reason)) {
-        co_return result;
+    auto connection = request.repeatable ? connections.take(address, executor) : nullptr;
+    auto answered = false;
+    if (connection) {
+        // Something between the two ends may have lost track of a used connection.
+        result.state = call_state::unknownOutcome;
+        answered = co_await exchangeHead(*connection, message, limits.redialAfter, result.reason);
     }
-    if (!co_await connection->readHead(limits.answer, result.reason)) {
-        co_return result;
+    if (!answered) {
+        connection = std::make_shared<http_connection>(executor, address);
+        const auto opened = co_await connection->connect(limits.connect, result.reason);
+        if (!opened) {
+            co_return result;
+        }
+        result.state = call_state::unknownOutcome;
+        answered = co_await exchangeHead(*connection, message, limits.answer, result.reason);
     }
-    auto answer = plain_answer();
-    answer.status = connection->status();
-    answer.contentType = connection->header("Content-Type");
-    const auto leaving = answer.status == static_cast<unsigned>(http::status::service_unavailable)
-        && connection->header("X-Leaving") == "true";
-    auto body = co_await connection->readRest(limits.answerBytes, limits.answer, result.reason);
-    if (leaving) {
-        result.leaving = true;
-        result.state = call_state::notRun;
-        result.reason.fail(failure_kind::leaving, "send request", address, "leaving");
-    } else if (body) {
-        result.state = call_state::complete;
-        answer.body = std::move(*body);
-        result.answer = std::move(answer);
+    if (!answered) {
+        co_return result;
     }
+    result = co_await readAnswer(*connection, limits, std::move(result));
     if (request.repeatable) {
         connections.giveBack(connection);
     }
     co_return result;
 }
 
+namespace detail {
+
+auto makePlainTicket(const call_environment &environment, const plain_work &work, ticket_id id,
+                     std::vector<object_id> excluded) -> ticket
+{
+    auto made = ticket();
+    made.id = id;
+    made.origin = { environment.dataCentre, work.target.id };
+    made.account = work.account;
+    made.profile = work.treatment.id;
+    made.length = work.treatment.length;
+    made.expectedCost = work.target.callCost;
+    made.submitted = std::chrono::steady_clock::now();
+    made.deadline = work.arrived + std::min(work.treatment.maxWait, work.treatment.timeout);
+    made.excluded = std::move(excluded);
+    return made;
+}
+
+auto absorbAttempt(plain_result &result, plain_result attempt) -> void
+{
+    const auto mayHaveRun = result.state == call_state::unknownOutcome;
+    attempt.attempts = result.attempts + 1;
+    if (mayHaveRun && attempt.state == call_state::notRun) {
+        attempt.state = call_state::unknownOutcome;
+    }
+    result = std::move(attempt);
+}
+
+auto mayRetryPlain(const call_environment &environment, const plain_work &work, const plain_result &attempt,
+                   std::uint32_t retries) -> bool
+{
+    if (attempt.leaving) {
+        return true;
+    }
+    if (attempt.state == call_state::complete || retries >= work.treatment.retries) {
+        return false;
+    }
+    if (attempt.state != call_state::notRun && !work.request.repeatable) {
+        return false;
+    }
+    return !environment.retries || environment.retries->take();
+}
+
+} // namespace detail
+
 } // namespace marjoramloom
