--- a/bench/control_network.cpp
+++ b/bench/control_network.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-    constexpr auto flushDelay = std::chrono::microseconds(500); ///< Messages of this long share an envelope.
+constexpr auto flushDelay = std::chrono::microseconds(500); ///< Messages of this long share an envelope.
 
 } // namespace
 
--- a/bench/control_network.h
+++ b/bench/control_network.h
@@ -10,8 +10,8 @@
 class control_network
 {
 public:
-    using receiver
-        = std::function<void(std::uint32_t to, std::uint32_t from, const std::vector<control_message> &messages)>;
+    using receiver =
+        std::function<void(std::uint32_t to, std::uint32_t from, const std::vector<control_message> &messages)>;
 
     /// Precondition: \p where outlives the network.
     control_network(fleet &where, receiver deliver);
--- a/bench/demand_source.cpp
+++ b/bench/demand_source.cpp
@@ -9,22 +9,22 @@
 
 namespace {
 
-    /// Mean seconds that a request of the rule's classes holds a slot of an engine, by drawing many.
-    auto meanSlotSeconds(const deployment &where, const arrival_rule &rule) -> double
-    {
-        constexpr auto draws = 50'000;
-        auto random = random_source(1);
-        const auto &engine = where.engine;
-        const auto step = engine.stepSeconds * (1 + engine.crowdSlope * (engine.slots - 1));
-        auto sum = 0.0;
-        for (auto drawn = 0; drawn < draws; ++drawn) {
-            const auto kind = drawClass(where, random, [&](const auto &candidate) { return includes(rule, candidate); });
-            const auto request = drawRequest(where, kind, random);
-            const auto read = (request.promptTokens - request.prefixTokens) / engine.prefillRate;
-            sum += read + request.outputTokens * step;
-        }
-        return sum / draws;
+/// Mean seconds that a request of the rule's classes holds a slot of an engine, by drawing many.
+auto meanSlotSeconds(const deployment &where, const arrival_rule &rule) -> double
+{
+    constexpr auto draws = 50'000;
+    auto random = random_source(1);
+    const auto &engine = where.engine;
+    const auto step = engine.stepSeconds * (1 + engine.crowdSlope * (engine.slots - 1));
+    auto sum = 0.0;
+    for (auto drawn = 0; drawn < draws; ++drawn) {
+        const auto kind = drawClass(where, random, [&](const auto &candidate) { return includes(rule, candidate); });
+        const auto request = drawRequest(where, kind, random);
+        const auto read = (request.promptTokens - request.prefixTokens) / engine.prefillRate;
+        sum += read + request.outputTokens * step;
     }
+    return sum / draws;
+}
 
 } // namespace
 
@@ -38,6 +38,9 @@
     : m_fleet(where)
     , m_scenario(what)
     , m_submit(std::move(submit))
+    , m_arrivals(what.seed)
+    , m_replacements(what.seed + 1)
+    , m_slowdowns(what.seed + 2)
 {
 }
 
@@ -88,7 +91,7 @@
     // Arrivals at the highest rate, of which a part is left out between swings.
     const auto highest = callsPerSecond * rule.swing;
     auto gap = boost::random::exponential_distribution<double>(highest);
-    m_fleet.queue().after(fromSeconds(gap(m_fleet.random())),
+    m_fleet.queue().after(fromSeconds(gap(m_arrivals)),
                           [this, &rule, account, callsPerSecond] { arrive(rule, account, callsPerSecond); });
 }
 
@@ -96,45 +99,52 @@
 {
     const auto swings = crest() && (!rule.swingLargeOnly || isLarge(account));
     const auto kept = swings ? 1 : 1 / rule.swing;
-    if (boost::random::uniform_01<double>()(m_fleet.random()) < kept) {
-        submitNew(account, drawClass(m_fleet.where(), m_fleet.random(),
-                                     [&](const auto &candidate) { return includes(rule, candidate); }));
+    if (boost::random::uniform_01<double>()(m_arrivals) < kept) {
+        const auto included = [&](const request_class &candidate) {
+            return includes(rule, candidate);
+        };
+        submitNew(account, drawClass(m_fleet.where(), m_arrivals, included), m_arrivals);
     }
     planArrivals(rule, account, callsPerSecond);
 }
 
-auto demand_source::chooseRouter(std::size_t account) -> std::uint32_t
+auto demand_source::chooseRouter(std::size_t account, random_source &random) -> std::uint32_t
 {
-    auto &random = m_fleet.random();
     if (boost::random::uniform_01<double>()(random) < m_scenario.firstDataCentreShare) {
-        return boost::random::uniform_int_distribution<std::uint32_t>(0, m_fleet.where().routersPerDataCentre - 1)(random);
+        return boost::random::uniform_int_distribution<std::uint32_t>(0,
+                                                                      m_fleet.where().routersPerDataCentre - 1)(random);
     }
     const auto &routers = m_fleet.where().accounts[account].routers;
     return routers[boost::random::uniform_int_distribution<std::size_t>(0, routers.size() - 1)(random)];
 }
 
-auto demand_source::submitNew(std::size_t account, std::size_t kind) -> void
+auto demand_source::submitNew(std::size_t account, std::size_t kind, random_source &random) -> void
 {
-    const auto drawn = drawRequest(m_fleet.where(), kind, m_fleet.random());
-    m_submit(m_fleet.makeRequest(account, chooseRouter(account), drawn));
+    const auto drawn = drawRequest(m_fleet.where(), kind, random);
+    m_submit(m_fleet.makeRequest(account, chooseRouter(account, random), drawn));
 }
 
 auto demand_source::fillBacklog() -> void
 {
-    const auto ofModel = [](const auto &candidate) { return candidate.target == service_index::model; };
+    const auto ofModel = [](const auto &candidate) {
+        return candidate.target == service_index::model;
+    };
     for (auto account = std::size_t(0); account < m_fleet.where().accounts.size(); ++account) {
         for (auto added = std::uint32_t(0); added < m_fleet.where().accounts[account].backlog; ++added) {
-            submitNew(account, drawClass(m_fleet.where(), m_fleet.random(), ofModel));
+            submitNew(account, drawClass(m_fleet.where(), m_replacements, ofModel), m_replacements);
         }
     }
 }
 
 auto demand_source::fillLongBacklog() -> void
 {
-    const auto isLong = [](const auto &candidate) { return candidate.length == work_length::longWork; };
+    const auto isLong = [](const auto &candidate) {
+        return candidate.length == work_length::longWork;
+    };
     const auto wanted = m_scenario.longBacklog * m_fleet.where().engines * m_fleet.where().engine.slots;
     for (auto added = std::size_t(0); added < static_cast<std::size_t>(wanted); ++added) {
-        submitNew(added % m_fleet.where().accounts.size(), drawClass(m_fleet.where(), m_fleet.random(), isLong));
+        submitNew(added % m_fleet.where().accounts.size(), drawClass(m_fleet.where(), m_replacements, isLong),
+                  m_replacements);
     }
 }
 
@@ -142,8 +152,8 @@
 {
     constexpr auto retryDelay = std::chrono::seconds(1);
     const auto &rules = m_fleet.classOf(done);
-    const auto replaced = m_scenario.backlogged
-        || (m_scenario.longBacklog > 0 && rules.length == work_length::longWork);
+    const auto replaced =
+        m_scenario.backlogged || (m_scenario.longBacklog > 0 && rules.length == work_length::longWork);
     if (!replaced || rules.target != service_index::model) {
         return;
     }
@@ -153,7 +163,7 @@
             return candidate.target == service_index::model
                 && (m_scenario.backlogged || (candidate.length == work_length::longWork) == isLong);
         };
-        submitNew(account, drawClass(m_fleet.where(), m_fleet.random(), included));
+        submitNew(account, drawClass(m_fleet.where(), m_replacements, included), m_replacements);
     });
 }
 
@@ -162,7 +172,7 @@
     auto pick = boost::random::uniform_int_distribution<std::size_t>(0, m_fleet.where().engines - 1);
     auto chosen = std::set<std::size_t>();
     while (chosen.size() < m_scenario.slowedEngines) {
-        chosen.insert(pick(m_fleet.random()));
+        chosen.insert(pick(m_slowdowns));
     }
     for (const auto number : chosen) {
         m_fleet.engine(number).setSlowdown(m_scenario.slowdown);
--- a/bench/engine_fake.cpp
+++ b/bench/engine_fake.cpp
@@ -6,17 +6,17 @@
 
 namespace {
 
-    constexpr auto tolerance = 1e-6; // Tokens.
+constexpr auto tolerance = 1e-6; // Tokens.
 
-    template<typename Targets>
-    auto eraseTarget(Targets &targets, double target, std::uint64_t key) -> void
-    {
-        const auto [first, last] = targets.equal_range(target);
-        const auto found = std::find_if(first, last, [key](const auto &row) { return row.second == key; });
-        if (found != last) {
-            targets.erase(found);
-        }
+template<typename Targets>
+auto eraseTarget(Targets &targets, double target, std::uint64_t key) -> void
+{
+    const auto [first, last] = targets.equal_range(target);
+    const auto found = std::find_if(first, last, [key](const auto &row) { return row.second == key; });
+    if (found != last) {
+        targets.erase(found);
     }
+}
 
 } // namespace
 
@@ -189,7 +189,8 @@
 auto engine_fake::cancel(std::uint64_t key) -> double
 {
     advance();
-    const auto queued = std::find_if(m_waiting.begin(), m_waiting.end(), [key](const auto &work) { return work.key == key; });
+    const auto queued =
+        std::find_if(m_waiting.begin(), m_waiting.end(), [key](const auto &work) { return work.key == key; });
     if (queued != m_waiting.end()) {
         m_waiting.erase(queued);
         return 0;
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -6,16 +6,15 @@
 
 namespace {
 
-    constexpr auto promptWeight = 0.1; ///< As the routers weigh tokens.
-    constexpr auto cachedPromptWeight = 0.01;
-    constexpr auto localLatency = std::chrono::microseconds(150); ///< One way in a data centre.
-    constexpr auto controlAllowance = std::chrono::milliseconds(100); ///< Waits below it are messages on their way.
+constexpr auto promptWeight = 0.1; ///< As the routers weigh tokens.
+constexpr auto cachedPromptWeight = 0.01;
+constexpr auto localLatency = std::chrono::microseconds(150); ///< One way in a data centre.
+constexpr auto controlAllowance = std::chrono::milliseconds(100); ///< Waits below it are messages on their way.
 
 } // namespace
 
-fleet::fleet(const deployment &where, const scenario &what)
+fleet::fleet(const deployment &where)
     : m_where(where)
-    , m_random(what.seed)
     , m_settled(where.accounts.size())
 {
     constexpr auto orderSlots = std::uint32_t(8);
@@ -31,9 +30,15 @@
 {
     for (auto added = std::size_t(0); added < count; ++added) {
         auto listener = engine_listener();
-        listener.started = [this](place_key key) { onStarted(key); };
-        listener.firstToken = [this](place_key key, double cached) { onFirstToken(key, cached); };
-        listener.finished = [this](place_key key) { onFinished(key); };
+        listener.started = [this](place_key key) {
+            onStarted(key);
+        };
+        listener.firstToken = [this](place_key key, double cached) {
+            onFirstToken(key, cached);
+        };
+        listener.finished = [this](place_key key) {
+            onFinished(key);
+        };
         m_engines.push_back(std::make_unique<engine_fake>(m_queue, settings, std::move(listener)));
     }
 }
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -54,7 +54,7 @@
 class fleet
 {
 public:
-    fleet(const deployment &where, const scenario &what);
+    explicit fleet(const deployment &where);
 
     [[nodiscard]] auto queue() -> event_queue &
     {
@@ -66,11 +66,6 @@
         return m_where;
     }
 
-    [[nodiscard]] auto random() -> random_source &
-    {
-        return m_random;
-    }
-
     auto setListener(place_listener listener) -> void;
 
     /// Engines of the model first, then plain servers.
@@ -121,7 +116,6 @@
 
     const deployment &m_where;
     event_queue m_queue;
-    random_source m_random;
     std::vector<std::unique_ptr<engine_fake>> m_engines;
     std::map<request_key, live_request> m_requests;
     std::map<place_key, engine_place> m_places;
--- a/bench/layout.cpp
+++ b/bench/layout.cpp
@@ -4,11 +4,11 @@
 
 namespace {
 
-    constexpr auto services = std::array{ service_index::model, service_index::orders };
-    constexpr auto firstServiceId = std::uint64_t(1'000);
-    constexpr auto firstAccountId = std::uint64_t(2'000);
-    constexpr auto firstEngineId = std::uint64_t(3'000);
-    constexpr auto firstProfileId = std::uint64_t(4'000);
+constexpr auto services = std::array{ service_index::model, service_index::orders };
+constexpr auto firstServiceId = std::uint64_t(1'000);
+constexpr auto firstAccountId = std::uint64_t(2'000);
+constexpr auto firstEngineId = std::uint64_t(3'000);
+constexpr auto firstProfileId = std::uint64_t(4'000);
 
 } // namespace
 
--- a/bench/results.h
+++ b/bench/results.h
@@ -57,7 +57,6 @@
     double longTokens = 0; ///< Generated for long work.
     double shortTokens = 0;
     double repeatedPrefillTokens = 0; ///< Prompt tokens read again after suspensions and hedges.
-    double weightedTokens = 0; ///< Service delivered.
     std::uint64_t suspensions = 0;
     std::uint64_t hedges = 0;
     std::uint64_t remoteGrants = 0;
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -4,27 +4,27 @@
 
 namespace {
 
-    auto plainCalls(double callsPerSecond) -> arrival_rule
-    {
-        auto rule = arrival_rule();
-        rule.callsPerSecond = callsPerSecond;
-        return rule;
-    }
+auto plainCalls(double callsPerSecond) -> arrival_rule
+{
+    auto rule = arrival_rule();
+    rule.callsPerSecond = callsPerSecond;
+    return rule;
+}
 
-    auto modelLoad(double load, double swing) -> arrival_rule
-    {
-        auto rule = arrival_rule();
-        rule.load = load;
-        rule.swing = swing;
-        return rule;
-    }
+auto modelLoad(double load, double swing) -> arrival_rule
+{
+    auto rule = arrival_rule();
+    rule.load = load;
+    rule.swing = swing;
+    return rule;
+}
 
-    auto shortLoad() -> arrival_rule
-    {
-        auto rule = modelLoad(0.22, 5);
-        rule.byLength = true;
-        return rule;
-    }
+auto shortLoad() -> arrival_rule
+{
+    auto rule = modelLoad(0.3, 5);
+    rule.byLength = true;
+    return rule;
+}
 
 } // namespace
 
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -30,7 +30,8 @@
     std::vector<arrival_rule> arrivals;
     double swingPeriodSeconds = 40;
     double swingLengthSeconds = 10;
-    double firstDataCentreShare = 0; ///< Part of all requests that enters there, whatever the account; 0: as accounts do.
+    double firstDataCentreShare =
+        0; ///< Part of all requests that enters there, whatever the account; 0: as accounts do.
     std::uint32_t slowedEngines = 0; ///< At a time.
     double slowdown = 5;
     double slowPeriodSeconds = 20;
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -34,14 +34,17 @@
     auto crest() const -> bool;
     auto fillBacklog() -> void;
     auto fillLongBacklog() -> void;
-    auto submitNew(std::size_t account, std::size_t kind) -> void;
-    auto chooseRouter(std::size_t account) -> std::uint32_t;
+    auto submitNew(std::size_t account, std::size_t kind, random_source &random) -> void;
+    auto chooseRouter(std::size_t account, random_source &random) -> std::uint32_t;
     auto isLarge(std::size_t account) const -> bool;
     auto slowEngines() -> void;
 
     fleet &m_fleet;
     const scenario &m_scenario;
     std::function<void(live_request &)> m_submit;
+    random_source m_arrivals; ///< The same requests at the same times under every policy.
+    random_source m_replacements;
+    random_source m_slowdowns;
 };
 
 /// Whether a class belongs to a rule.
@@ -52,7 +55,7 @@
 auto simulate(const deployment &where, const scenario &what) -> run_results
 {
     constexpr auto samplePeriod = std::chrono::milliseconds(10);
-    auto simulated = fleet(where, what);
+    auto simulated = fleet(where);
     auto policy = Policy(simulated);
     auto demand = demand_source(simulated, what, [&](live_request &asked) { policy.submit(asked); });
     auto listener = place_listener();
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -11,46 +11,46 @@
 
 namespace {
 
-    constexpr auto accountCount = std::size_t(16);
-    constexpr auto tailProbability = 0.02; ///< Of a request that runs many times longer.
-    constexpr auto tailFactor = 30.0;
-    constexpr auto hintSpread = 4.0; ///< Largest factor between a hint and the truth, either way.
-    constexpr auto longestOutput = 12'000.0; ///< Tokens; engines end an answer there.
+constexpr auto accountCount = std::size_t(16);
+constexpr auto tailProbability = 0.02; ///< Of a request that runs many times longer.
+constexpr auto tailFactor = 30.0;
+constexpr auto hintSpread = 4.0; ///< Largest factor between a hint and the truth, either way.
+constexpr auto longestOutput = 12'000.0; ///< Tokens; engines end an answer there.
 
-    /// Routers by number; those of data centre N are 3N to 3N + 2.
-    auto entryRouters(std::size_t account) -> std::vector<std::uint32_t>
-    {
-        // Half of the accounts reach the first data centre only, a few each of the others, the rest all.
-        if (account < 8) {
-            return { 0, 1, 2 };
-        }
-        if (account < 11) {
-            return { 3, 4 };
-        }
-        if (account < 13) {
-            return { 6 };
-        }
-        return { 0, 1, 2, 3, 4, 5, 6, 7, 8 };
+/// Routers by number; those of data centre N are 3N to 3N + 2.
+auto entryRouters(std::size_t account) -> std::vector<std::uint32_t>
+{
+    // Half of the accounts reach the first data centre only, a few each of the others, the rest all.
+    if (account < 8) {
+        return { 0, 1, 2 };
+    }
+    if (account < 11) {
+        return { 3, 4 };
     }
+    if (account < 13) {
+        return { 6 };
+    }
+    return { 0, 1, 2, 3, 4, 5, 6, 7, 8 };
+}
 
-    /// Sixteen accounts: three large ones, one of them a flooder; a few that reach one quiet data centre only.
-    auto makeAccounts() -> std::vector<account_entry>
-    {
-        auto accounts = std::vector<account_entry>();
-        for (auto number = std::size_t(0); number < accountCount; ++number) {
-            auto made = account_entry();
-            made.name = "account-" + std::to_string(number);
-            const auto large = number == 0 || number == 9 || number == 14;
-            made.weight = large ? 3 : 1;
-            made.demand = large ? 4 : 1;
-            made.routers = entryRouters(number);
-            made.backlog = large ? 96 : 32;
-            accounts.push_back(made);
-        }
-        constexpr auto flooder = std::size_t(1);
-        accounts[flooder].backlog = 200;
-        return accounts;
+/// Sixteen accounts: three large ones, one of them a flooder; a few that reach one quiet data centre only.
+auto makeAccounts() -> std::vector<account_entry>
+{
+    auto accounts = std::vector<account_entry>();
+    for (auto number = std::size_t(0); number < accountCount; ++number) {
+        auto made = account_entry();
+        made.name = "account-" + std::to_string(number);
+        const auto large = number == 0 || number == 9 || number == 14;
+        made.weight = large ? 3 : 1;
+        made.demand = large ? 4 : 1;
+        made.routers = entryRouters(number);
+        made.backlog = large ? 96 : 32;
+        accounts.push_back(made);
     }
+    constexpr auto flooder = std::size_t(1);
+    accounts[flooder].backlog = 200;
+    return accounts;
+}
 
 } // namespace
 
@@ -124,8 +124,8 @@
     return made;
 }
 
-auto drawClass(const deployment &where, random_source &random, const std::function<bool(const request_class &)> &included)
-    -> std::size_t
+auto drawClass(const deployment &where, random_source &random,
+               const std::function<bool(const request_class &)> &included) -> std::size_t
 {
     auto total = 0.0;
     for (const auto &candidate : where.classes) {
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -80,7 +80,7 @@
 auto drawRequest(const deployment &where, std::size_t kind, random_source &random) -> drawn_request;
 
 /// Draws one of the classes for which \p included says yes, by their shares.
-auto drawClass(const deployment &where, random_source &random, const std::function<bool(const request_class &)> &included)
-    -> std::size_t;
+auto drawClass(const deployment &where, random_source &random,
+               const std::function<bool(const request_class &)> &included) -> std::size_t;
 
 } // namespace marjoramloom::bench
