share: an account keeps a bounded claim over an idle second; unconfirmed use cannot pile up

(1) An account that was behind had all its requests running now and then, counted as idle and was lifted to the lowest backlogged counter: it lost its claim each time. It is now lifted to ten thresholds below. (2) Use that a router reports to a dispatcher and never counts in its total was held against the account as long as any use was reported (ledger test: 3,000 for 1,000 used). It is now capped by what was observed in the last five seconds.

--- a/include/marjoramloom/share/dispatcher.h
+++ b/include/marjoramloom/share/dispatcher.h
@@ -77,7 +77,8 @@
     /// Forgets a waiting ticket whose caller left.
     auto withdraw(ticket_id id, time_point now) -> void;
 
-    /// A granted request used \p cost so far (weighted tokens, cumulative); what exceeds the estimate is charged now.
+    /// A granted request used \p cost since this grant (weighted tokens, cumulative); what exceeds the estimate is
+    /// charged now. What it used under an earlier ticket, before a suspension, is not part of it.
     ///
     /// The request's router adds the same use to its own total with share_ledger::count or merge, in either order.
     auto progress(ticket_id id, double cost, time_point now) -> void;
--- a/include/marjoramloom/share/share_ledger.h
+++ b/include/marjoramloom/share/share_ledger.h
@@ -84,11 +84,14 @@
         std::uint64_t serial = 0; ///< Of its last growth.
     };
 
-    /// Use that a dispatcher knows of, less growth of the router's total; counted where positive.
+    /// Use that a dispatcher knows of, less growth of the router's total; counted where positive. It never exceeds what
+    /// was observed within its lifetime, so that a use which no total ever confirms is not held against an account.
     struct use_balance
     {
         double cost = 0;
-        time_point expiry;
+        double observed = 0; ///< In the present half of the lifetime.
+        double observedBefore = 0; ///< In the half before.
+        time_point halfEnds;
     };
 
     struct account_entry
--- a/src/share/dispatcher_state.cpp
+++ b/src/share/dispatcher_state.cpp
@@ -38,9 +38,10 @@
 /// requests, pause, and be forgiven.
 constexpr auto debtFactor = 2.0;
 
-/// What an account got beyond others during a partition is forgiven down to this many thresholds of the pull rule: the
-/// others could not have used it, and no account can bring a partition about.
-constexpr auto rejoinDebtThresholds = 10.0;
+/// Thresholds of the pull rule that an account keeps. Of its claim when it comes back after idling: one that is behind
+/// has all its requests running now and then, and would lose what it is owed each time. Of its debt after a partition:
+/// the others could not have used what it got then, and no account can bring a partition about.
+constexpr auto keptThresholds = 10.0;
 constexpr auto chargeWeight = 0.05; ///< Of a new grant in the mean charge.
 constexpr auto pullAheadFraction = 32U; ///< An idle pool asks ahead for one ticket per this many slots.
 constexpr auto fewestPulls = 4U; ///< Tickets that may be asked for at once by the smallest pool.
@@ -179,7 +180,7 @@
             continue;
         }
         if (lowest && !pulls.waitsElsewhere(account, now)) {
-            ledger.lift(account, pool.service, *lowest);
+            ledger.lift(account, pool.service, *lowest - keptThresholds * settings.pullThreshold);
             ledger.relieve(account, pool.service, *lowest + limit);
         }
         backlog.enter(account);
@@ -193,7 +194,7 @@
     }
     rejoined.reset();
     const auto lowest = floor(now);
-    const auto limit = settings.debtLimit > 0 ? settings.debtLimit : rejoinDebtThresholds * settings.pullThreshold;
+    const auto limit = settings.debtLimit > 0 ? settings.debtLimit : keptThresholds * settings.pullThreshold;
     for (const auto &[account, queue] : waiting.accounts()) {
         if (lowest) {
             ledger.relieve(account, pool.service, *lowest + limit);
--- a/src/share/share_ledger.cpp
+++ b/src/share/share_ledger.cpp
@@ -111,8 +111,11 @@
 auto share_ledger::observeUse(incarnation_id router, object_id account, double cost, time_point now) -> void
 {
     auto &balance = m_balances[{ router, account }];
+    if (balance.halfEnds == time_point()) {
+        balance.halfEnds = now + balanceLifetime / 2;
+    }
+    balance.observed += cost;
     setBalance(m_accounts[account], balance, balance.cost + cost);
-    balance.expiry = now + balanceLifetime;
 }
 
 auto share_ledger::expire(time_point now) -> void
@@ -120,14 +123,17 @@
     if (now < m_nextExpiry) {
         return;
     }
-    m_nextExpiry = now + balanceLifetime / 4;
+    m_nextExpiry = now + balanceLifetime / 8;
     for (auto row = m_balances.begin(); row != m_balances.end();) {
-        if (row->second.expiry > now) {
+        auto &balance = row->second;
+        if (balance.halfEnds > now) {
             ++row;
             continue;
         }
-        setBalance(m_accounts[row->first.account], row->second, 0);
-        row = m_balances.erase(row);
+        balance.halfEnds = now + balanceLifetime / 2;
+        balance.observedBefore = std::exchange(balance.observed, 0);
+        setBalance(m_accounts[row->first.account], balance, std::min(balance.cost, balance.observedBefore));
+        row = balance.observedBefore > 0 ? std::next(row) : m_balances.erase(row);
     }
 }
 
--- a/tests/unit/share/share_ledger_test.cpp
+++ b/tests/unit/share/share_ledger_test.cpp
@@ -52,6 +52,18 @@
     BOOST_TEST(ledger.receivedService(accountA) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(use_that_no_total_confirms_does_not_pile_up)
+{
+    auto ledger = share_ledger();
+    for (auto second = 0; second < 100; ++second) {
+        ledger.expire(at(second));
+        ledger.observeUse(routerOne, accountA, 30, at(second)); // Of which the router counts 10.
+        ledger.count(routerOne, accountA, 10);
+    }
+    constexpr auto fiveSeconds = 5 * 30;
+    BOOST_TEST(ledger.receivedService(accountA) <= 1000 + fiveSeconds);
+}
+
 BOOST_AUTO_TEST_CASE(offsets_travel_with_totals_and_are_per_service)
 {
     auto here = share_ledger();
