Router process: the whole path in separate processes

A request goes from a caller through a router to an engine and back; plain calls and orders go to plain services; the configuration comes from the platform. Tickets, grants and settlements travel between routers over nng.

--- a/include/marjoramloom/call/stop_calendar.h
+++ b/include/marjoramloom/call/stop_calendar.h
@@ -4,6 +4,7 @@
 #include "marjoramloom/core/clock.h"
 #include "marjoramloom/core/enum_names.h"
 #include "marjoramloom/platform/instance_list.h"
+#include "marjoramloom/share/server_placement.h"
 
 #include <cstdint>
 #include <map>
@@ -22,14 +23,6 @@
     std::chrono::milliseconds noticeHold{ 15'000 }; ///< A server's own word holds this long.
 };
 
-/// News that a server is leaving or available again, from its own answer; peers relay it.
-struct server_notice
-{
-    object_id server;
-    bool leaving = false;
-    std::int64_t unixMs = 0; ///< When the server said so; the newest word counts.
-};
-
 /// What a server's stops mean for its work at one moment.
 enum class stop_phase {
     open, ///< Takes work.
--- a/include/marjoramloom/peer/wire_codec.h
+++ b/include/marjoramloom/peer/wire_codec.h
@@ -61,14 +61,6 @@
     double cost = 0; ///< Used so far, weighted tokens.
 };
 
-/// News of a backend server's state; the latest one counts.
-struct server_notice
-{
-    object_id server;
-    server_state state = server_state::available;
-    std::uint64_t unixMs = 0; ///< When it was observed, by the observer's wall clock.
-};
-
 /// \p value in whole milliseconds, 0 where negative.
 auto toMilliseconds(duration value) -> std::uint64_t;
 
--- /dev/null
+++ b/include/marjoramloom/router/dispatch_service.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "marjoramloom/core/counters.h"
+#include "marjoramloom/peer/duty.h"
+#include "marjoramloom/peer/membership.h"
+#include "marjoramloom/router/router_view.h"
+#include "marjoramloom/router/ticket_queue.h"
+#include "marjoramloom/share/dispatcher.h"
+#include "marjoramloom/share/server_placement.h"
+#include "marjoramloom/share/share_ledger.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace marjoramloom::wire {
+class Envelope;
+}
+
+namespace marjoramloom {
+
+class peer_links;
+
+/// Connects this router's ticket queue with the dispatchers of all pools: those it holds the duty for, and those that
+/// other routers hold.
+///
+/// Belongs to the decision strand; not thread safe but for observePace().
+class dispatch_service
+{
+public:
+    using strand_type = ticket_queue::strand_type;
+
+    /// Preconditions: \p network, \p tickets and \p counters outlive the service.
+    dispatch_service(strand_type strand, std::string dataCentre, dispatcher_settings limits, peer_links &network,
+                     ticket_queue &tickets, counter_registry &counters);
+    ~dispatch_service();
+
+    /// The ticket queue's way to the dispatchers.
+    auto port() -> dispatch_port;
+
+    /// Takes over a new configuration.
+    auto setView(std::shared_ptr<const router_view> view) -> void;
+
+    /// Handles what another router sent.
+    auto receive(incarnation_id from, const wire::Envelope &message) -> void;
+
+    /// A router joined or is gone: duties may have moved.
+    auto onMember(const member_event &event) -> void;
+
+    /// Whether a backend server takes new work, by whatever source knew first.
+    auto setServerState(object_id server, server_state state) -> void;
+
+    /// A backend server's own report of its load.
+    auto observeLoad(const load_report &report) -> void;
+
+    /// A call's observation of a backend server. Thread safe.
+    auto observePace(const pace_sample &sample) -> void;
+
+    /// Deadlines, progress, resubmission and digests. To be called every tickPeriod.
+    auto tick(time_point now) -> void;
+
+    /// Period of tick().
+    static constexpr auto tickPeriod = std::chrono::milliseconds(50);
+
+    /// Whether this router holds the dispatcher of \p pool.
+    [[nodiscard]] auto holds(const pool_id &pool) const -> bool;
+
+    /// Pools whose dispatcher this router holds.
+    [[nodiscard]] auto heldPools() const -> std::size_t;
+
+    /// The fleet's service counters as this router knows them.
+    [[nodiscard]] auto ledger() -> share_ledger &;
+
+private:
+    auto selfIncarnation() const -> incarnation_id;
+    auto holderOf(const pool_id &pool) -> incarnation_id;
+    auto refreshDuties() -> void;
+    auto refreshServers(const pool_id &pool, dispatcher &holder) -> void;
+    auto ownPools() const -> std::vector<pool_id>;
+    auto localDispatcher(const pool_id &pool) -> dispatcher *;
+    auto moveWorkTo(const pool_id &pool, incarnation_id holder) -> void;
+
+    auto submit(const ticket &waiting, const pool_id &pool) -> void;
+    auto withdraw(const pool_id &pool, ticket_id id) -> void;
+    auto progress(const grant &granted, double cost, double growth) -> void;
+    auto settle(const grant &granted, double cost, double growth) -> void;
+
+    auto envelopeFor(incarnation_id to) -> wire::Envelope &;
+    auto schedulePass(const pool_id &pool) -> void;
+    auto schedulePass() -> void;
+    auto runPass() -> void;
+    auto carryOut(dispatch_decisions decisions) -> void;
+    auto deliver(const grant &given) -> void;
+    auto deliver(const refusal &refused) -> void;
+    auto deliver(const suspension &asked) -> void;
+    auto ask(const pull_request &pull) -> void;
+    auto answerPull(const pull_request &pull) -> void;
+    auto flush() -> void;
+    auto sendDigests(time_point now) -> void;
+    auto sendTotals() -> void;
+    auto receiveTickets(const wire::Envelope &message, const std::string &peer, time_point now) -> void;
+    auto receiveOutcomes(const wire::Envelope &message, const std::string &peer) -> void;
+    auto receiveUse(const wire::Envelope &message, const std::string &peer, time_point now) -> void;
+    auto receiveNews(const wire::Envelope &message, const std::string &peer, time_point now) -> void;
+    auto reject(const last_reason &why) -> void;
+    auto poolOfServer(object_id server) const -> std::optional<pool_id>;
+
+    strand_type m_strand;
+    std::string m_dataCentre;
+    dispatcher_settings m_limits;
+    peer_links &m_network;
+    ticket_queue &m_tickets;
+    counter_registry &m_counters;
+    share_ledger m_ledger;
+    std::shared_ptr<const router_view> m_view;
+    std::map<pool_id, std::unique_ptr<dispatcher>> m_held;
+    std::map<pool_id, incarnation_id> m_holders; ///< As last seen; empty after a change of membership.
+    std::map<pool_id, incarnation_id> m_followed; ///< Holder that knows this router's work in the pool.
+    std::unordered_map<object_id, server_state> m_serverStates;
+    std::unordered_map<incarnation_id, std::unique_ptr<wire::Envelope>> m_outbox;
+    std::unordered_map<incarnation_id, std::uint64_t> m_totalsSent; ///< Ledger serial up to which a peer was sent.
+    std::set<pool_id> m_dirty;
+    bool m_passScheduled = false;
+    std::uint64_t m_ticks = 0;
+};
+
+} // namespace marjoramloom
--- /dev/null
+++ b/include/marjoramloom/router/operator_handler.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "marjoramloom/contract/operator_api.h"
+#include "marjoramloom/core/counters.h"
+#include "marjoramloom/platform/platform_client.h"
+#include "marjoramloom/router/http_exchange.h"
+
+#include <atomic>
+#include <string>
+
+namespace marjoramloom {
+
+/// Answers operators: metrics and health without a key, the configuration and status with the operators' key.
+/// Thread safe.
+class operator_handler
+{
+public:
+    /// Precondition: all outlive the handler.
+    operator_handler(operator_api<platform_client> &api, counter_registry &counters, std::atomic<bool> &ready,
+                     std::string keyHash);
+
+    auto handle(http_exchange &exchange) -> boost::asio::awaitable<void>;
+
+private:
+    operator_api<platform_client> &m_api;
+    counter_registry &m_counters;
+    std::atomic<bool> &m_ready;
+    std::string m_keyHash;
+};
+
+} // namespace marjoramloom
--- a/include/marjoramloom/share/server_placement.h
+++ b/include/marjoramloom/share/server_placement.h
@@ -26,6 +26,14 @@
     };
 };
 
+/// News of a backend server's state, from its own answer; the newest word counts, and routers tell each other.
+struct server_notice
+{
+    object_id server;
+    server_state state = server_state::available;
+    std::int64_t unixMs = 0; ///< When the server said so, by the observer's wall clock.
+};
+
 /// One observation of a call by a router: fresher than the server's own load report.
 struct pace_sample
 {
--- a/src/call/stop_calendar.cpp
+++ b/src/call/stop_calendar.cpp
@@ -61,7 +61,7 @@
         return false;
     }
     const auto news =
-        !heard || heard->notice.leaving != notice.leaving || nowMs - heard->heardMs > m_settings.noticeHold.count() / 2;
+        !heard || heard->notice.state != notice.state || nowMs - heard->heardMs > m_settings.noticeHold.count() / 2;
     if (news) {
         heard = heard_notice{ notice, nowMs };
     }
@@ -89,7 +89,7 @@
         phase = std::max(phase, grace ? stop_phase::noNewWork : stop_phase::moving);
     }
     const auto &heard = entry.heard;
-    if (heard && heard->notice.leaving && nowMs - heard->heardMs < m_settings.noticeHold.count()) {
+    if (heard && heard->notice.state == server_state::leaving && nowMs - heard->heardMs < m_settings.noticeHold.count()) {
         phase = std::max(phase, stop_phase::noNewWork);
     }
     return phase;
--- a/src/peer/wire_codec.cpp
+++ b/src/peer/wire_codec.cpp
@@ -428,7 +428,7 @@
     if (in.server() == 0 || !state) {
         return invalid("decode notice", peer, "no server, or unknown state", why);
     }
-    return server_notice{ { in.server() }, *state, in.unix_ms() };
+    return server_notice{ { in.server() }, *state, static_cast<std::int64_t>(in.unix_ms()) };
 }
 
 auto encode(const pace_sample &sample, wire::PaceSample &out) -> void
--- /dev/null
+++ b/src/router/dispatch_service.cpp
@@ -0,0 +1,634 @@
+#include "marjoramloom/router/dispatch_service.h"
+
+#include "marjoramloom/core/log.h"
+#include "marjoramloom/peer/peer_links.h"
+#include "marjoramloom/peer/wire_codec.h"
+#include "peer.pb.h"
+
+#include <boost/asio/post.hpp>
+#include <cassert>
+
+namespace marjoramloom {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Ticks between two reports of running requests' use.
+constexpr std::uint64_t progressTicks = 4;
+/// Ticks between two rounds in which waiting tickets are sent again.
+constexpr std::uint64_t resubmitTicks = 20;
+/// Ticks between two digests.
+constexpr std::uint64_t digestTicks = 10;
+
+auto now() -> time_point
+{
+    return system_clock_source().now();
+}
+
+} // namespace
+
+dispatch_service::dispatch_service(strand_type strand, std::string dataCentre, dispatcher_settings limits,
+                                   peer_links &network, ticket_queue &tickets, counter_registry &counters)
+    : m_strand(std::move(strand))
+    , m_dataCentre(std::move(dataCentre))
+    , m_limits(limits)
+    , m_network(network)
+    , m_tickets(tickets)
+    , m_counters(counters)
+{
+}
+
+dispatch_service::~dispatch_service() = default;
+
+auto dispatch_service::port() -> dispatch_port
+{
+    auto port = dispatch_port();
+    port.submit = [this](const ticket &waiting) {
+        submit(waiting, waiting.origin);
+    };
+    port.withdraw = [this](const pool_id &pool, ticket_id id) {
+        withdraw(pool, id);
+    };
+    port.progress = [this](const grant &granted, double cost, double growth) {
+        progress(granted, cost, growth);
+    };
+    port.settle = [this](const grant &granted, double cost, double growth) {
+        settle(granted, cost, growth);
+    };
+    return port;
+}
+
+auto dispatch_service::setView(std::shared_ptr<const router_view> view) -> void
+{
+    m_view = std::move(view);
+    auto weights = std::map<object_id, double>();
+    for (const auto &[name, account] : m_view->contracts().clientAccounts) {
+        weights[account.id] = account.weight;
+    }
+    m_ledger.setWeights(weights);
+    refreshDuties();
+    for (const auto &[pool, holder] : m_held) {
+        refreshServers(pool, *holder);
+    }
+}
+
+auto dispatch_service::onMember(const member_event &event) -> void
+{
+    if (!event.joined) {
+        m_ledger.retire(event.who.incarnation);
+        m_outbox.erase(event.who.incarnation);
+        m_totalsSent.erase(event.who.incarnation);
+        for (const auto &[pool, holder] : m_held) {
+            holder->forgetRouter(event.who.incarnation, now());
+            schedulePass(pool);
+        }
+    }
+    refreshDuties();
+}
+
+auto dispatch_service::selfIncarnation() const -> incarnation_id
+{
+    return m_network.self().incarnation;
+}
+
+auto dispatch_service::holderOf(const pool_id &pool) -> incarnation_id
+{
+    const auto known = m_holders.find(pool);
+    if (known != m_holders.end()) {
+        return known->second;
+    }
+    const auto holder = dutyHolder(m_network.members(), dispatcherDuty(pool));
+    m_holders[pool] = holder;
+    return holder;
+}
+
+auto dispatch_service::ownPools() const -> std::vector<pool_id>
+{
+    auto pools = std::vector<pool_id>();
+    if (m_view) {
+        for (const auto &[name, entry] : m_view->contracts().services) {
+            pools.push_back({ m_dataCentre, entry.id });
+        }
+    }
+    return pools;
+}
+
+/// Takes up and gives up dispatchers by the duties of the members that are alive now.
+auto dispatch_service::refreshDuties() -> void
+{
+    m_holders.clear();
+    auto held = std::map<pool_id, std::unique_ptr<dispatcher>>();
+    for (const auto &pool : ownPools()) {
+        const auto holder = holderOf(pool);
+        if (holder == selfIncarnation()) {
+            auto &slot = held[pool];
+            const auto before = m_held.find(pool);
+            if (before != m_held.end()) {
+                slot = std::move(before->second);
+            } else {
+                slot = std::make_unique<dispatcher>(pool, m_limits, m_ledger);
+                log_line(log_level::info, "dispatcher_taken_up").with("service", pool.service.value);
+            }
+            refreshServers(pool, *slot);
+        }
+    }
+    for (const auto &[pool, given] : m_held) {
+        if (given) {
+            log_line(log_level::info, "dispatcher_given_up").with("service", pool.service.value);
+        }
+    }
+    m_held = std::move(held);
+    for (const auto &pool : ownPools()) {
+        moveWorkTo(pool, holderOf(pool));
+    }
+}
+
+/// Tells a dispatcher that is new to this router what it runs and what waits.
+auto dispatch_service::moveWorkTo(const pool_id &pool, incarnation_id holder) -> void
+{
+    auto &followed = m_followed[pool];
+    if (holder == 0 || holder == followed) {
+        return;
+    }
+    followed = holder;
+    for (const auto &request : m_tickets.running()) {
+        if (request.granted.pool != pool) {
+            continue;
+        }
+        if (auto *local = localDispatcher(pool)) {
+            local->adopt(request.granted, request.length, now());
+        } else {
+            const auto running = running_request{ request.granted, request.length, request.cost };
+            encode(running, *envelopeFor(holder).add_running());
+        }
+    }
+    m_tickets.resubmit();
+}
+
+auto dispatch_service::refreshServers(const pool_id &pool, dispatcher &holder) -> void
+{
+    if (!m_view) {
+        return;
+    }
+    auto servers = std::vector<backend_server>();
+    auto limits = std::map<object_id, std::uint32_t>();
+    const auto *target = m_view->findService(pool.service);
+    for (const auto &[name, server] : m_view->contracts().backendServers) {
+        if (target && server.service == target->name && server.dataCentre == pool.dataCentre) {
+            servers.push_back(server);
+        }
+    }
+    for (const auto &[name, account] : m_view->contracts().clientAccounts) {
+        limits[account.id] = account.queueLimit;
+    }
+    holder.setQueueLimits(limits);
+    holder.placement().setServers(servers, now());
+    for (const auto &server : servers) {
+        const auto state = m_serverStates.find(server.id);
+        if (state != m_serverStates.end()) {
+            holder.placement().setState(server.id, state->second, now());
+        }
+    }
+    schedulePass(pool);
+}
+
+auto dispatch_service::localDispatcher(const pool_id &pool) -> dispatcher *
+{
+    const auto found = m_held.find(pool);
+    return found == m_held.end() ? nullptr : found->second.get();
+}
+
+auto dispatch_service::submit(const ticket &waiting, const pool_id &pool) -> void
+{
+    if (auto *local = localDispatcher(pool)) {
+        local->submit(waiting, now());
+        schedulePass(pool);
+        return;
+    }
+    const auto holder = holderOf(pool);
+    if (holder != 0 && holder != selfIncarnation()) {
+        const auto addressed = addressed_ticket{ waiting, pool };
+        encode(addressed, now(), *envelopeFor(holder).add_tickets());
+    }
+}
+
+auto dispatch_service::withdraw(const pool_id &pool, ticket_id id) -> void
+{
+    if (auto *local = localDispatcher(pool)) {
+        local->withdraw(id, now());
+        return;
+    }
+    const auto holder = holderOf(pool);
+    if (holder != 0 && holder != selfIncarnation()) {
+        encode(id, *envelopeFor(holder).add_withdrawals());
+    }
+}
+
+auto dispatch_service::progress(const grant &granted, double cost, double growth) -> void
+{
+    m_ledger.count(selfIncarnation(), granted.account, growth);
+    if (auto *local = localDispatcher(granted.pool)) {
+        local->progress(granted.ticket, cost, now());
+        return;
+    }
+    const auto holder = holderOf(granted.pool);
+    if (holder != 0 && holder != selfIncarnation()) {
+        const auto use = request_use{ granted.ticket, granted.pool, cost };
+        encode(use, *envelopeFor(holder).add_progress());
+    }
+}
+
+auto dispatch_service::settle(const grant &granted, double cost, double growth) -> void
+{
+    m_ledger.count(selfIncarnation(), granted.account, growth);
+    if (auto *local = localDispatcher(granted.pool)) {
+        local->settle(granted.ticket, cost, now());
+        schedulePass(granted.pool);
+        return;
+    }
+    const auto holder = holderOf(granted.pool);
+    if (holder != 0 && holder != selfIncarnation()) {
+        const auto use = request_use{ granted.ticket, granted.pool, cost };
+        encode(use, *envelopeFor(holder).add_settlements());
+    }
+}
+
+auto dispatch_service::envelopeFor(incarnation_id to) -> wire::Envelope &
+{
+    assert(to != 0 && to != selfIncarnation());
+    auto &slot = m_outbox[to];
+    if (!slot) {
+        slot = std::make_unique<wire::Envelope>();
+    }
+    schedulePass();
+    return *slot;
+}
+
+auto dispatch_service::schedulePass(const pool_id &pool) -> void
+{
+    m_dirty.insert(pool);
+    schedulePass();
+}
+
+auto dispatch_service::schedulePass() -> void
+{
+    if (m_passScheduled) {
+        return;
+    }
+    m_passScheduled = true;
+    asio::post(m_strand, [this] { runPass(); });
+}
+
+auto dispatch_service::runPass() -> void
+{
+    m_passScheduled = false;
+    const auto dirty = std::exchange(m_dirty, {});
+    for (const auto &pool : dirty) {
+        if (auto *local = localDispatcher(pool)) {
+            carryOut(local->decide(now()));
+        }
+    }
+    flush();
+}
+
+auto dispatch_service::flush() -> void
+{
+    auto outbox = std::exchange(m_outbox, {});
+    for (auto &[to, message] : outbox) {
+        if (!m_network.send(to, std::move(message))) {
+            m_counters.at("marjoramloom_peer_messages_dropped_total").add();
+        }
+    }
+}
+
+auto dispatch_service::carryOut(dispatch_decisions decisions) -> void
+{
+    for (const auto &given : decisions.grants) {
+        deliver(given);
+    }
+    for (const auto &refused : decisions.refusals) {
+        deliver(refused);
+    }
+    for (const auto &asked : decisions.suspensions) {
+        deliver(asked);
+    }
+    for (const auto &pull : decisions.pulls) {
+        ask(pull);
+    }
+}
+
+auto dispatch_service::deliver(const grant &given) -> void
+{
+    m_counters.at("marjoramloom_grants_total").add();
+    log_line(log_level::info, "grant")
+        .with("router", given.ticket.router)
+        .with("ticket", given.ticket.serial)
+        .with("account", given.account.value)
+        .with("backend_server", given.server.value)
+        .with("charged", given.charged)
+        .with("reason", given.reason);
+    if (given.ticket.router == selfIncarnation()) {
+        m_tickets.handleGrant(given);
+        return;
+    }
+    encode(given, *envelopeFor(given.ticket.router).add_grants());
+}
+
+auto dispatch_service::deliver(const refusal &refused) -> void
+{
+    log_line(log_level::info, "refusal")
+        .with("router", refused.ticket.router)
+        .with("ticket", refused.ticket.serial)
+        .with("account", refused.account.value)
+        .with("reason", nameOf(refused.reason));
+    if (refused.ticket.router == selfIncarnation()) {
+        m_tickets.handleRefusal(refused);
+        return;
+    }
+    encode(refused, *envelopeFor(refused.ticket.router).add_refusals());
+}
+
+auto dispatch_service::deliver(const suspension &asked) -> void
+{
+    m_counters.at("marjoramloom_suspensions_total").add();
+    log_line(log_level::info, "suspension")
+        .with("router", asked.ticket.router)
+        .with("ticket", asked.ticket.serial)
+        .with("backend_server", asked.server.value);
+    if (asked.ticket.router == selfIncarnation()) {
+        m_tickets.handleSuspension(asked);
+        return;
+    }
+    encode(asked, *envelopeFor(asked.ticket.router).add_suspensions());
+}
+
+auto dispatch_service::ask(const pull_request &pull) -> void
+{
+    m_counters.at("marjoramloom_pulls_total").add();
+    const auto holder = holderOf(pull.to);
+    if (holder == selfIncarnation()) {
+        answerPull(pull);
+    } else if (holder != 0) {
+        encode(pull, *envelopeFor(holder).add_pulls());
+    }
+}
+
+auto dispatch_service::answerPull(const pull_request &pull) -> void
+{
+    auto *local = localDispatcher(pull.to);
+    if (!local) {
+        return;
+    }
+    for (const auto &released : local->releaseForPull(pull, now())) {
+        submit(released, pull.from);
+    }
+}
+
+auto dispatch_service::receive(incarnation_id from, const wire::Envelope &message) -> void
+{
+    const auto peer = std::to_string(from);
+    receiveTickets(message, peer, now());
+    receiveOutcomes(message, peer);
+    receiveUse(message, peer, now());
+    receiveNews(message, peer, now());
+}
+
+auto dispatch_service::reject(const last_reason &why) -> void
+{
+    m_counters.at("marjoramloom_peer_items_rejected_total").add();
+    log_line(log_level::warning, "peer_item_rejected").with("reason", why.text());
+}
+
+auto dispatch_service::receiveTickets(const wire::Envelope &message, const std::string &peer, time_point now) -> void
+{
+    auto why = last_reason();
+    for (const auto &item : message.running()) {
+        const auto running = decodeRunning(item, peer, why);
+        auto *local = running ? localDispatcher(running->granted.pool) : nullptr;
+        if (local) {
+            local->adopt(running->granted, running->length, now);
+            local->progress(running->granted.ticket, running->cost, now);
+        } else if (!running) {
+            reject(why);
+        }
+    }
+    for (const auto &item : message.tickets()) {
+        const auto addressed = decodeTicket(item, now, peer, why);
+        auto *local = addressed ? localDispatcher(addressed->pool) : nullptr;
+        if (local) {
+            local->submit(addressed->waiting, now);
+            schedulePass(addressed->pool);
+        } else if (!addressed) {
+            reject(why);
+        }
+    }
+    for (const auto &item : message.withdrawals()) {
+        const auto id = decodeTicketId(item, peer, why);
+        for (const auto &[pool, local] : m_held) {
+            if (id) {
+                local->withdraw(*id, now);
+            }
+        }
+    }
+}
+
+auto dispatch_service::receiveOutcomes(const wire::Envelope &message, const std::string &peer) -> void
+{
+    auto why = last_reason();
+    for (const auto &item : message.grants()) {
+        if (const auto given = decodeGrant(item, peer, why)) {
+            m_tickets.handleGrant(*given);
+        } else {
+            reject(why);
+        }
+    }
+    for (const auto &item : message.refusals()) {
+        if (const auto refused = decodeRefusal(item, peer, why)) {
+            m_tickets.handleRefusal(*refused);
+        } else {
+            reject(why);
+        }
+    }
+    for (const auto &item : message.suspensions()) {
+        if (const auto asked = decodeSuspension(item, peer, why)) {
+            m_tickets.handleSuspension(*asked);
+        } else {
+            reject(why);
+        }
+    }
+}
+
+auto dispatch_service::receiveUse(const wire::Envelope &message, const std::string &peer, time_point now) -> void
+{
+    auto why = last_reason();
+    for (const auto &item : message.progress()) {
+        const auto use = decodeProgress(item, peer, why);
+        auto *local = use ? localDispatcher(use->pool) : nullptr;
+        if (local) {
+            local->progress(use->ticket, use->cost, now);
+        } else if (!use) {
+            reject(why);
+        }
+    }
+    for (const auto &item : message.settlements()) {
+        const auto use = decodeSettlement(item, peer, why);
+        auto *local = use ? localDispatcher(use->pool) : nullptr;
+        if (local) {
+            local->settle(use->ticket, use->cost, now);
+            schedulePass(use->pool);
+        } else if (!use) {
+            reject(why);
+        }
+    }
+}
+
+auto dispatch_service::receiveNews(const wire::Envelope &message, const std::string &peer, time_point now) -> void
+{
+    auto why = last_reason();
+    auto totals = std::vector<service_total>();
+    for (const auto &item : message.totals()) {
+        if (const auto total = decodeTotal(item, peer, why)) {
+            totals.push_back(*total);
+        }
+    }
+    m_ledger.merge(totals);
+    for (const auto &item : message.digests()) {
+        const auto digest = decodeDigest(item, peer, why);
+        for (const auto &[pool, local] : m_held) {
+            if (digest && digest->pool.service == pool.service) {
+                local->absorbDigest(*digest, now);
+                schedulePass(pool);
+            }
+        }
+    }
+    for (const auto &item : message.pulls()) {
+        if (const auto pull = decodePull(item, peer, why)) {
+            answerPull(*pull);
+        }
+    }
+    for (const auto &item : message.samples()) {
+        const auto sample = decodeSample(item, peer, why);
+        const auto pool = sample ? poolOfServer(sample->server) : std::nullopt;
+        if (auto *local = pool ? localDispatcher(*pool) : nullptr) {
+            local->placement().observe(*sample, now);
+        }
+    }
+}
+
+auto dispatch_service::poolOfServer(object_id server) const -> std::optional<pool_id>
+{
+    const auto *contract = m_view ? m_view->findServer(server) : nullptr;
+    const auto *target = contract ? m_view->findService(contract->service) : nullptr;
+    if (!target) {
+        return std::nullopt;
+    }
+    return pool_id{ contract->dataCentre, target->id };
+}
+
+auto dispatch_service::setServerState(object_id server, server_state state) -> void
+{
+    m_serverStates[server] = state;
+    const auto pool = poolOfServer(server);
+    if (auto *local = pool ? localDispatcher(*pool) : nullptr) {
+        local->placement().setState(server, state, now());
+        schedulePass(*pool);
+    }
+}
+
+auto dispatch_service::observeLoad(const load_report &report) -> void
+{
+    const auto pool = poolOfServer(report.server);
+    if (auto *local = pool ? localDispatcher(*pool) : nullptr) {
+        local->placement().observe(report, now());
+    }
+}
+
+auto dispatch_service::observePace(const pace_sample &sample) -> void
+{
+    asio::post(m_strand, [this, sample] {
+        const auto pool = poolOfServer(sample.server);
+        if (!pool) {
+            return;
+        }
+        if (auto *local = localDispatcher(*pool)) {
+            local->placement().observe(sample, now());
+            schedulePass(*pool);
+            return;
+        }
+        const auto holder = holderOf(*pool);
+        if (holder != 0 && holder != selfIncarnation()) {
+            encode(sample, *envelopeFor(holder).add_samples());
+        }
+    });
+}
+
+auto dispatch_service::sendDigests(time_point now) -> void
+{
+    for (const auto &[pool, local] : m_held) {
+        const auto digest = local->makeDigest(now);
+        auto dataCentres = std::set<std::string>();
+        for (const auto &other : m_network.members()) {
+            dataCentres.insert(other.dataCentre);
+        }
+        dataCentres.erase(m_dataCentre);
+        for (const auto &dataCentre : dataCentres) {
+            const auto holder = holderOf({ dataCentre, pool.service });
+            if (holder != 0) {
+                encode(digest, *envelopeFor(holder).add_digests());
+            }
+        }
+    }
+}
+
+auto dispatch_service::sendTotals() -> void
+{
+    for (const auto &other : m_network.members()) {
+        if (other.incarnation == selfIncarnation()) {
+            continue;
+        }
+        auto next = std::uint64_t(0);
+        auto &since = m_totalsSent[other.incarnation];
+        const auto totals = m_ledger.totalsSince(since, next);
+        since = next;
+        for (const auto &total : totals) {
+            encode(total, *envelopeFor(other.incarnation).add_totals());
+        }
+    }
+}
+
+auto dispatch_service::tick(time_point now) -> void
+{
+    ++m_ticks;
+    for (const auto &[pool, local] : m_held) {
+        m_dirty.insert(pool);
+    }
+    if (m_ticks % progressTicks == 0) {
+        m_tickets.reportProgress();
+    }
+    if (m_ticks % resubmitTicks == 0) {
+        m_tickets.resubmit();
+    }
+    if (m_ticks % digestTicks == 0) {
+        sendDigests(now);
+        sendTotals();
+    }
+    runPass();
+}
+
+auto dispatch_service::holds(const pool_id &pool) const -> bool
+{
+    return m_held.contains(pool);
+}
+
+auto dispatch_service::heldPools() const -> std::size_t
+{
+    return m_held.size();
+}
+
+auto dispatch_service::ledger() -> share_ledger &
+{
+    return m_ledger;
+}
+
+} // namespace marjoramloom
--- /dev/null
+++ b/src/router/server_watch.cpp
@@ -0,0 +1,180 @@
+#include "marjoramloom/router/server_watch.h"
+
+#include "marjoramloom/call/load_watch.h"
+#include "marjoramloom/core/log.h"
+#include "marjoramloom/peer/peer_links.h"
+#include "marjoramloom/peer/wire_codec.h"
+#include "marjoramloom/platform/platform_client.h"
+#include "peer.pb.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace marjoramloom {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Time between two reads of the instance list.
+constexpr auto listPeriod = std::chrono::seconds(1);
+
+auto unixMsNow() -> std::int64_t
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
+} // namespace
+
+server_watch::server_watch(strand_type strand, platform_client &platform, dispatch_service &dispatch,
+                           ticket_queue &tickets, peer_links &links)
+    : m_strand(std::move(strand))
+    , m_platform(platform)
+    , m_dispatch(dispatch)
+    , m_tickets(tickets)
+    , m_links(links)
+{
+    auto handlers = load_watch::callbacks();
+    handlers.onReport = [this](const load_report &report) {
+        m_dispatch.observeLoad(report);
+    };
+    handlers.onLeaving = [this](object_id server) {
+        noteLeaving(server);
+    };
+    handlers.onSilent = [](object_id, std::uint32_t) {
+    };
+    m_loads = std::make_shared<load_watch>(m_strand, load_watch_settings(), std::move(handlers));
+    m_loads->start();
+}
+
+auto server_watch::setView(std::shared_ptr<const router_view> view) -> void
+{
+    m_view = std::move(view);
+    m_calendar.setConfiguration(m_view->contracts());
+    apply();
+}
+
+auto server_watch::pollInstances() -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(m_strand);
+    auto error = boost::system::error_code();
+    while (true) {
+        auto why = last_reason();
+        const auto snapshot = co_await m_platform.instances(why);
+        if (snapshot) {
+            m_links.setListed(snapshot->instances);
+            m_calendar.setInstances(snapshot->instances, unixMsNow());
+            apply();
+        }
+        timer.expires_after(listPeriod);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+auto server_watch::noteLeaving(object_id server) -> void
+{
+    asio::post(m_strand, [this, server] { absorb({ server, server_state::leaving, unixMsNow() }); });
+}
+
+auto server_watch::receive(const wire::Envelope &message) -> void
+{
+    auto why = last_reason();
+    for (const auto &item : message.notices()) {
+        if (const auto notice = decodeNotice(item, std::to_string(message.sender()), why)) {
+            absorb(*notice);
+        }
+    }
+}
+
+/// Takes a server's word; what is news goes on to every other router.
+auto server_watch::absorb(const server_notice &notice) -> void
+{
+    if (!m_calendar.absorb(notice, unixMsNow())) {
+        return;
+    }
+    apply();
+    for (const auto &other : m_links.members()) {
+        tell(other.incarnation, { notice });
+    }
+}
+
+auto server_watch::onMember(const member_event &event) -> void
+{
+    if (event.joined) {
+        tell(event.who.incarnation, m_calendar.notices(unixMsNow()));
+    }
+}
+
+auto server_watch::tell(incarnation_id peer, const std::vector<server_notice> &notices) -> void
+{
+    if (peer == m_links.self().incarnation || notices.empty()) {
+        return;
+    }
+    auto message = std::make_unique<wire::Envelope>();
+    for (const auto &notice : notices) {
+        encode(notice, *message->add_notices());
+    }
+    m_links.send(peer, std::move(message));
+}
+
+auto server_watch::apply() -> void
+{
+    const auto stopping = m_calendar.stoppingAt(unixMsNow());
+    const auto before = std::exchange(m_phases, stopping);
+    for (const auto &[server, phase] : before) {
+        if (!stopping.contains(server)) {
+            applyPhase(server, stop_phase::open);
+        }
+    }
+    for (const auto &[server, phase] : stopping) {
+        const auto known = before.find(server);
+        if (known == before.end() || known->second != phase) {
+            applyPhase(server, phase);
+        }
+    }
+}
+
+auto server_watch::applyPhase(object_id server, stop_phase phase) -> void
+{
+    log_line(log_level::info, "backend_server_phase").with("backend_server", server.value).with("phase", nameOf(phase));
+    m_dispatch.setServerState(server, phase == stop_phase::open ? server_state::available : server_state::leaving);
+    if (phase == stop_phase::moving) {
+        m_tickets.moveFrom(server);
+    }
+}
+
+auto server_watch::watchLoads() -> void
+{
+    auto wanted = std::set<object_id>();
+    auto servers = std::vector<watched_server>();
+    for (const auto &[name, server] : m_view->contracts().backendServers) {
+        const auto *target = m_view->findService(server.service);
+        const auto isEngine = target && target->kind == service_kind::model;
+        if (isEngine && m_dispatch.holds({ server.dataCentre, target->id })) {
+            wanted.insert(server.id);
+            servers.push_back({ server.id, server.address });
+        }
+    }
+    if (wanted != m_watched) {
+        m_watched = std::move(wanted);
+        m_loads->setServers(servers);
+    }
+}
+
+auto server_watch::tick() -> void
+{
+    if (m_view) {
+        apply();
+        watchLoads();
+    }
+}
+
+auto server_watch::stop() -> void
+{
+    m_loads->stop();
+}
+
+} // namespace marjoramloom
--- a/src/router/ticket_queue.cpp
+++ b/src/router/ticket_queue.cpp
@@ -31,34 +31,48 @@
     m_overallLimit = overall;
 }
 
-auto ticket_queue::acquire(ticket waiting, last_reason &why) -> asio::awaitable<std::optional<grant>>
+auto ticket_queue::nextTicket() -> ticket_id
 {
-    // The reason is shared, as a cancelled caller's frame may end before the decision strand is done.
-    auto shared = std::make_shared<last_reason>();
-    auto granted = co_await asio::co_spawn(m_strand, acquireOnStrand(std::move(waiting), shared), asio::use_awaitable);
+    return { m_incarnation, ++m_lastSerial };
+}
+
+auto ticket_queue::acquire(ticket waiting, std::shared_ptr<call_control> control, last_reason &why)
+    -> asio::awaitable<std::optional<grant>>
+{
+    const auto id = waiting.id;
+    auto reason = std::make_shared<last_reason>();
+    const auto listening = control->listen([this, id, control = control.get()] {
+        if (control->cancelled()) {
+            asio::post(m_strand, [this, id] { cancelOnStrand(id); });
+        }
+    });
+    auto waitForGrant = acquireOnStrand(std::move(waiting), control, reason);
+    auto granted = co_await asio::co_spawn(m_strand, std::move(waitForGrant), asio::use_awaitable);
+    control->forget(listening);
     if (!granted) {
-        why = *shared;
+        why = *reason;
     }
     co_return granted;
 }
 
-auto ticket_queue::acquireOnStrand(ticket waiting, std::shared_ptr<last_reason> why)
-    -> asio::awaitable<std::optional<grant>>
+auto ticket_queue::acquireOnStrand(ticket waiting, std::shared_ptr<call_control> control,
+                                   std::shared_ptr<last_reason> why) -> asio::awaitable<std::optional<grant>>
 {
     assert(m_port.submit);
     if (!admit(waiting, *why)) {
         co_return std::nullopt;
     }
-    waiting.id = { m_incarnation, ++m_lastSerial };
     auto request = std::make_shared<waiting_request>(m_strand);
     request->entry = waiting;
+    request->control = control;
+    request->cancelled = control->cancelled();
     request->wake.expires_at(waiting.deadline);
     m_waiting[waiting.id] = request;
     ++m_waitingByAccount[waiting.account];
     m_waitingCount = m_waiting.size();
     m_port.submit(waiting);
     auto error = boost::system::error_code();
-    if (!request->granted && !request->refused) {
+    if (!request->granted && !request->refused && !request->cancelled) {
         co_await request->wake.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
     co_return outcome(request, *why);
@@ -90,6 +104,9 @@
         return request->granted;
     }
     m_port.withdraw(entry.origin, entry.id);
+    if (request->cancelled) {
+        return why.fail(failure_kind::cancelled, "wait for a backend server", "", "the caller left");
+    }
     const auto reason = request->refused ? request->refused->reason : refusal_reason::deadline;
     m_counters.at("marjoramloom_refused_total", "reason=\"" + std::string(nameOf(reason)) + "\"").add();
     const auto kind = reason == refusal_reason::deadline ? failure_kind::deadlineExceeded : failure_kind::overloaded;
@@ -105,13 +122,13 @@
             && known->second.granted.server == granted.server;
         if (!repeated) {
             m_counters.at("marjoramloom_surplus_grants_total").add();
-            m_port.settle(granted.pool, granted.ticket, 0);
+            m_port.settle(granted, 0, 0);
         }
         return;
     }
     const auto &request = found->second;
     request->granted = granted;
-    m_running[granted.ticket] = { granted, request->entry.length, 0, {} };
+    m_running[granted.ticket] = { granted, request->entry.length, 0, 0, request->control };
     m_runningCount = m_running.size();
     if (granted.pool != request->entry.origin) {
         m_port.withdraw(request->entry.origin, granted.ticket);
@@ -132,8 +149,26 @@
 auto ticket_queue::handleSuspension(const suspension &asked) -> void
 {
     const auto found = m_running.find(asked.ticket);
-    if (found != m_running.end() && found->second.suspend) {
-        found->second.suspend();
+    if (found != m_running.end()) {
+        found->second.control->suspend(asked.ticket);
+    }
+}
+
+auto ticket_queue::moveFrom(object_id server) -> void
+{
+    for (const auto &[id, request] : m_running) {
+        if (request.granted.server == server) {
+            request.control->move(id);
+        }
+    }
+}
+
+auto ticket_queue::cancelOnStrand(ticket_id id) -> void
+{
+    const auto found = m_waiting.find(id);
+    if (found != m_waiting.end() && !found->second->granted) {
+        found->second->cancelled = true;
+        found->second->wake.cancel();
     }
 }
 
@@ -143,11 +178,20 @@
         const auto found = m_running.find(id);
         if (found != m_running.end()) {
             found->second.cost = cost;
-            m_port.progress(found->second.granted.pool, id, cost);
         }
     });
 }
 
+auto ticket_queue::reportProgress() -> void
+{
+    for (auto &[id, request] : m_running) {
+        if (request.cost > request.reportedCost) {
+            m_port.progress(request.granted, request.cost, request.cost - request.reportedCost);
+            request.reportedCost = request.cost;
+        }
+    }
+}
+
 auto ticket_queue::settle(ticket_id id, double cost) -> void
 {
     asio::post(m_strand, [this, id, cost] { settleOnStrand(id, cost); });
@@ -159,20 +203,10 @@
     if (found == m_running.end()) {
         return;
     }
-    const auto pool = found->second.granted.pool;
+    const auto ended = found->second;
     m_running.erase(found);
     m_runningCount = m_running.size();
-    m_port.settle(pool, id, cost);
-}
-
-auto ticket_queue::onSuspend(ticket_id id, std::function<void()> suspend) -> void
-{
-    asio::post(m_strand, [this, id, suspend = std::move(suspend)]() mutable {
-        const auto found = m_running.find(id);
-        if (found != m_running.end()) {
-            found->second.suspend = std::move(suspend);
-        }
-    });
+    m_port.settle(ended.granted, cost, std::max(0.0, cost - ended.reportedCost));
 }
 
 auto ticket_queue::resubmit() -> void
@@ -189,9 +223,9 @@
     }
 }
 
-auto ticket_queue::running() const -> std::vector<running_request>
+auto ticket_queue::running() const -> std::vector<granted_request>
 {
-    auto all = std::vector<running_request>();
+    auto all = std::vector<granted_request>();
     for (const auto &[id, request] : m_running) {
         all.push_back(request);
     }
--- /dev/null
+++ b/tests/load/load_report.cpp
@@ -0,0 +1,74 @@
+#include "load_report.h"
+
+#include <algorithm>
+#include <iomanip>
+
+namespace marjoramloom::load {
+
+namespace {
+
+struct report_row
+{
+    int whole = 0;
+    int refused = 0;
+    int lost = 0;
+    std::vector<double> seconds;
+};
+
+auto quantile(std::vector<double> values, double fraction) -> double
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto last = static_cast<double>(values.size() - 1);
+    return values[static_cast<std::size_t>(fraction * last)];
+}
+
+auto addOutcome(report_row &row, const load_outcome &outcome) -> void
+{
+    if (outcome.whole) {
+        ++row.whole;
+        row.seconds.push_back(outcome.seconds);
+    } else if (outcome.refused) {
+        ++row.refused;
+    } else {
+        ++row.lost;
+    }
+}
+
+auto printRow(const std::pair<std::string, std::string> &key, const report_row &row, std::ostream &out) -> void
+{
+    constexpr auto msPerSecond = 1000;
+    out << std::left << std::setw(16) << key.first << std::setw(10) << key.second << std::right << std::setw(7)
+        << row.whole << std::setw(9) << row.refused << std::setw(6) << row.lost << std::fixed << std::setprecision(1)
+        << std::setw(10) << quantile(row.seconds, 0.5) * msPerSecond << std::setw(10)
+        << quantile(row.seconds, 0.95) * msPerSecond << "\n";
+}
+
+} // namespace
+
+auto printReport(const std::vector<load_outcome> &outcomes, const std::map<std::string, int> &executions,
+                 std::ostream &out) -> bool
+{
+    auto rows = std::map<std::pair<std::string, std::string>, report_row>();
+    auto all = report_row();
+    for (const auto &outcome : outcomes) {
+        addOutcome(rows[{ outcome.account, outcome.profile }], outcome);
+        addOutcome(all, outcome);
+        if (!outcome.problem.empty()) {
+            out << "problem: " << outcome.account << " " << outcome.profile << ": " << outcome.problem << "\n";
+        }
+    }
+    out << "account         profile     whole  refused  lost    p50 ms    p95 ms\n";
+    for (const auto &[key, row] : rows) {
+        printRow(key, row, out);
+    }
+    const auto repeated =
+        std::count_if(executions.begin(), executions.end(), [](const auto &execution) { return execution.second > 1; });
+    out << "demo: " << all.whole << " answers whole, " << all.lost + all.refused << " lost, " << repeated
+        << " repeated\n";
+    return all.lost + all.refused == 0 && repeated == 0;
+}
+
+} // namespace marjoramloom::load
