--- a/tests/unit/call/fake_engine.cpp
+++ b/tests/unit/call/fake_engine.cpp
@@ -142,6 +142,10 @@
         co_await sendStatus(peer, known ? 200 : 404, false);
         co_return true;
     }
+    if (target == "/v1/load") {
+        co_await sendStatus(peer, leaving ? 503 : 200, leaving, R"({"running":1,"waiting":0,"slots":8,"as_of_ms":10})");
+        co_return true;
+    }
     if (asked.method() == http::verb::get) {
         if (!m_streams.contains(id)) {
             co_await sendStatus(peer, 404, false);
@@ -198,13 +202,14 @@
     return id;
 }
 
-auto fake_engine::sendStatus(std::shared_ptr<socket> peer, unsigned status, bool leavingHeader) -> asio::awaitable<void>
+auto fake_engine::sendStatus(std::shared_ptr<socket> peer, unsigned status, bool leavingHeader, std::string body)
+    -> asio::awaitable<void>
 {
     auto reply = http::response<http::string_body>(static_cast<http::status>(status), 11);
     if (leavingHeader) {
         reply.set("X-Leaving", "true");
     }
-    reply.body() = "{}";
+    reply.body() = std::move(body);
     reply.prepare_payload();
     auto ignored = error_code();
     co_await http::async_write(*peer, reply, asio::redirect_error(asio::use_awaitable, ignored));
--- a/tests/unit/call/fake_engine.h
+++ b/tests/unit/call/fake_engine.h
@@ -83,7 +83,8 @@
     auto serve(std::shared_ptr<socket> peer) -> boost::asio::awaitable<void>;
     auto answer(std::shared_ptr<socket> peer, request asked) -> boost::asio::awaitable<bool>;
     auto start(const request &asked) -> std::string;
-    auto sendStatus(std::shared_ptr<socket> peer, unsigned status, bool leavingHeader) -> boost::asio::awaitable<void>;
+    auto sendStatus(std::shared_ptr<socket> peer, unsigned status, bool leavingHeader, std::string body = "{}")
+        -> boost::asio::awaitable<void>;
     auto sendStream(std::shared_ptr<socket> peer, std::string id, std::uint64_t from, planned_fault planned)
         -> boost::asio::awaitable<bool>;
     auto sendEvent(std::shared_ptr<socket> peer, std::string text) -> boost::asio::awaitable<bool>;
--- /dev/null
+++ b/tests/unit/call/plain_call_test.cpp
@@ -0,0 +1,180 @@
+#include "call_bench.h"
+#include "fake_service.h"
+#include "marjoramloom/call/plain_call.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace marjoramloom;
+using namespace marjoramloom::test;
+
+namespace {
+
+/// Two plain services and one call at them.
+struct plain_bench
+{
+    call_bench calls{ 0 };
+    fake_service first{ calls.context };
+    fake_service second{ calls.context };
+    plain_work work;
+
+    explicit plain_bench(bool repeatable)
+    {
+        calls.grants.servers = { { 1 }, { 2 } };
+        const auto addresses = std::map<std::uint64_t, std::string>{ { 1, first.address() }, { 2, second.address() } };
+        calls.environment.addressOf = [addresses](object_id server) {
+            return std::optional(addresses.at(server.value));
+        };
+        work.request = { "order-1", "POST", "/orders", "application/json", "coach", repeatable };
+        work.treatment.retries = 2;
+        work.limits.answer = std::chrono::milliseconds(100);
+        work.limits.redialAfter = std::chrono::milliseconds(50);
+        work.limits.answerBytes = 10'000;
+    }
+
+    auto run() -> plain_result
+    {
+        work.arrived = std::chrono::steady_clock::now();
+        auto control = call_control::make(calls.context.get_executor());
+        auto ended = std::optional<plain_result>();
+        boost::asio::co_spawn(calls.context, runPlainCall(calls.environment, calls.grants, control, work),
+                              [&](std::exception_ptr, plain_result result) { ended = std::move(result); });
+        calls.context.restart();
+        while (!ended) {
+            calls.context.run_one();
+        }
+        calls.settle();
+        return *ended;
+    }
+
+    [[nodiscard]] auto executions() const -> std::size_t
+    {
+        return first.executed.size() + second.executed.size();
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(plain_call_test)
+
+BOOST_AUTO_TEST_CASE(the_whole_answer_comes_back)
+{
+    auto bench = plain_bench(false);
+    const auto result = bench.run();
+    BOOST_TEST(nameOf(result.state) == "complete", result.reason.text());
+    BOOST_REQUIRE(result.answer.has_value());
+    BOOST_TEST(result.answer->body == "{\"echo\":\"coach\"}");
+    BOOST_TEST(bench.executions() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_cannot_be_reached_is_proof_so_another_may_run_it)
+{
+    auto bench = plain_bench(false);
+    bench.first.stopListening();
+    const auto result = bench.run();
+    BOOST_TEST(nameOf(result.state) == "complete", result.reason.text());
+    BOOST_TEST(bench.executions() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(not_run_is_said_only_where_no_server_was_reached)
+{
+    auto bench = plain_bench(false);
+    bench.first.stopListening();
+    bench.second.stopListening();
+    const auto result = bench.run();
+    BOOST_TEST(nameOf(result.state) == "not_run");
+    BOOST_TEST(bench.executions() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_may_not_be_repeated_is_sent_once_whatever_fails_after_the_first_byte)
+{
+    for (const auto behaviour :
+         { service_behaviour::closeBeforeRead, service_behaviour::closeAfterRun, service_behaviour::closeInAnswer,
+           service_behaviour::silentAfterRun, service_behaviour::largeAnswer }) {
+        auto bench = plain_bench(false);
+        bench.first.plan = { behaviour };
+        const auto result = bench.run();
+        BOOST_TEST(nameOf(result.state) == "unknown_outcome");
+        BOOST_TEST(result.attempts == 1U);
+        BOOST_TEST(bench.executions() <= 1U);
+        BOOST_TEST(bench.second.executed.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_server_has_not_run_it_and_another_does)
+{
+    auto bench = plain_bench(false);
+    bench.work.treatment.retries = 0;
+    bench.first.plan = { service_behaviour::refuseLeaving };
+    const auto result = bench.run();
+    BOOST_TEST(nameOf(result.state) == "complete", result.reason.text());
+    BOOST_TEST(bench.second.executed.size() == 1U);
+    BOOST_TEST(bench.calls.leaving.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_repeatable_call_is_asked_again)
+{
+    for (const auto behaviour : { service_behaviour::closeBeforeRead, service_behaviour::closeAfterRun,
+                                  service_behaviour::closeInAnswer, service_behaviour::silentAfterRun }) {
+        auto bench = plain_bench(true);
+        bench.first.plan = { behaviour };
+        const auto result = bench.run();
+        BOOST_TEST(nameOf(result.state) == "complete", result.reason.text());
+        BOOST_TEST(bench.calls.grants.running.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_may_have_run_is_never_called_not_run_later)
+{
+    auto bench = plain_bench(true);
+    bench.first.plan = { service_behaviour::closeAfterRun };
+    bench.second.stopListening();
+    const auto result = bench.run();
+    BOOST_TEST(nameOf(result.state) == "unknown_outcome");
+    BOOST_TEST(bench.executions() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_connection_that_went_silent_is_replaced)
+{
+    auto bench = plain_bench(true);
+    bench.calls.grants.servers.resize(1);
+    bench.work.treatment.retries = 0;
+    bench.first.plan = { service_behaviour::answerOnceThenSilent };
+    BOOST_TEST(nameOf(bench.run().state) == "complete");
+    const auto result = bench.run();
+    BOOST_TEST(nameOf(result.state) == "complete", result.reason.text());
+    BOOST_TEST(result.attempts == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(retries_stop_when_their_budget_is_used_up)
+{
+    auto budget = retry_budget(0.1, 7);
+    auto taken = 0;
+    while (budget.take()) {
+        ++taken;
+    }
+    for (auto call = 0; call < 1000; ++call) {
+        budget.onCall();
+        taken += budget.take() ? 1 : 0;
+    }
+    // A tenth of the calls, and what a quiet router may spend at once.
+    BOOST_TEST(taken <= 110);
+    BOOST_TEST(taken >= 100);
+}
+
+BOOST_AUTO_TEST_CASE(pauses_before_retries_have_full_jitter_below_a_doubling_ceiling)
+{
+    auto budget = retry_budget(0.1, 7);
+    auto longest = duration();
+    auto shortest = duration::max();
+    for (auto draw = 0; draw < 1000; ++draw) {
+        const auto pause = budget.backoff(3);
+        longest = std::max(longest, pause);
+        shortest = std::min(shortest, pause);
+    }
+    BOOST_TEST(toSeconds(longest) <= 0.4);
+    BOOST_TEST(toSeconds(longest) > 0.36);
+    BOOST_TEST(toSeconds(shortest) < 0.04);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
