--- a/src/share/running_work.cpp
+++ b/src/share/running_work.cpp
@@ -7,6 +7,13 @@
 
 namespace marjoramloom {
 
+namespace {
+
+/// Short work that used more than this factor of its estimate is treated as long work.
+constexpr auto outgrownFactor = 4.0;
+
+} // namespace
+
 auto running_piece::remaining() const -> double
 {
     return std::max(0.0, granted.charged - used);
@@ -22,6 +29,7 @@
     [[maybe_unused]] const auto added = m_pieces.emplace(piece.granted.ticket, piece).second;
     assert(added);
     m_ledger.charge(piece.granted.account, piece.remaining());
+    ++m_counts[piece.granted.account];
 }
 
 auto running_work::progress(ticket_id id, double cost, time_point now) -> running_piece *
@@ -33,9 +41,15 @@
     auto &piece = found->second;
     if (cost > piece.used) {
         const auto before = piece.remaining();
-        m_ledger.observeUse(id.router, piece.granted.account, cost - piece.used, now);
+        if (!std::exchange(piece.adopted, false)) {
+            m_ledger.observeUse(id.router, piece.granted.account, cost - piece.used, now);
+            m_use.add(now, cost - piece.used);
+        }
         piece.used = cost;
         m_ledger.charge(piece.granted.account, piece.remaining() - before);
+        if (piece.used > outgrownFactor * piece.granted.charged) {
+            piece.length = work_length::longWork;
+        }
     }
     return &piece;
 }
@@ -45,6 +59,10 @@
     auto node = m_pieces.extract(id);
     assert(!node.empty());
     m_ledger.charge(node.mapped().granted.account, -node.mapped().remaining());
+    const auto count = m_counts.find(node.mapped().granted.account);
+    if (--count->second == 0) {
+        m_counts.erase(count);
+    }
     return std::move(node.mapped());
 }
 
@@ -59,6 +77,17 @@
     return m_pieces;
 }
 
+auto running_work::count(object_id account) const -> std::size_t
+{
+    const auto found = m_counts.find(account);
+    return found == m_counts.end() ? 0 : found->second;
+}
+
+auto running_work::useRate(time_point now) const -> double
+{
+    return m_use.perSecond(now);
+}
+
 auto running_work::of(incarnation_id router) const -> std::vector<ticket_id>
 {
     auto ids = std::vector<ticket_id>();
