--- a/src/peer/nng_transport.cpp
+++ b/src/peer/nng_transport.cpp
@@ -23,6 +23,16 @@
     return bytes;
 }
 
+auto childValue(nng_stat *scope, std::string_view name) -> std::uint64_t
+{
+    for (auto *value = nng_stat_child(scope); value; value = nng_stat_next(value)) {
+        if (nng_stat_name(value) == name) {
+            return nng_stat_value(value);
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 /// What callbacks reach; links that were closed meanwhile are not found any more.
@@ -220,11 +230,11 @@
     if (!m_listener || nng_stats_get(&all) != 0) {
         return 0;
     }
+    const auto id = static_cast<std::uint64_t>(nng_listener_id(m_listener->endpoint));
     auto rejected = std::uint64_t(0);
-    auto *own = nng_stat_find_listener(all, m_listener->endpoint);
-    for (const auto *name : { "other", "proto", "reject" }) {
-        if (auto *value = own ? nng_stat_find(own, name) : nullptr) {
-            rejected += nng_stat_value(value);
+    for (auto *scope = nng_stat_child(all); scope; scope = nng_stat_next(scope)) {
+        if (nng_stat_name(scope) == std::string_view("listener") && childValue(scope, "id") == id) {
+            rejected = childValue(scope, "proto");
         }
     }
     nng_stats_free(all);
