--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -20,8 +20,10 @@
     int fast = 0; ///< Short runs.
     int seed = 1;
     int jobs = 3; ///< Runs at a time.
+    int repeat = 0; ///< Only checks that two runs give the same figures.
     std::string folder;
     std::string only; ///< Name of one deployment.
+    std::optional<measure_group> group; ///< Only these measures.
 };
 
 using run_function = std::function<run_results(const deployment &, const scenario &)>;
@@ -53,6 +55,7 @@
         shortAndLongScenario(seconds), shortOnlyScenario(seconds), slowedScenario(seconds, slowedEngines),
         slowedScenario(seconds, 0),
     };
+    std::erase_if(all, [&](const scenario &made) { return options.group && made.group != *options.group; });
     for (auto &made : all) {
         made.seed = static_cast<std::uint64_t>(options.seed);
     }
@@ -104,7 +107,9 @@
         system.measures = measure(where, system.runs);
     }
     constexpr auto leastOutstanding = std::size_t(2);
-    result.verdicts = judge(where, result.systems.front().measures, result.systems[leastOutstanding].measures);
+    result.verdicts = judge(result.systems.front().measures, result.systems[leastOutstanding].measures);
+    std::erase_if(result.verdicts,
+                  [&](const verdict &judged) { return options.group && judged.group != *options.group; });
     return result;
 }
 
@@ -113,16 +118,24 @@
     auto parsed = bench_options();
     char *folder = nullptr;
     char *only = nullptr;
+    char *measures = nullptr;
     const poptOption table[] = {
         { "fast", 'f', POPT_ARG_NONE, &parsed.fast, 0, "short runs", nullptr },
         { "seed", 's', POPT_ARG_INT, &parsed.seed, 0, "of arrivals and costs", "N" },
         { "jobs", 'j', POPT_ARG_INT, &parsed.jobs, 0, "runs at a time", "N" },
+        { "repeat", 0, POPT_ARG_NONE, &parsed.repeat, 0, "only check that two runs give the same figures", nullptr },
         { "out", 'o', POPT_ARG_STRING, &folder, 0, "folder for the results", "FOLDER" },
         { "only", 0, POPT_ARG_STRING, &only, 0, "one deployment: coachworks or franchise", "NAME" },
+        { "measures", 'm', POPT_ARG_STRING, &measures, 0,
+          "one group: fairness, uneven, crest, short_behind_long, slowed_servers", "GROUP" },
         POPT_AUTOHELP POPT_TABLEEND,
     };
     auto *context = poptGetContext(nullptr, argc, argv, table, 0);
-    const auto valid = poptGetNextOpt(context) == -1;
+    auto valid = poptGetNextOpt(context) == -1;
+    if (measures != nullptr) {
+        parsed.group = marjoramloom::parseEnum<measure_group>(measures);
+        valid = valid && parsed.group;
+    }
     if (!valid) {
         poptPrintUsage(context, stderr, 0);
     }
@@ -130,12 +143,34 @@
     parsed.only = only == nullptr ? "" : only;
     free(folder);
     free(only);
+    free(measures);
     poptFreeContext(context);
     return valid ? std::optional(parsed) : std::nullopt;
 }
 
 } // namespace
 
+namespace {
+
+/// Runs every deployment twice; 0 where both runs print the same table.
+auto checkRepeats(const bench_options &options) -> int
+{
+    for (const auto &where : { coachworksDeployment(), franchiseDeployment() }) {
+        if (!options.only.empty() && options.only != where.name) {
+            continue;
+        }
+        const auto first = tableText(runDeployment(where, options));
+        if (first != tableText(runDeployment(where, options))) {
+            std::cout << where.name << ": two runs gave different figures\n";
+            return exitMissed;
+        }
+    }
+    std::cout << "two runs gave the same figures\n";
+    return 0;
+}
+
+} // namespace
+
 /// Exit codes: 0 all targets met, 1 some missed, 2 wrong usage.
 auto main(int argc, const char **argv) -> int
 {
@@ -143,6 +178,9 @@
     if (!options) {
         return exitUsage;
     }
+    if (options->repeat != 0) {
+        return checkRepeats(*options);
+    }
     auto results = std::vector<deployment_result>();
     auto missed = std::ptrdiff_t(0);
     for (const auto &where : { coachworksDeployment(), franchiseDeployment() }) {
--- a/bench/measures.h
+++ b/bench/measures.h
@@ -29,6 +29,7 @@
     double unslowedFirstToken = 0;
     double hedges = 0; ///< Part of calls.
     double suspensions = 0; ///< A second, beside long work.
+    double repeatedPrefill = 0; ///< Prompt tokens read again a second, beside long work.
 };
 
 /// The value below which \p part of \p values lie; 0 where there are none.
@@ -37,7 +38,7 @@
 /// Highest difference of received service per weight between any two accounts.
 auto fairnessGap(const deployment &where, const service_sample &sample) -> double;
 
-/// Works out all measures of one system.
+/// Works out the measures of one system for which there are runs.
 auto measure(const deployment &where, const run_set &runs) -> measure_set;
 
 } // namespace marjoramloom::bench
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -7,6 +7,32 @@
 
 namespace marjoramloom::bench {
 
+/// What a run is for. Each group of measures needs its own runs only.
+enum class measure_group {
+    fairness,
+    uneven,
+    crest,
+    shortBehindLong,
+    slowedServers,
+};
+
+} // namespace marjoramloom::bench
+
+template<>
+struct marjoramloom::enum_names<marjoramloom::bench::measure_group>
+{
+    using group = bench::measure_group;
+    static constexpr std::array table{
+        enum_name<group>{ group::fairness, "fairness" },
+        enum_name<group>{ group::uneven, "uneven" },
+        enum_name<group>{ group::crest, "crest" },
+        enum_name<group>{ group::shortBehindLong, "short_behind_long" },
+        enum_name<group>{ group::slowedServers, "slowed_servers" },
+    };
+};
+
+namespace marjoramloom::bench {
+
 /// How requests of some classes arrive.
 struct arrival_rule
 {
@@ -23,6 +49,7 @@
 struct scenario
 {
     std::string name;
+    measure_group group = measure_group::fairness;
     double seconds = 120; ///< Simulated, after the warm-up.
     double warmUpSeconds = 10;
     bool backlogged = false; ///< Every account keeps its backlog outstanding.
