--- a/tests/unit/call/stop_calendar_test.cpp
+++ b/tests/unit/call/stop_calendar_test.cpp
@@ -90,15 +90,15 @@
 {
     auto calendar = stop_calendar();
     calendar.setConfiguration(twoServers());
-    BOOST_TEST(calendar.absorb({ { 1 }, true, noon }, noon));
-    BOOST_TEST(!calendar.absorb({ { 1 }, true, noon }, noon + 1));
-    BOOST_TEST(!calendar.absorb({ { 1 }, false, noon - 1 }, noon + 1));
-    BOOST_TEST(!calendar.absorb({ { 7 }, true, noon }, noon));
+    BOOST_TEST(calendar.absorb({ { 1 }, server_state::leaving, noon }, noon));
+    BOOST_TEST(!calendar.absorb({ { 1 }, server_state::leaving, noon }, noon + 1));
+    BOOST_TEST(!calendar.absorb({ { 1 }, server_state::available, noon - 1 }, noon + 1));
+    BOOST_TEST(!calendar.absorb({ { 7 }, server_state::leaving, noon }, noon));
     BOOST_TEST(phase(calendar, 1, noon + 14'999) == "no_new_work");
     BOOST_TEST(phase(calendar, 1, noon + 15'000) == "open");
-    BOOST_TEST(calendar.absorb({ { 1 }, true, noon + 16'000 }, noon + 16'000));
+    BOOST_TEST(calendar.absorb({ { 1 }, server_state::leaving, noon + 16'000 }, noon + 16'000));
     BOOST_TEST(calendar.notices(noon + 16'000).size() == 1U);
-    BOOST_TEST(calendar.absorb({ { 1 }, false, noon + 17'000 }, noon + 17'000));
+    BOOST_TEST(calendar.absorb({ { 1 }, server_state::available, noon + 17'000 }, noon + 17'000));
     BOOST_TEST(phase(calendar, 1, noon + 17'000) == "open");
 }
 
