--- a/include/marjoramloom/call/model_call.inl
+++ b/include/marjoramloom/call/model_call.inl
@@ -97,7 +97,14 @@
 auto model_call<Source, Sink>::nextPlace() -> boost::asio::awaitable<std::optional<grant>>
 {
     const auto waiting = makeTicket();
-    co_return co_await m_source.acquire(waiting, m_control, m_result.reason);
+    auto place = co_await m_source.acquire(waiting, m_control, m_result.reason);
+    if (place || m_excluded.empty() || m_control->cancelled() || m_signals->timedOut) {
+        co_return place;
+    }
+    // No other server can be had: one that failed before is better than none.
+    m_excluded.clear();
+    const auto again = makeTicket();
+    co_return co_await m_source.acquire(again, m_control, m_result.reason);
 }
 
 template<grant_source Source, answer_sink Sink>
--- a/tests/unit/call/broken_stream_test.cpp
+++ b/tests/unit/call/broken_stream_test.cpp
@@ -51,6 +51,28 @@
     BOOST_TEST(bench.engine(0).executed.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_whose_answer_did_not_end_cleanly_is_not_used_again)
+{
+    for (const auto fault : { engine_fault::noMarker, engine_fault::lateEvent, engine_fault::crossId }) {
+        auto bench = call_bench(1);
+        bench.engine(0).faults.push_back({ fault, 1 });
+        checkWhole(bench, bench.run(bench.ask(question)), question);
+        const auto before = bench.engine(0).connections;
+        bench.sink = {};
+        bench.settle();
+        checkWhole(bench, bench.run(bench.ask("the next question")), "the next question");
+        // The broken connection is gone; a stream that was resumed leaves the one that it ended on.
+        BOOST_TEST(bench.engine(0).connections == before + (fault == engine_fault::crossId ? 0 : 1));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(one_engine_alone_is_asked_again_after_it_failed)
+{
+    auto bench = call_bench(1);
+    bench.engine(0).faults.push_back({ engine_fault::refuse, 0 });
+    checkWhole(bench, bench.run(bench.ask(question)), question);
+}
+
 BOOST_AUTO_TEST_CASE(an_engine_that_dies_is_replaced_from_the_text_so_far)
 {
     for (const auto at : { 0U, 1U, 4U }) {
--- a/tests/unit/call/fake_engine.cpp
+++ b/tests/unit/call/fake_engine.cpp
@@ -274,7 +274,10 @@
     }
     const auto marker = "id: " + id + ':' + std::to_string(sent.tokens.size()) + "\ndata: [DONE]\n\n";
     co_await sendEvent(peer, marker);
-    const auto end = std::string("0\r\n\r\n");
+    auto end = std::string("0\r\n\r\n");
+    if (planned.fault == engine_fault::lateEvent) {
+        end += eventText("other-1", 0, "other-1", "late ", "", 0);
+    }
     co_await asio::async_write(*peer, asio::buffer(end), asio::redirect_error(asio::use_awaitable, error));
     co_return !error;
 }
--- a/tests/unit/call/fake_engine.h
+++ b/tests/unit/call/fake_engine.h
@@ -29,6 +29,7 @@
     crossBody, ///< Event `at` carries another request's body under its own id.
     garbage, ///< Event `at` is not JSON.
     noMarker, ///< The end marker is missing, and the body ends.
+    lateEvent, ///< After the whole answer comes an event of another request.
     refuse, ///< 503 without a reason; not executed.
     dieAfter, ///< The engine closes everything and forgets its streams before event `at`.
 };
