--- a/include/marjoramloom/peer/peer_network.h
+++ b/include/marjoramloom/peer/peer_network.h
@@ -24,6 +24,9 @@
     {
         network.members()
         } -> std::same_as<std::vector<member>>;
+    {
+        network.self()
+        } -> std::convertible_to<const member &>;
 };
 
 } // namespace marjoramloom
