--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -111,7 +111,9 @@
 auto fleet::noteWaiting(live_request &waiting) -> void
 {
     waiting.waitsSince = m_queue.now();
-    m_waiting.emplace(waiting.waitsSince, waiting.key);
+    if (classOf(waiting).target == service_index::model) {
+        m_waiting.emplace(waiting.waitsSince, waiting.key);
+    }
 }
 
 auto fleet::request(request_key key) -> live_request *
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -120,7 +120,7 @@
     std::map<request_key, live_request> m_requests;
     std::map<place_key, engine_place> m_places;
     std::multimap<request_key, place_key> m_placesOf;
-    std::set<std::pair<time_point, request_key>> m_waiting;
+    std::set<std::pair<time_point, request_key>> m_waiting; ///< For an engine of the model.
     std::vector<double> m_settled; ///< Weighted tokens of requests that are gone, by account.
     place_listener m_listener;
     run_results m_results;
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -152,6 +152,10 @@
     auto uniform = boost::random::uniform_01<double>();
     auto drawn = drawn_request();
     drawn.kind = kind;
+    if (rules.target != service_index::model) {
+        drawn.hint = drawn.outputTokens;
+        return drawn;
+    }
     auto prompt = boost::random::lognormal_distribution<double>(std::log(rules.medianPrompt), 0.5);
     auto output = boost::random::lognormal_distribution<double>(std::log(rules.medianOutput), rules.outputSpread);
     drawn.promptTokens = rules.prefixTokens + std::round(prompt(random));
