--- a/src/router/order_handler.cpp
+++ b/src/router/order_handler.cpp
@@ -97,7 +97,7 @@
         .with("account", admitted.account->name)
         .with("service", admitted.target->name)
         .with("state", nameOf(result.state))
-        .with("reason", result.reason.text());
+        .with("reason", nameOf(result.reason.kind));
     const auto labels = "account=\"" + admitted.account->name + "\",service=\"" + admitted.target->name + "\",state=\""
         + std::string(nameOf(result.state)) + "\"";
     m_context.counters.at("marjoramloom_requests_total", labels).add();
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -9,6 +9,7 @@
 #include "marjoramloom/core/counters.h"
 #include "marjoramloom/core/hash.h"
 #include "marjoramloom/core/log.h"
+#include "marjoramloom/peer/configuration_relay.h"
 #include "marjoramloom/peer/peer_links.h"
 #include "marjoramloom/platform/platform_client.h"
 #include "marjoramloom/router/caller_handler.h"
@@ -96,6 +97,7 @@
     auto drain() -> asio::awaitable<void>;
     auto busy() const -> bool;
     auto refreshReadiness() -> void;
+    auto refreshWatcherDuty() -> void;
 
     settings config;
     asio::io_context context;
@@ -110,6 +112,7 @@
     configuration_store store;
     configuration_watcher<platform_client> watcher;
     peer_links links;
+    configuration_relay<peer_links> relay;
     ticket_queue tickets;
     dispatch_service dispatch;
     server_watch servers;
@@ -139,6 +142,7 @@
     , store(counters)
     , watcher(platform, store, self.incarnation)
     , links(strand, self, meshSettings(config), counters)
+    , relay(links, store)
     , tickets(strand, self.incarnation, counters)
     , dispatch(strand, config.dataCentre, dispatcherSettings(config), links, tickets, counters)
     , servers(strand, platform, dispatch, tickets, links)
@@ -191,12 +195,14 @@
         dispatch.setView(next);
         servers.setView(next);
         links.setConfigurationSequence(next->contracts().sequence);
+        relay.onApplied(next->contracts().sequence);
     });
 }
 
 auto router_process::parts::listen(last_reason &why) -> bool
 {
     links.setReceiver([this](incarnation_id from, const wire::Envelope &message) {
+        relay.receive(from, message);
         servers.receive(message);
         dispatch.receive(from, message);
     });
@@ -220,6 +226,16 @@
     links.setPlatformAge(platform.silence());
 }
 
+/// The first two routers of the data centre in the duty's order watch the platform; the others hear from them.
+auto router_process::parts::refreshWatcherDuty() -> void
+{
+    constexpr auto watchers = std::size_t(2);
+    const auto order = dutyOrder(links.members(), { duty_kind::watcher, config.dataCentre, "" });
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(watchers, order.size()));
+    watcher.setOnDuty(std::any_of(order.begin(), end,
+                                  [this](const member &holder) { return holder.incarnation == self.incarnation; }));
+}
+
 auto router_process::parts::tickLoop() -> asio::awaitable<void>
 {
     auto timer = asio::steady_timer(strand);
@@ -229,7 +245,9 @@
         next = std::max(next + dispatch_service::tickPeriod, system_clock_source().now());
         timer.expires_at(next);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        refreshWatcherDuty();
         refreshReadiness();
+        relay.tick(next);
         dispatch.tick(next);
         servers.tick();
     }
