--- a/include/marjoramloom/share/server_placement.h
+++ b/include/marjoramloom/share/server_placement.h
@@ -56,6 +56,7 @@
 {
     object_id server;
     std::string reason; ///< Scores of the alternatives, for the log.
+    bool preferred = true; ///< Among the servers that the ticket's prefix prefers, or it has none.
 };
 
 /// Servers of one pool: slots, recent pace, prefix affinity; chooses one for a ticket.
--- a/src/share/dispatcher_state.cpp
+++ b/src/share/dispatcher_state.cpp
@@ -13,6 +13,11 @@
 /// Tickets of one account that are tried in a pass where servers they exclude are the only free ones.
 constexpr auto excludedLookahead = 4;
 
+/// Long tickets of one account among which one is looked for whose prefix the free server probably holds; the oldest
+/// is not passed over for longer than the patience.
+constexpr auto affinityLookahead = 8;
+constexpr auto affinityPatience = duration(std::chrono::seconds(60));
+
 /// A ticket that excludes every server is refused after this long, as the servers may be about to change.
 constexpr auto noServerGrace = duration(std::chrono::seconds(2));
 
@@ -29,7 +34,7 @@
 constexpr auto reserveFraction = 50U; ///< One slot in this many is kept from long work.
 
 /// A wait that the next ends of requests will serve within this time needs no suspension.
-constexpr auto toleratedWaitSeconds = 0.1;
+constexpr auto toleratedWaitSeconds = 0.25;
 
 /// Totals of the other side of a partition arrive within this time after its first digest.
 constexpr auto rejoinDelay = duration(std::chrono::seconds(1));
@@ -266,6 +271,14 @@
 auto dispatcher::state::grantTurn(const grant_order::turn &turn, time_point now) -> bool
 {
     const auto &queue = waiting.accounts().at(turn.account);
+    if (turn.length == work_length::longWork) {
+        const auto &candidate = withAffinity(queue.of(turn.length), now);
+        if (const auto choice = placement.choose(candidate, now)) {
+            const auto chosen = takeWaiting(candidate.id, now);
+            start(*chosen, *choice, now);
+            return true;
+        }
+    }
     auto tries = excludedLookahead;
     for (const auto &[key, candidate] : queue.of(turn.length)) {
         if (const auto choice = placement.choose(candidate, now, queueSeconds(now))) {
@@ -290,6 +303,22 @@
     return false;
 }
 
+auto dispatcher::state::withAffinity(const account_queue::ticket_map &tickets, time_point now) -> const ticket &
+{
+    const auto &oldest = tickets.begin()->second;
+    auto tries = affinityLookahead;
+    for (const auto &[key, candidate] : tickets) {
+        if (tries-- == 0 || now - oldest.submitted > affinityPatience) {
+            break;
+        }
+        const auto choice = placement.choose(candidate, now);
+        if (choice && choice->preferred) {
+            return candidate;
+        }
+    }
+    return oldest;
+}
+
 auto dispatcher::state::start(const ticket &chosen, const placement_choice &choice, time_point now) -> void
 {
     auto piece = running_piece();
--- a/src/share/dispatcher_state.h
+++ b/src/share/dispatcher_state.h
@@ -49,6 +49,7 @@
     auto placeInOrder(object_id account) -> void;
     auto grantStarving(time_point now) -> void;
     auto grantTurn(const grant_order::turn &turn, time_point now) -> bool;
+    [[nodiscard]] auto withAffinity(const account_queue::ticket_map &tickets, time_point now) -> const ticket &;
     auto start(const ticket &chosen, const placement_choice &choice, time_point now) -> void;
     auto finish(ticket_id id, double cost, time_point now) -> void;
 
--- a/src/share/server_placement.cpp
+++ b/src/share/server_placement.cpp
@@ -17,6 +17,7 @@
 
 /// Prefix affinity ends where a server runs more than this factor of the pool's mean share of its slots.
 constexpr auto affinityLoad = 1.25;
+constexpr auto preferredFraction = 3U; ///< One server in this many is preferred for a prefix.
 
 auto median(std::vector<double> values) -> double
 {
@@ -76,6 +77,7 @@
     auto refreshPassedOver() -> void;
     auto meanLoad(time_point now) const -> double;
     auto mayTake(const server_entry &entry, const ticket &waiting, time_point now, double queueSeconds) const -> bool;
+    auto preferred(std::uint64_t prefix, object_id server) const -> bool;
     auto score(const server_entry &entry, const ticket &waiting, time_point now, double mean) const -> candidate_score;
 };
 
@@ -160,6 +162,14 @@
     return queueSeconds > extraSeconds || entry.probeDue(now);
 }
 
+auto server_placement::state::preferred(std::uint64_t prefix, object_id server) const -> bool
+{
+    const auto own = rendezvousWeight(prefix, server);
+    const auto better = std::ranges::count_if(
+        servers, [&](const auto &row) { return row.second.available() && rendezvousWeight(prefix, row.first) > own; });
+    return prefix == 0 || std::size_t(better) * preferredFraction < servers.size();
+}
+
 auto server_placement::state::score(const server_entry &entry, const ticket &waiting, time_point now, double mean) const
     -> candidate_score
 {
@@ -261,7 +271,8 @@
     if (entry.passedOver && waiting.length == work_length::shortWork) {
         entry.noteProbe(now);
     }
-    return placement_choice{ best->server, best->text() + (second ? "; next " + second->text() : "") };
+    const auto preferred = m_state->preferred(waiting.prefixHash, best->server);
+    return placement_choice{ best->server, best->text() + (second ? "; next " + second->text() : ""), preferred };
 }
 
 auto server_placement::anyUsable(const ticket &waiting) const -> bool
