Operators' commands, and an explorer of the order protocol

The explorer drives the real order_machine through every interleaving of routers asked for one order, with lost answers, late writes, refusals, stale reads and kills; a pause is an interleaving like the others.

--- /dev/null
+++ b/src/cli/commands.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "cli/command_line.h"
+
+namespace marjoramloom {
+
+/// A command without options of its own beyond its usage; `run` returns the exit code.
+struct command
+{
+    command_usage usage;
+    int (*run)(const command_arguments &arguments);
+};
+
+/// The commands, one maker each.
+auto makeCheckCommand() -> command;
+auto makeApplyCommand() -> command;
+auto makeDiffCommand() -> command;
+auto makeDeleteCommand() -> command;
+auto makeStopCommand() -> command;
+auto makeGetCommand() -> command;
+auto makeStatusCommand() -> command;
+auto makeOrdersCommand() -> command;
+
+} // namespace marjoramloom
--- a/src/contract/configuration_file.cpp
+++ b/src/contract/configuration_file.cpp
@@ -28,10 +28,10 @@
 }
 
 /// Turns the tables of one file into objects.
-class toml_reader
+class object_file_reader
 {
 public:
-    toml_reader(const std::string &file, configuration_problems &problems)
+    object_file_reader(const std::string &file, configuration_problems &problems)
         : m_file(file)
         , m_problems(problems)
     {
@@ -175,7 +175,7 @@
 {
     try {
         const auto root = toml::parse(text, file);
-        return toml_reader(file, problems).read(root);
+        return object_file_reader(file, problems).read(root);
     } catch (const toml::parse_error &error) {
         problems.push_back({ file, error.source().begin.line, {}, {}, std::string(error.description()) });
         return {};
--- a/tests/unit/order/order_explorer.cpp
+++ b/tests/unit/order/order_explorer.cpp
@@ -2,6 +2,8 @@
 
 #include "marjoramloom/core/hash.h"
 
+#include <algorithm>
+
 namespace marjoramloom {
 
 namespace {
@@ -297,36 +299,47 @@
 
 auto order_explorer::check(const world &now) -> std::string
 {
-    auto executions = 0;
-    auto allDone = now.messages.empty();
+    const auto ran = [](const router &actor) {
+        return actor.executed;
+    };
+    const auto executions = std::count_if(now.routers.begin(), now.routers.end(), ran);
+    if (executions > 1) {
+        return "executed more than once";
+    }
     const auto record = stateOf(now.record);
     for (const auto &actor : now.routers) {
-        executions += actor.executed ? 1 : 0;
-        allDone = allDone && (!actor.alive || actor.machine.step() == order_step::done);
-        if (saysNotRun(actor.machine.verdict()) && (actor.executed || actor.reachedServer)) {
+        const auto verdict = actor.machine.verdict();
+        if (saysNotRun(verdict) && (actor.executed || actor.reachedServer)) {
             return "told not run, but it ran or may run";
         }
-        if (actor.machine.step() == order_step::done && actor.machine.verdict() == order_verdict::none) {
+        if (actor.machine.step() == order_step::done && verdict == order_verdict::none) {
             return "ended without a verdict";
         }
-    }
-    if (executions > 1) {
-        return "executed more than once";
-    }
-    for (const auto &actor : now.routers) {
-        if (actor.reachedServer && (!record || record->state == order_state::released)) {
-            return "sent, and the record says that it never was";
-        }
-        const auto answered = actor.machine.verdict() == order_verdict::answered;
-        if (answered && executions != 1) {
+        if (verdict == order_verdict::answered && executions != 1) {
             return "an answer without an execution";
         }
-        const auto own = record && record->claim.nonce == actor.machine.claim().nonce;
-        if (allDone && actor.alive && own && record->state == order_state::started) {
-            return "a claim that its living creator never settled";
+        if (actor.reachedServer && (!record || record->state == order_state::released)) {
+            return "sent, and the record says that it never was";
         }
     }
-    return {};
+    return checkSettled(now, record);
+}
+
+/// Once nothing is under way, no claim of a living router stands unsettled.
+auto order_explorer::checkSettled(const world &now, const std::optional<order_record> &record) -> std::string
+{
+    const auto ended = [](const router &actor) {
+        return !actor.alive || actor.machine.step() == order_step::done;
+    };
+    if (!now.messages.empty() || !record || !std::all_of(now.routers.begin(), now.routers.end(), ended)) {
+        return {};
+    }
+    const auto unsettled = [&](const router &actor) {
+        return actor.alive && record->claim.nonce == actor.machine.claim().nonce
+            && record->state == order_state::started;
+    };
+    const auto forgotten = std::any_of(now.routers.begin(), now.routers.end(), unsettled);
+    return forgotten ? "a claim that its living creator never settled" : "";
 }
 
 auto order_explorer::fingerprint(const world &now) const -> std::string
--- a/tests/unit/order/order_explorer.h
+++ b/tests/unit/order/order_explorer.h
@@ -83,6 +83,7 @@
     auto tryMessages(const world &now) -> bool;
     auto follow(world next, std::string step) -> bool;
     auto check(const world &now) -> std::string;
+    auto checkSettled(const world &now, const std::optional<order_record> &record) -> std::string;
     auto deliver(world &next, int index, write_outcome outcome) -> void;
     auto giveUp(world &next, int index) -> void;
     auto doctored(const world &now, int index, stored_object seen) const -> stored_object;
