--- a/tests/unit/call/fake_engine.h
+++ b/tests/unit/call/fake_engine.h
@@ -29,6 +29,7 @@
     crossBody, ///< Event `at` carries another request's body under its own id.
     garbage, ///< Event `at` is not JSON.
     noMarker, ///< The end marker is missing, and the body ends.
+    lateEvent, ///< After the whole answer comes an event of another request.
     refuse, ///< 503 without a reason; not executed.
     dieAfter, ///< The engine closes everything and forgets its streams before event `at`.
 };
@@ -83,7 +84,8 @@
     auto serve(std::shared_ptr<socket> peer) -> boost::asio::awaitable<void>;
     auto answer(std::shared_ptr<socket> peer, request asked) -> boost::asio::awaitable<bool>;
     auto start(const request &asked) -> std::string;
-    auto sendStatus(std::shared_ptr<socket> peer, unsigned status, bool leavingHeader) -> boost::asio::awaitable<void>;
+    auto sendStatus(std::shared_ptr<socket> peer, unsigned status, bool leavingHeader, std::string body = "{}")
+        -> boost::asio::awaitable<void>;
     auto sendStream(std::shared_ptr<socket> peer, std::string id, std::uint64_t from, planned_fault planned)
         -> boost::asio::awaitable<bool>;
     auto sendEvent(std::shared_ptr<socket> peer, std::string text) -> boost::asio::awaitable<bool>;
