--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,3 +1,4 @@
+#include "marjoramloom/cli/run_command.h"
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/router/router_process.h"
 
@@ -8,9 +9,6 @@
 
 using namespace marjoramloom;
 
-constexpr auto exitSettings = 2;
-constexpr auto exitStart = 1;
-
 /// Runs a router by the settings file \p path until it is told to stop.
 auto serve(const std::string &path) -> int
 {
@@ -19,14 +17,14 @@
     if (!config) {
         std::cerr << why.detail << "\n"
                   << "Mend the file and look it over with: marjoramloom check " << path << "\n";
-        return exitSettings;
+        return static_cast<int>(exit_code::invalid);
     }
     std::signal(SIGPIPE, SIG_IGN);
     configureLog(config->logLevel);
     auto router = router_process(*config);
     if (!router.start(why)) {
         std::cerr << why.text() << "\n";
-        return exitStart;
+        return static_cast<int>(exit_code::unavailable);
     }
     router.run();
     return 0;
@@ -36,5 +34,5 @@
 
 auto main(int argc, char **argv) -> int
 {
-    return argc == 4 ? serve(argv[3]) : exitSettings;
+    return runCommand(argc, argv, serve);
 }
