--- a/tests/load/load_report.cpp
+++ b/tests/load/load_report.cpp
@@ -53,7 +53,12 @@
 {
     auto rows = std::map<std::pair<std::string, std::string>, report_row>();
     auto all = report_row();
+    auto missing = 0;
     for (const auto &outcome : outcomes) {
+        if (outcome.whole && !outcome.idempotencyKey.empty() && !executions.contains(outcome.idempotencyKey)) {
+            ++missing;
+            out << "problem: order " << outcome.idempotencyKey << " was answered and not executed\n";
+        }
         addOutcome(rows[{ outcome.account, outcome.profile }], outcome);
         addOutcome(all, outcome);
         if (!outcome.problem.empty()) {
@@ -66,9 +71,9 @@
     }
     const auto repeated =
         std::count_if(executions.begin(), executions.end(), [](const auto &execution) { return execution.second > 1; });
-    out << "demo: " << all.whole << " answers whole, " << all.lost + all.refused << " lost, " << repeated
-        << " repeated\n";
-    return all.lost + all.refused == 0 && repeated == 0;
+    const auto lost = all.lost + all.refused + missing;
+    out << "demo: " << all.whole << " answers whole, " << lost << " lost, " << repeated << " repeated\n";
+    return lost == 0 && repeated == 0;
 }
 
 } // namespace marjoramloom::load
--- a/tests/load/load_run.cpp
+++ b/tests/load/load_run.cpp
@@ -173,7 +173,7 @@
         for (auto line = std::string(); std::getline(lines, line);) {
             const auto entry = json::parse(line).as_object();
             const auto key = std::string(entry.at("idempotency_key").as_string());
-            if (!key.empty() && entry.at("state").as_string() == "started") {
+            if (!key.empty()) {
                 ++executions[key];
             }
         }
--- a/tests/load/load_run.h
+++ b/tests/load/load_run.h
@@ -32,7 +32,7 @@
 /// Sends the mix of \p plan and waits for every answer.
 auto runLoad(const load_plan &plan) -> std::vector<load_outcome>;
 
-/// How often each idempotency key was executed, by the stand-ins' own record.
+/// How often each idempotency key was executed, by the stand-ins' own record, which has one line per execution.
 auto countExecutions(const std::vector<std::string> &orderServers) -> std::map<std::string, int>;
 
 } // namespace marjoramloom::load
--- a/tests/process/router/whole_path_test.cpp
+++ b/tests/process/router/whole_path_test.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-auto startedCount(standin &server) -> std::size_t
+auto startedCount(standin &engine) -> std::size_t
 {
     auto count = std::size_t(0);
-    for (const auto &entry : server.record()) {
+    for (const auto &entry : engine.record()) {
         count += entry.at("state").as_string() == "started" ? 1 : 0;
     }
     return count;
@@ -41,7 +41,10 @@
 BOOST_AUTO_TEST_CASE(an_operators_change_is_in_force_at_every_router)
 {
     auto all = fleet();
-    BOOST_TEST(all.apply(all.routers().back(), "[[client_account]]\nname = \"alpha\"\nkey_hashes = []\n") == 0);
+    const auto otherKey = std::string(64, 'a');
+    BOOST_TEST(
+        all.apply(all.routers().back(), "[[client_account]]\nname = \"alpha\"\nkey_hashes = [\"" + otherKey + "\"]\n")
+        == 0);
     const auto inForce = [&] {
         for (const auto &router : all.routers()) {
             if (all.chat(router, "alpha", "hello tokens=2").status != 401U) {
@@ -65,7 +68,7 @@
     BOOST_TEST(other.status == 422U);
     auto executed = std::size_t(0);
     for (const auto &server : all.orderServers()) {
-        executed += startedCount(*server);
+        executed += server->record().size();
     }
     BOOST_TEST(executed == 1U);
 }
