--- a/src/call/plain_call.cpp
+++ b/src/call/plain_call.cpp
@@ -23,6 +23,12 @@
     message.target(request.target);
     message.set(http::field::host, host);
     message.set("X-Request-Id", request.requestId);
+    if (!request.idempotencyKey.empty()) {
+        message.set("Idempotency-Key", request.idempotencyKey);
+    }
+    if (!request.accountName.empty()) {
+        message.set("X-Account", request.accountName);
+    }
     if (!request.contentType.empty()) {
         message.set(http::field::content_type, request.contentType);
     }
--- a/src/router/plain_handler.cpp
+++ b/src/router/plain_handler.cpp
@@ -29,7 +29,7 @@
     return { std::string(target.substr(0, end)), path };
 }
 
-auto makeRequest(const http_exchange &exchange, std::string path, bool repeatable) -> plain_request
+auto makeRequest(const http_exchange &exchange, const admitted_request &admitted, std::string path) -> plain_request
 {
     auto request = plain_request();
     request.requestId = randomHex(requestIdBytes);
@@ -37,7 +37,9 @@
     request.target = std::move(path);
     request.contentType = exchange.header("Content-Type");
     request.body = exchange.request().body();
-    request.repeatable = repeatable;
+    request.idempotencyKey = exchange.header("Idempotency-Key");
+    request.accountName = admitted.account->name;
+    request.repeatable = admitted.target->repeatable;
     return request;
 }
 
@@ -58,7 +60,7 @@
         co_await exchange.reply(notRunReply(why));
         co_return;
     }
-    auto request = makeRequest(exchange, path, admitted->target->repeatable);
+    auto request = makeRequest(exchange, *admitted, path);
     if (admitted->target->repeatable) {
         co_await carryOut(exchange, *admitted, std::move(request));
     } else {
