--- a/include/marjoramloom/peer/peer_mesh.inl
+++ b/include/marjoramloom/peer/peer_mesh.inl
@@ -310,8 +310,8 @@
     auto &link = m_links[address];
     assert(!link.session);
     link.number = m_transport.open(address);
-    link.session = std::make_unique<peer_session>(m_membership.self().incarnation, ++m_lastStream,
-                                                  m_limits.session, now);
+    link.session =
+        std::make_unique<peer_session>(m_membership.self().incarnation, ++m_lastStream, m_limits.session, now);
     link.nextHeartbeat = now;
     return link;
 }
--- a/include/marjoramloom/peer/peer_session.h
+++ b/include/marjoramloom/peer/peer_session.h
@@ -50,8 +50,8 @@
     /// Whether next() has something to write.
     [[nodiscard]] auto hasWork() const -> bool;
 
-    /// The next envelope to write, with \p heard of the peer's \p heardStream; nothing where none waits or the window is
-    /// full.
+    /// The next envelope to write, with \p heard of the peer's \p heardStream; nothing where none waits or the window
+    /// is full.
     [[nodiscard]] auto next(std::uint64_t heardStream, std::uint64_t heard, bool resendWanted, time_point now)
         -> std::optional<std::string>;
 
--- a/src/peer/peer_links.cpp
+++ b/src/peer/peer_links.cpp
@@ -73,12 +73,10 @@
 auto peer_links::start(const std::string &address, last_reason &why) -> bool
 {
     auto &own = *m_state;
-    own.transport->setMessageHandler([raw = m_state.get()](std::string bytes) {
-        raw->mesh.receive(bytes, raw->clock.now());
-    });
-    own.transport->setWritableHandler([raw = m_state.get()](link_number link) {
-        raw->mesh.writable(link, raw->clock.now());
-    });
+    own.transport->setMessageHandler(
+        [raw = m_state.get()](std::string bytes) { raw->mesh.receive(bytes, raw->clock.now()); });
+    own.transport->setWritableHandler(
+        [raw = m_state.get()](link_number link) { raw->mesh.writable(link, raw->clock.now()); });
     if (!own.transport->listen(address, why)) {
         return false;
     }
--- a/src/peer/peer_session.cpp
+++ b/src/peer/peer_session.cpp
@@ -152,7 +152,8 @@
 {
     constexpr auto mostDoublings = 8U;
     const auto waits = m_peer == 0 || !m_sent.empty();
-    const auto pause = std::min(limit * (1U << std::min(m_dials, mostDoublings)), std::max(limit, m_limits.redialLimit));
+    const auto pause =
+        std::min(limit * (1U << std::min(m_dials, mostDoublings)), std::max(limit, m_limits.redialLimit));
     return waits && now - m_progress > pause;
 }
 
--- a/src/peer/wire_codec.cpp
+++ b/src/peer/wire_codec.cpp
@@ -459,8 +459,7 @@
     out.set_long_work(running.length == work_length::longWork);
 }
 
-auto decodeRunning(const wire::Running &in, const std::string &peer, last_reason &why)
-    -> std::optional<running_request>
+auto decodeRunning(const wire::Running &in, const std::string &peer, last_reason &why) -> std::optional<running_request>
 {
     const auto id = decodeTicketId(in.id(), peer, why);
     const auto pool = decodePool(in.pool(), peer, why);
--- a/tests/unit/peer/fake_network.h
+++ b/tests/unit/peer/fake_network.h
@@ -3,9 +3,9 @@
 #include "marjoramloom/peer/peer_mesh.h"
 #include "peer.pb.h"
 
+#include <algorithm>
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
-#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
--- a/tests/unit/peer/peer_links_test.cpp
+++ b/tests/unit/peer/peer_links_test.cpp
@@ -153,9 +153,9 @@
     const auto huge = writeRaw(routers.context, port,
                                std::string("\0SP\0\0\x50\0\0", 8) + std::string("\0\0\0\0\x40\0\0\0", 8) + "x");
     // The handshake, then a short message that is no envelope.
-    const auto noise = writeRaw(routers.context, port,
-                                std::string("\0SP\0\0\x50\0\0", 8) + std::string("\0\0\0\0\0\0\0\x04", 8)
-                                    + "\xff\xff\xff\xff");
+    const auto noise =
+        writeRaw(routers.context, port,
+                 std::string("\0SP\0\0\x50\0\0", 8) + std::string("\0\0\0\0\0\0\0\x04", 8) + "\xff\xff\xff\xff");
     auto &malformed = routers.counters.at("peer_dropped_envelopes", "reason=\"malformed\"");
     BOOST_TEST(routers.runUntil([&] { return malformed.value() > 0; }));
     BOOST_TEST(routers.runUntil([&] { return routers.second.rejectedConnections() > 0; }));
--- a/tests/unit/peer/tcp_relay.h
+++ b/tests/unit/peer/tcp_relay.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <boost/asio.hpp>
 #include <array>
+#include <boost/asio.hpp>
 #include <memory>
 #include <string>
 #include <vector>
