--- a/src/share/dispatcher_state.cpp
+++ b/src/share/dispatcher_state.cpp
@@ -25,10 +25,6 @@
 constexpr auto starvationShare = 1.0 / 8;
 constexpr auto mostStarvationCredit = 2.0;
 
-/// Such an account waits for this many times the time in which its fair share is one request, so that grants out of
-/// order come to less than its share and never widen a gap.
-constexpr auto starvationFactor = 3.0;
-
 /// Short work counts as arriving for this long after its last ticket.
 constexpr auto shortArrivalMemory = duration(std::chrono::seconds(10));
 constexpr auto reserveFraction = 50U; ///< One slot in this many is kept from long work.
@@ -36,17 +32,6 @@
 /// A wait that the next ends of requests will serve within this time needs no suspension.
 constexpr auto toleratedWaitSeconds = 0.25;
 
-/// Totals of the other side of a partition arrive within this time after its first digest.
-constexpr auto rejoinDelay = duration(std::chrono::seconds(1));
-
-/// An account that idled and comes back keeps debt up to this factor of the fairness bound: less would let it run large
-/// requests, pause, and be forgiven.
-constexpr auto debtFactor = 2.0;
-
-/// Thresholds of the pull rule that an account keeps. Of its claim when it comes back after idling: one that is behind
-/// has all its requests running now and then, and would lose what it is owed each time. Of its debt after a partition:
-/// the others could not have used what it got then, and no account can bring a partition about.
-constexpr auto keptThresholds = 10.0;
 constexpr auto chargeWeight = 0.05; ///< Of a new grant in the mean charge.
 constexpr auto pullAheadFraction = 32U; ///< An idle pool asks ahead for one ticket per this many slots.
 constexpr auto fewestPulls = 4U; ///< Tickets that may be asked for at once by the smallest pool.
@@ -67,27 +52,6 @@
     return ledger.virtualService(account, pool.service);
 }
 
-auto dispatcher::state::floor(time_point now) const -> std::optional<double>
-{
-    auto lowest = pulls.lowestRemote(now);
-    for (const auto &[account, queue] : waiting.accounts()) {
-        if (backlog.contains(account)) {
-            lowest = std::min(lowest.value_or(service(account)), service(account));
-        }
-    }
-    return lowest ? lowest : lastGrantService;
-}
-
-auto dispatcher::state::debtLimit(time_point now) const -> double
-{
-    if (settings.debtLimit > 0) {
-        return settings.debtLimit;
-    }
-    const auto slots = placement.totalSlots(now) * double(1 + pulls.pools(now));
-    const auto largest = std::max(costs.largestCost(), typicalCharge());
-    return debtFactor * (settings.pullThreshold + slots * largest);
-}
-
 auto dispatcher::state::limitOf(object_id account) const -> std::uint32_t
 {
     const auto own = queueLimits.find(account);
@@ -122,25 +86,6 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::min(seconds, 3600.0)));
 }
 
-auto dispatcher::state::starvationLimit(object_id account, time_point now) const -> duration
-{
-    auto weights = std::map<object_id, double>();
-    for (const auto &[other, queue] : waiting.accounts()) {
-        weights[other] = ledger.weight(other);
-    }
-    for (const auto other : pulls.waitingAccounts(now)) {
-        weights[other] = ledger.weight(other);
-    }
-    auto sum = 0.0;
-    for (const auto &[other, weight] : weights) {
-        sum += weight;
-    }
-    const auto fleetRate = std::max(1.0, running.useRate(now) * double(1 + pulls.pools(now)));
-    const auto fairSeconds = typicalCharge() * sum / (ledger.weight(account) * fleetRate);
-    const auto scaled = std::chrono::duration<double>(starvationFactor * fairSeconds);
-    return std::max(settings.starvationLimit, std::chrono::duration_cast<duration>(scaled));
-}
-
 auto dispatcher::state::typicalCharge() const -> double
 {
     return std::max(1.0, meanCharge);
@@ -172,41 +117,6 @@
     }
 }
 
-auto dispatcher::state::enterBacklogs(time_point now) -> void
-{
-    started = started.value_or(now);
-    if (now - *started < settings.warmUp || waiting.size() <= placement.freeSlots(now)) {
-        return;
-    }
-    const auto lowest = floor(now);
-    const auto limit = debtLimit(now);
-    for (const auto &[account, queue] : waiting.accounts()) {
-        if (backlog.contains(account)) {
-            continue;
-        }
-        if (lowest && !pulls.waitsElsewhere(account, now)) {
-            ledger.lift(account, pool.service, *lowest - keptThresholds * settings.pullThreshold);
-            ledger.relieve(account, pool.service, *lowest + limit);
-        }
-        backlog.enter(account);
-    }
-}
-
-auto dispatcher::state::forgiveAfterPartition(time_point now) -> void
-{
-    if (!rejoined || now - *rejoined < rejoinDelay) {
-        return;
-    }
-    rejoined.reset();
-    const auto lowest = floor(now);
-    const auto limit = settings.debtLimit > 0 ? settings.debtLimit : keptThresholds * settings.pullThreshold;
-    for (const auto &[account, queue] : waiting.accounts()) {
-        if (lowest) {
-            ledger.relieve(account, pool.service, *lowest + limit);
-        }
-    }
-}
-
 auto dispatcher::state::placeInOrder(object_id account) -> void
 {
     const auto queue = waiting.accounts().find(account);
@@ -241,33 +151,6 @@
     }
 }
 
-auto dispatcher::state::grantStarving(time_point now) -> void
-{
-    while (starvationCredit >= 1) {
-        auto oldest = std::optional<std::pair<time_point, grant_order::turn>>();
-        for (const auto &[account, queue] : waiting.accounts()) {
-            if (running.count(account) > 0) {
-                continue;
-            }
-            for (const auto length : { work_length::shortWork, work_length::longWork }) {
-                const auto &tickets = queue.of(length);
-                if (!tickets.empty() && (!oldest || tickets.begin()->first.first < oldest->first)) {
-                    oldest = { tickets.begin()->first.first, { account, length } };
-                }
-            }
-        }
-        if (!oldest || now - oldest->first < settings.starvationLimit) {
-            return;
-        }
-        const auto account = oldest->second.account;
-        if (now - oldest->first < starvationLimit(account, now) || !grantTurn(oldest->second, now)) {
-            return;
-        }
-        placeInOrder(account);
-        starvationCredit -= 1;
-    }
-}
-
 auto dispatcher::state::grantTurn(const grant_order::turn &turn, time_point now) -> bool
 {
     const auto &queue = waiting.accounts().at(turn.account);
--- a/src/share/pace_tracker.cpp
+++ b/src/share/pace_tracker.cpp
@@ -21,16 +21,18 @@
 
 } // namespace
 
-auto pace_tracker::log_mean::add(double sample, double weight) -> void
+auto pace_tracker::log_mean::add(double sample, double weight, time_point now) -> void
 {
     if (sample <= 0) {
         return;
     }
     const auto next = std::log(sample);
-    const auto recovers = known && next < logarithm - std::log(2);
+    const auto recovers = next < logarithm - std::log(2);
     const auto used = recovers ? std::max(weight, recoveryWeight) : weight;
-    logarithm = known ? logarithm + used * (next - logarithm) : next;
+    const auto forgotten = !known || now - last > memory;
+    logarithm = forgotten ? next : logarithm + used * (next - logarithm);
     known = true;
+    last = now;
 }
 
 auto pace_tracker::log_mean::value() const -> double
@@ -41,10 +43,8 @@
 auto pace_tracker::observe(double firstTokenSeconds, double tokenSeconds, time_point now) -> void
 {
     assert(firstTokenSeconds >= 0 && tokenSeconds >= 0);
-    const auto forgotten = now - m_lastObserved > memory;
-    m_firstToken.add(firstTokenSeconds, forgotten ? 1 : firstTokenWeight);
-    m_token.add(tokenSeconds, forgotten ? 1 : tokenWeight);
-    m_lastObserved = now;
+    m_firstToken.add(firstTokenSeconds, firstTokenWeight, now);
+    m_token.add(tokenSeconds, tokenWeight, now);
 }
 
 auto pace_tracker::firstTokenSeconds() const -> double
@@ -57,9 +57,9 @@
     return m_token.value();
 }
 
-auto pace_tracker::lastObserved() const -> time_point
+auto pace_tracker::lastFirstToken() const -> time_point
 {
-    return m_lastObserved;
+    return m_firstToken.last;
 }
 
 } // namespace marjoramloom
--- a/src/share/pace_tracker.h
+++ b/src/share/pace_tracker.h
@@ -15,22 +15,24 @@
     [[nodiscard]] auto firstTokenSeconds() const -> double;
     [[nodiscard]] auto tokenSeconds() const -> double;
 
-    [[nodiscard]] auto lastObserved() const -> time_point;
+    /// When a first token was seen last.
+    [[nodiscard]] auto lastFirstToken() const -> time_point;
 
 private:
-    /// Exponentially weighted mean of logarithms: one extreme call does not outweigh the others.
+    /// Exponentially weighted mean of logarithms: one extreme call does not outweigh the others. A value that is old
+    /// is replaced by the next one.
     struct log_mean
     {
         double logarithm = 0;
         bool known = false;
+        time_point last;
 
-        auto add(double sample, double weight) -> void;
+        auto add(double sample, double weight, time_point now) -> void;
         [[nodiscard]] auto value() const -> double;
     };
 
     log_mean m_firstToken;
     log_mean m_token;
-    time_point m_lastObserved;
 };
 
 } // namespace marjoramloom
--- a/src/share/server_entry.cpp
+++ b/src/share/server_entry.cpp
@@ -111,7 +111,7 @@
 
 auto server_entry::probeDue(time_point now) const -> bool
 {
-    return now >= m_nextProbe && now - m_pace.lastObserved() >= firstProbe;
+    return now >= m_nextProbe && now - m_pace.lastFirstToken() >= firstProbe;
 }
 
 auto server_entry::contract() const -> const backend_server &
--- a/src/share/server_placement.cpp
+++ b/src/share/server_placement.cpp
@@ -46,7 +46,7 @@
 /// One server as a candidate for a ticket; the lowest is best.
 struct candidate_score
 {
-    double slowness = 1; ///< 1 for all that are not slow.
+    double slowness = 1; ///< 1 for all that are not slow, 0 for one that is due to be probed.
     bool withoutAffinity = true;
     std::uint64_t affinityOrder = 0;
     double load = 0; ///< Share of its slots after the grant.
@@ -176,6 +176,9 @@
     auto made = candidate_score();
     made.server = entry.contract().id;
     made.slowness = entry.slowness >= slowLimit ? entry.slowness : 1;
+    if (entry.passedOver && waiting.length == work_length::shortWork && entry.probeDue(now)) {
+        made.slowness = 0; // A probe goes first, or it would never be sent while others are free.
+    }
     made.load = double(entry.running(now) + 1) / entry.limit();
     const auto room = affinityLoad * mean + 1.0 / entry.limit();
     made.withoutAffinity = waiting.prefixHash == 0 || made.load > room;
