docs: fair share, short and long work; a test of the fraction passed over that can fail

With any fraction passed over the earlier test still passed: six slow servers of twelve are the middle of the pool. It now slows five, of which four may be passed over.

--- a/tests/unit/share/server_placement_test.cpp
+++ b/tests/unit/share/server_placement_test.cpp
@@ -86,7 +86,7 @@
 BOOST_AUTO_TEST_CASE(at_most_a_third_of_a_pool_is_passed_over)
 {
     auto pool = observedPool(12, 1);
-    for (auto index = std::uint64_t(0); index < 6; ++index) {
+    for (auto index = std::uint64_t(0); index < 5; ++index) {
         slowDown(*pool, { 500 + index }, 1);
     }
     BOOST_TEST(visited(*pool, 12, 1.1).size() >= 8U);
