--- a/include/marjoramloom/call/plain_call.h
+++ b/include/marjoramloom/call/plain_call.h
@@ -18,9 +18,9 @@
     std::string target; ///< Path and query, from "/".
     std::string contentType;
     std::string body;
+    bool repeatable = true;
     std::string idempotencyKey; ///< The caller's, passed on; empty for none.
     std::string accountName; ///< Passed on; empty for none.
-    bool repeatable = true;
 };
 
 /// A plain service's whole answer.
