--- a/include/marjoramloom/router/dispatch_service.h
+++ b/include/marjoramloom/router/dispatch_service.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "marjoramloom/core/counters.h"
+#include "marjoramloom/peer/digest_exchange.h"
 #include "marjoramloom/peer/duty.h"
-#include "marjoramloom/peer/membership.h"
+#include "marjoramloom/peer/peer_links.h"
+#include "marjoramloom/peer/totals_exchange.h"
 #include "marjoramloom/router/router_view.h"
 #include "marjoramloom/router/ticket_queue.h"
 #include "marjoramloom/share/dispatcher.h"
@@ -20,8 +22,6 @@
 
 namespace marjoramloom {
 
-class peer_links;
-
 /// Connects this router's ticket queue with the dispatchers of all pools: those it holds the duty for, and those that
 /// other routers hold.
 ///
@@ -97,8 +97,8 @@
     auto ask(const pull_request &pull) -> void;
     auto answerPull(const pull_request &pull) -> void;
     auto flush() -> void;
-    auto sendDigests(time_point now) -> void;
-    auto sendTotals() -> void;
+    auto absorbDigest(const pool_digest &digest) -> void;
+    auto publishDigests(time_point now) -> void;
     auto receiveTickets(const wire::Envelope &message, const std::string &peer, time_point now) -> void;
     auto receiveOutcomes(const wire::Envelope &message, const std::string &peer) -> void;
     auto receiveUse(const wire::Envelope &message, const std::string &peer, time_point now) -> void;
@@ -113,13 +113,14 @@
     ticket_queue &m_tickets;
     counter_registry &m_counters;
     share_ledger m_ledger;
+    digest_exchange<peer_links> m_digests;
+    totals_exchange<peer_links> m_totals;
     std::shared_ptr<const router_view> m_view;
     std::map<pool_id, std::unique_ptr<dispatcher>> m_held;
     std::map<pool_id, incarnation_id> m_holders; ///< As last seen; empty after a change of membership.
     std::map<pool_id, incarnation_id> m_followed; ///< Holder that knows this router's work in the pool.
     std::unordered_map<object_id, server_state> m_serverStates;
     std::unordered_map<incarnation_id, std::unique_ptr<wire::Envelope>> m_outbox;
-    std::unordered_map<incarnation_id, std::uint64_t> m_totalsSent; ///< Ledger serial up to which a peer was sent.
     std::set<pool_id> m_dirty;
     bool m_passScheduled = false;
     std::uint64_t m_ticks = 0;
--- a/src/router/dispatch_service.cpp
+++ b/src/router/dispatch_service.cpp
@@ -36,6 +36,8 @@
     , m_network(network)
     , m_tickets(tickets)
     , m_counters(counters)
+    , m_digests(network, {}, [this](const pool_digest &digest) { absorbDigest(digest); })
+    , m_totals(network, m_ledger, {})
 {
 }
 
@@ -67,6 +69,11 @@
         weights[account.id] = account.weight;
     }
     m_ledger.setWeights(weights);
+    auto services = std::vector<object_id>();
+    for (const auto &[name, entry] : m_view->contracts().services) {
+        services.push_back(entry.id);
+    }
+    m_totals.setServices(std::move(services));
     refreshDuties();
     for (const auto &[pool, holder] : m_held) {
         refreshServers(pool, *holder);
@@ -75,10 +82,11 @@
 
 auto dispatch_service::onMember(const member_event &event) -> void
 {
+    m_digests.onMember(event.who.incarnation);
     if (!event.joined) {
         m_ledger.retire(event.who.incarnation);
         m_outbox.erase(event.who.incarnation);
-        m_totalsSent.erase(event.who.incarnation);
+        m_totals.onLost(event.who.incarnation);
         for (const auto &[pool, holder] : m_held) {
             holder->forgetRouter(event.who.incarnation, now());
             schedulePass(pool);
@@ -391,6 +399,8 @@
     receiveTickets(message, peer, now());
     receiveOutcomes(message, peer);
     receiveUse(message, peer, now());
+    m_totals.receive(from, message);
+    m_digests.receive(from, message, now());
     receiveNews(message, peer, now());
 }
 
@@ -486,22 +496,6 @@
 auto dispatch_service::receiveNews(const wire::Envelope &message, const std::string &peer, time_point now) -> void
 {
     auto why = last_reason();
-    auto totals = std::vector<service_total>();
-    for (const auto &item : message.totals()) {
-        if (const auto total = decodeTotal(item, peer, why)) {
-            totals.push_back(*total);
-        }
-    }
-    m_ledger.merge(totals);
-    for (const auto &item : message.digests()) {
-        const auto digest = decodeDigest(item, peer, why);
-        for (const auto &[pool, local] : m_held) {
-            if (digest && digest->pool.service == pool.service) {
-                local->absorbDigest(*digest, now);
-                schedulePass(pool);
-            }
-        }
-    }
     for (const auto &item : message.pulls()) {
         if (const auto pull = decodePull(item, peer, why)) {
             answerPull(*pull);
@@ -563,37 +557,18 @@
     });
 }
 
-auto dispatch_service::sendDigests(time_point now) -> void
+auto dispatch_service::absorbDigest(const pool_digest &digest) -> void
 {
-    for (const auto &[pool, local] : m_held) {
-        const auto digest = local->makeDigest(now);
-        auto dataCentres = std::set<std::string>();
-        for (const auto &other : m_network.members()) {
-            dataCentres.insert(other.dataCentre);
-        }
-        dataCentres.erase(m_dataCentre);
-        for (const auto &dataCentre : dataCentres) {
-            const auto holder = holderOf({ dataCentre, pool.service });
-            if (holder != 0) {
-                encode(digest, *envelopeFor(holder).add_digests());
-            }
-        }
+    if (auto *local = localDispatcher({ m_dataCentre, digest.pool.service })) {
+        local->absorbDigest(digest, now());
+        schedulePass(local->pool());
     }
 }
 
-auto dispatch_service::sendTotals() -> void
+auto dispatch_service::publishDigests(time_point now) -> void
 {
-    for (const auto &other : m_network.members()) {
-        if (other.incarnation == selfIncarnation()) {
-            continue;
-        }
-        auto next = std::uint64_t(0);
-        auto &since = m_totalsSent[other.incarnation];
-        const auto totals = m_ledger.totalsSince(since, next);
-        since = next;
-        for (const auto &total : totals) {
-            encode(total, *envelopeFor(other.incarnation).add_totals());
-        }
+    for (const auto &[pool, local] : m_held) {
+        m_digests.publish(local->makeDigest(now), now);
     }
 }
 
@@ -610,9 +585,10 @@
         m_tickets.resubmit();
     }
     if (m_ticks % digestTicks == 0) {
-        sendDigests(now);
-        sendTotals();
+        publishDigests(now);
     }
+    m_digests.tick(now);
+    m_totals.tick(now);
     runPass();
 }
 
