--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,38 @@
-#include <cstdio>
+#include "marjoramloom/cli/run_command.h"
+#include "marjoramloom/core/log.h"
+#include "marjoramloom/router/router_process.h"
 
-auto main() -> int
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using namespace marjoramloom;
+
+/// Runs a router by the settings file \p path until it is told to stop.
+auto serve(const std::string &path) -> int
 {
-    std::puts("marjoramloom 0.1.0");
+    auto why = last_reason();
+    const auto config = loadSettings(path, why);
+    if (!config) {
+        std::cerr << why.detail << "\n"
+                  << "Mend the file and look it over with: marjoramloom check " << path << "\n";
+        return static_cast<int>(exit_code::invalid);
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    configureLog(config->logLevel);
+    auto router = router_process(*config);
+    if (!router.start(why)) {
+        std::cerr << why.text() << "\n";
+        return static_cast<int>(exit_code::unavailable);
+    }
+    router.run();
     return 0;
 }
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    return runCommand(argc, argv, serve);
+}
