--- a/include/marjoramloom/router/order_handler.h
+++ b/include/marjoramloom/router/order_handler.h
@@ -7,6 +7,8 @@
 #include "marjoramloom/router/http_exchange.h"
 #include "marjoramloom/router/request_context.h"
 
+#include <boost/json/object.hpp>
+
 namespace marjoramloom {
 
 struct admitted_request;
@@ -28,6 +30,9 @@
     /// Stores outcomes that could not be stored at once. Runs until the process ends.
     auto run() -> boost::asio::awaitable<void>;
 
+    /// Orders without a stored outcome, for operators. Reads all order records of the platform.
+    auto openOrders() -> boost::asio::awaitable<boost::json::object>;
+
     /// Outcomes that are not stored yet.
     [[nodiscard]] auto unsettled() const -> std::size_t;
 
--- a/src/router/order_handler.cpp
+++ b/src/router/order_handler.cpp
@@ -7,6 +7,7 @@
 #include "router/refusal_reply.h"
 
 #include <boost/asio/this_coro.hpp>
+#include <boost/json/array.hpp>
 
 namespace marjoramloom {
 
@@ -48,6 +49,14 @@
     return conclusion;
 }
 
+auto describe(const open_order &order) -> boost::json::object
+{
+    return {
+        { "name", order.name },     { "account", order.account },     { "service", order.service },
+        { "router", order.router }, { "state", nameOf(order.state) }, { "claimed_unix_ms", order.unixMs },
+    };
+}
+
 } // namespace
 
 order_handler::order_handler(request_context &context, platform_client &platform, const member &self,
@@ -144,6 +153,23 @@
     co_await m_ledger.run();
 }
 
+auto order_handler::openOrders() -> asio::awaitable<boost::json::object>
+{
+    auto why = last_reason();
+    const auto open = co_await m_ledger.listOpen(why);
+    auto report = boost::json::object();
+    if (!open) {
+        report["error"] = why.text();
+        co_return report;
+    }
+    auto rows = boost::json::array();
+    for (const auto &order : *open) {
+        rows.push_back(describe(order));
+    }
+    report["orders"] = std::move(rows);
+    co_return report;
+}
+
 auto order_handler::unsettled() const -> std::size_t
 {
     return m_ledger.unsettled();
