Router: messages of dispatch are read in one place; a lost router's pulled tickets are sent again at once

Waiting tickets are sent again every 5 s instead of every second: links deliver what they accepted or report the loss, so only a lost pull needs it, and that now has its own trigger. A router without a configuration answers 503 'not run' instead of 401.

--- a/include/marjoramloom/router/dispatch_service.h
+++ b/include/marjoramloom/router/dispatch_service.h
@@ -5,6 +5,7 @@
 #include "marjoramloom/peer/duty.h"
 #include "marjoramloom/peer/peer_links.h"
 #include "marjoramloom/peer/totals_exchange.h"
+#include "marjoramloom/peer/wire_codec.h"
 #include "marjoramloom/router/router_view.h"
 #include "marjoramloom/router/ticket_queue.h"
 #include "marjoramloom/share/dispatcher.h"
@@ -45,6 +46,19 @@
     /// Handles what another router sent.
     auto receive(incarnation_id from, const wire::Envelope &message) -> void;
 
+    /// Each handles one message of another router, as readDispatchMessages() hands them over.
+    auto take(const running_request &running) -> void;
+    auto take(const addressed_ticket &addressed) -> void;
+    auto take(const grant &given) -> void;
+    auto take(const refusal &refused) -> void;
+    auto take(const suspension &asked) -> void;
+    auto take(const pull_request &pull) -> void;
+    auto take(const pace_sample &sample) -> void;
+    auto takeWithdrawal(ticket_id id) -> void;
+    auto takeProgress(const request_use &use) -> void;
+    auto takeSettlement(const request_use &use) -> void;
+    auto reject(const last_reason &why) -> void;
+
     /// A router joined or is gone: duties may have moved.
     auto onMember(const member_event &event) -> void;
 
@@ -99,11 +113,6 @@
     auto flush() -> void;
     auto absorbDigest(const pool_digest &digest) -> void;
     auto publishDigests(time_point now) -> void;
-    auto receiveTickets(const wire::Envelope &message, const std::string &peer, time_point now) -> void;
-    auto receiveOutcomes(const wire::Envelope &message, const std::string &peer) -> void;
-    auto receiveUse(const wire::Envelope &message, const std::string &peer, time_point now) -> void;
-    auto receiveNews(const wire::Envelope &message, const std::string &peer, time_point now) -> void;
-    auto reject(const last_reason &why) -> void;
     auto poolOfServer(object_id server) const -> std::optional<pool_id>;
 
     strand_type m_strand;
--- a/src/router/caller_handler.cpp
+++ b/src/router/caller_handler.cpp
@@ -21,6 +21,12 @@
         co_await exchange.reply(std::move(*health));
         co_return;
     }
+    if (m_context.view.read()->contracts().sequence == 0) {
+        auto why = last_reason();
+        why.fail(failure_kind::unavailable, "route request", exchange.peer(), "this router has no configuration yet");
+        co_await exchange.reply(notRunReply(why));
+        co_return;
+    }
     if (target == "/v1/chat/completions" && method == boost::beast::http::verb::post) {
         co_await m_models.handle(exchange);
         co_return;
--- a/src/router/dispatch_service.cpp
+++ b/src/router/dispatch_service.cpp
@@ -4,6 +4,7 @@
 #include "marjoramloom/peer/peer_links.h"
 #include "marjoramloom/peer/wire_codec.h"
 #include "peer.pb.h"
+#include "router/dispatch_messages.h"
 
 #include <boost/asio/post.hpp>
 #include <cassert>
@@ -17,7 +18,7 @@
 /// Ticks between two reports of running requests' use.
 constexpr std::uint64_t progressTicks = 4;
 /// Ticks between two rounds in which waiting tickets are sent again.
-constexpr std::uint64_t resubmitTicks = 20;
+constexpr std::uint64_t resubmitTicks = 100;
 /// Ticks between two digests.
 constexpr std::uint64_t digestTicks = 10;
 
@@ -93,6 +94,10 @@
         }
     }
     refreshDuties();
+    if (!event.joined) {
+        // What was pulled by a dispatcher that is gone waits nowhere else.
+        m_tickets.resubmit();
+    }
 }
 
 auto dispatch_service::selfIncarnation() const -> incarnation_id
@@ -395,121 +400,83 @@
 
 auto dispatch_service::receive(incarnation_id from, const wire::Envelope &message) -> void
 {
-    const auto peer = std::to_string(from);
-    receiveTickets(message, peer, now());
-    receiveOutcomes(message, peer);
-    receiveUse(message, peer, now());
     m_totals.receive(from, message);
     m_digests.receive(from, message, now());
-    receiveNews(message, peer, now());
+    readDispatchMessages(message, now(), std::to_string(from), *this);
 }
 
-auto dispatch_service::reject(const last_reason &why) -> void
+auto dispatch_service::take(const running_request &running) -> void
 {
-    m_counters.at("marjoramloom_peer_items_rejected_total").add();
-    log_line(log_level::warning, "peer_item_rejected").with("reason", why.text());
+    if (auto *local = localDispatcher(running.granted.pool)) {
+        local->adopt(running.granted, running.length, now());
+        local->progress(running.granted.ticket, running.cost, now());
+    }
 }
 
-auto dispatch_service::receiveTickets(const wire::Envelope &message, const std::string &peer, time_point now) -> void
+auto dispatch_service::take(const addressed_ticket &addressed) -> void
 {
-    auto why = last_reason();
-    for (const auto &item : message.running()) {
-        const auto running = decodeRunning(item, peer, why);
-        auto *local = running ? localDispatcher(running->granted.pool) : nullptr;
-        if (local) {
-            local->adopt(running->granted, running->length, now);
-            local->progress(running->granted.ticket, running->cost, now);
-        } else if (!running) {
-            reject(why);
-        }
-    }
-    for (const auto &item : message.tickets()) {
-        const auto addressed = decodeTicket(item, now, peer, why);
-        auto *local = addressed ? localDispatcher(addressed->pool) : nullptr;
-        if (local) {
-            local->submit(addressed->waiting, now);
-            schedulePass(addressed->pool);
-        } else if (!addressed) {
-            reject(why);
-        }
-    }
-    for (const auto &item : message.withdrawals()) {
-        const auto id = decodeTicketId(item, peer, why);
-        for (const auto &[pool, local] : m_held) {
-            if (id) {
-                local->withdraw(*id, now);
-            }
-        }
+    if (auto *local = localDispatcher(addressed.pool)) {
+        local->submit(addressed.waiting, now());
+        schedulePass(addressed.pool);
     }
 }
 
-auto dispatch_service::receiveOutcomes(const wire::Envelope &message, const std::string &peer) -> void
+auto dispatch_service::takeWithdrawal(ticket_id id) -> void
 {
-    auto why = last_reason();
-    for (const auto &item : message.grants()) {
-        if (const auto given = decodeGrant(item, peer, why)) {
-            m_tickets.handleGrant(*given);
-        } else {
-            reject(why);
-        }
-    }
-    for (const auto &item : message.refusals()) {
-        if (const auto refused = decodeRefusal(item, peer, why)) {
-            m_tickets.handleRefusal(*refused);
-        } else {
-            reject(why);
-        }
-    }
-    for (const auto &item : message.suspensions()) {
-        if (const auto asked = decodeSuspension(item, peer, why)) {
-            m_tickets.handleSuspension(*asked);
-        } else {
-            reject(why);
-        }
+    for (const auto &[pool, local] : m_held) {
+        local->withdraw(id, now());
     }
 }
 
-auto dispatch_service::receiveUse(const wire::Envelope &message, const std::string &peer, time_point now) -> void
+auto dispatch_service::take(const grant &given) -> void
 {
-    auto why = last_reason();
-    for (const auto &item : message.progress()) {
-        const auto use = decodeProgress(item, peer, why);
-        auto *local = use ? localDispatcher(use->pool) : nullptr;
-        if (local) {
-            local->progress(use->ticket, use->cost, now);
-        } else if (!use) {
-            reject(why);
-        }
-    }
-    for (const auto &item : message.settlements()) {
-        const auto use = decodeSettlement(item, peer, why);
-        auto *local = use ? localDispatcher(use->pool) : nullptr;
-        if (local) {
-            local->settle(use->ticket, use->cost, now);
-            schedulePass(use->pool);
-        } else if (!use) {
-            reject(why);
-        }
+    m_tickets.handleGrant(given);
+}
+
+auto dispatch_service::take(const refusal &refused) -> void
+{
+    m_tickets.handleRefusal(refused);
+}
+
+auto dispatch_service::take(const suspension &asked) -> void
+{
+    m_tickets.handleSuspension(asked);
+}
+
+auto dispatch_service::takeProgress(const request_use &use) -> void
+{
+    if (auto *local = localDispatcher(use.pool)) {
+        local->progress(use.ticket, use.cost, now());
     }
 }
 
-auto dispatch_service::receiveNews(const wire::Envelope &message, const std::string &peer, time_point now) -> void
+auto dispatch_service::takeSettlement(const request_use &use) -> void
 {
-    auto why = last_reason();
-    for (const auto &item : message.pulls()) {
-        if (const auto pull = decodePull(item, peer, why)) {
-            answerPull(*pull);
-        }
+    if (auto *local = localDispatcher(use.pool)) {
+        local->settle(use.ticket, use.cost, now());
+        schedulePass(use.pool);
     }
-    for (const auto &item : message.samples()) {
-        const auto sample = decodeSample(item, peer, why);
-        const auto pool = sample ? poolOfServer(sample->server) : std::nullopt;
-        if (auto *local = pool ? localDispatcher(*pool) : nullptr) {
-            local->placement().observe(*sample, now);
-        }
+}
+
+auto dispatch_service::take(const pull_request &pull) -> void
+{
+    answerPull(pull);
+}
+
+auto dispatch_service::take(const pace_sample &sample) -> void
+{
+    const auto pool = poolOfServer(sample.server);
+    if (auto *local = pool ? localDispatcher(*pool) : nullptr) {
+        local->placement().observe(sample, now());
     }
 }
 
+auto dispatch_service::reject(const last_reason &why) -> void
+{
+    m_counters.at("marjoramloom_peer_items_rejected_total").add();
+    log_line(log_level::warning, "peer_item_rejected").with("reason", why.text());
+}
+
 auto dispatch_service::poolOfServer(object_id server) const -> std::optional<pool_id>
 {
     const auto *contract = m_view ? m_view->findServer(server) : nullptr;
