share: short work beside long: suspend early, lend across pools, no false slowness

The bench reported the cost of resumed requests anew with each ticket; it now reports what each grant used.

--- a/bench/dispatched_policy.h
+++ b/bench/dispatched_policy.h
@@ -64,6 +64,7 @@
         std::size_t domain = 0; ///< Whose dispatcher granted it.
         request_key request = 0;
         bool hedge = false;
+        double costBefore = 0; ///< Weighted tokens that the request had used before it got here.
         double sampledTokens = 0; ///< Generated at the last report.
         time_point sampledAt;
     };
--- a/bench/dispatched_policy.inl
+++ b/bench/dispatched_policy.inl
@@ -111,7 +111,7 @@
     waiting.submitted = m_fleet.queue().now();
     waiting.deadline = waiting.submitted + (hedge ? m_settings.hedgeWait : fromSeconds(rules.maxWaitSeconds));
     waiting.suspensions = asked.suspensions;
-    waiting.suspendable = rules.suspendable;
+    waiting.suspendable = rules.suspendable && asked.suspensions < rules.maxSuspensions;
     waiting.excluded = std::move(excluded);
     m_waiting[waiting.id] = { asked.key, domain, hedge };
     m_network.send(asked.router, m_domains[domain].host, submit_message{ waiting.origin, waiting });
@@ -195,6 +195,7 @@
     held.domain = domain;
     held.request = asked->key;
     held.hedge = waiting.mapped().hedge;
+    held.costBefore = m_fleet.costOf(*asked);
     m_placeByTicket[message.ticket] = place;
     m_placesByRequest.emplace(asked->key, place);
     auto &results = m_fleet.results();
@@ -295,7 +296,7 @@
     m_placesByRequest.erase(row);
     const auto router = routerOf(held.id.router);
     const auto *asked = m_fleet.request(held.request);
-    const auto cost = held.hedge || asked == nullptr ? 0 : m_fleet.costOf(*asked);
+    const auto cost = held.hedge || asked == nullptr ? 0 : m_fleet.costOf(*asked) - held.costBefore;
     m_network.send(router, m_domains[held.domain].host, settle_message{ m_domains[held.domain].pool, held.id, cost });
 }
 
@@ -389,7 +390,7 @@
         }
         countUse(*asked);
         const auto &domain = m_domains[held.domain];
-        m_network.send(asked->router, domain.host, progress_message{ domain.pool, held.id, m_fleet.costOf(*asked) });
+        m_network.send(asked->router, domain.host, progress_message{ domain.pool, held.id, m_fleet.costOf(*asked) - held.costBefore });
         samplePace(place, held);
     }
 }
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -76,6 +76,7 @@
     auto draft = request_class{ "specification_draft" };
     draft.length = work_length::longWork;
     draft.suspendable = true;
+    draft.maxSuspensions = 20;
     draft.share = 0.1;
     draft.medianPrompt = 1'500;
     draft.prefixTokens = 1'000;
@@ -98,6 +99,7 @@
     auto review = request_class{ "warranty_review" };
     review.length = work_length::longWork;
     review.suspendable = true;
+    review.maxSuspensions = 20;
     review.share = 0.08;
     review.medianPrompt = 800;
     review.prefixTokens = 20'000;
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -25,6 +25,7 @@
     service_index target = service_index::model;
     work_length length = work_length::shortWork;
     bool suspendable = false;
+    std::uint32_t maxSuspensions = 3; ///< Per request.
     bool hedged = false;
     double share = 1; ///< Of its service's requests.
     double medianPrompt = 300; ///< Tokens of its own.
--- a/src/peer/wire_codec.cpp
+++ b/src/peer/wire_codec.cpp
@@ -383,6 +383,7 @@
     encode(asked.to, *out.mutable_to());
     out.set_account(asked.account.value);
     out.set_tickets(asked.tickets);
+    out.set_short_only(asked.shortOnly);
 }
 
 auto decodePull(const wire::PullRequest &in, const std::string &peer, last_reason &why) -> std::optional<pull_request>
@@ -392,7 +393,7 @@
     if (!from || !to) {
         return std::nullopt;
     }
-    return pull_request{ *from, *to, { in.account() }, in.tickets() };
+    return pull_request{ *from, *to, { in.account() }, in.tickets(), in.short_only() };
 }
 
 auto encode(const service_total &total, wire::ServiceTotal &out) -> void
@@ -459,8 +460,7 @@
     out.set_long_work(running.length == work_length::longWork);
 }
 
-auto decodeRunning(const wire::Running &in, const std::string &peer, last_reason &why)
-    -> std::optional<running_request>
+auto decodeRunning(const wire::Running &in, const std::string &peer, last_reason &why) -> std::optional<running_request>
 {
     const auto id = decodeTicketId(in.id(), peer, why);
     const auto pool = decodePool(in.pool(), peer, why);
--- a/src/share/dispatcher.cpp
+++ b/src/share/dispatcher.cpp
@@ -61,6 +61,7 @@
     }
     if (waiting.length == work_length::shortWork) {
         m_state->lastShortArrival = now;
+        m_state->shortArrivals.add(now);
     }
     m_state->waiting.insert(waiting);
 }
@@ -154,8 +155,8 @@
 
 auto dispatcher::releaseForPull(const pull_request &request, time_point now) -> std::vector<ticket>
 {
-    return request.account == object_id() ? m_state->releaseDue(request.tickets, now)
-                                          : m_state->release(request.account, request.tickets, now);
+    return request.account == object_id() ? m_state->releaseDue(request.tickets, request.shortOnly, now)
+                                          : m_state->release(request.account, request.tickets, request.shortOnly, now);
 }
 
 auto dispatcher::decide(time_point now) -> dispatch_decisions
--- a/src/share/dispatcher_state.cpp
+++ b/src/share/dispatcher_state.cpp
@@ -26,7 +26,8 @@
 
 /// Short work counts as arriving for this long after its last ticket.
 constexpr auto shortArrivalMemory = duration(std::chrono::seconds(10));
-constexpr auto reserveFraction = 50U; ///< One slot in this many is kept from long work.
+constexpr auto reserveSeconds = 0.05; ///< Arrivals of short work in this time find a slot without a suspension.
+constexpr auto leastUnreserved = 12U; ///< At most one slot in this many is kept from long work.
 
 /// A wait that the next ends of requests will serve within this time needs no suspension.
 constexpr auto toleratedWaitSeconds = 0.1;
@@ -94,7 +95,13 @@
     if (!lastShortArrival || now - *lastShortArrival > shortArrivalMemory) {
         return 0;
     }
-    return settings.shortReserve > 0 ? settings.shortReserve : placement.totalSlots(now) / reserveFraction;
+    if (settings.shortReserve > 0) {
+        return settings.shortReserve;
+    }
+    const auto slots = placement.totalSlots(now);
+
+    const auto arriving = std::ceil(shortArrivals.perSecond(now) * reserveSeconds);
+    return std::min(std::uint32_t(arriving), slots / leastUnreserved);
 }
 
 auto dispatcher::state::queueSeconds(time_point now) const -> double
@@ -346,11 +353,17 @@
     wanted.shortService = due->virtualService;
     wanted.allowance = settings.shortAdvance;
     const auto chosen = suspensions.choose(
-        running, wanted, [this](object_id account) { return service(account); },
-        [&](object_id server) { return placement.mayServeShort(server, now); }, now);
+        running, wanted, [this](object_id account) { return service(account); }, usableForShort(now), now);
     decided.suspensions.insert(decided.suspensions.end(), chosen.begin(), chosen.end());
 }
 
+auto dispatcher::state::usableForShort(time_point now) -> std::function<bool(object_id)>
+{
+    return [this, now](object_id server) {
+        return placement.mayServeShort(server, now);
+    };
+}
+
 auto dispatcher::state::pull(time_point now) -> void
 {
     const auto slots = placement.totalSlots(now);
@@ -367,9 +380,16 @@
     const auto asked = idle ? pulls.chooseIdle(room - queued, slots, now)
                             : pulls.chooseBehind(*lowest, std::max(fewestPulls, slots / 2), typicalCharge(), now);
     decided.pulls.insert(decided.pulls.end(), asked.begin(), asked.end());
+    if (!idle && settings.suspendLongWork && waiting.count(work_length::shortWork) == 0) {
+        const auto lent = std::uint32_t(suspensions.candidates(running, usableForShort(now), now));
+        const auto wanted = std::min(lent, std::max(fewestPulls, slots / 4));
+        const auto shortAsked = pulls.chooseShort(wanted, slots, now);
+        decided.pulls.insert(decided.pulls.end(), shortAsked.begin(), shortAsked.end());
+    }
 }
 
-auto dispatcher::state::release(object_id account, std::uint32_t tickets, time_point now) -> std::vector<ticket>
+auto dispatcher::state::release(object_id account, std::uint32_t tickets, bool shortOnly, time_point now)
+    -> std::vector<ticket>
 {
     auto given = std::vector<ticket>();
     const auto queue = waiting.accounts().find(account);
@@ -380,6 +400,9 @@
     const auto closed = placement.totalSlots(now) == 0;
     auto ids = std::vector<ticket_id>();
     for (const auto length : { work_length::shortWork, work_length::longWork }) {
+        if (shortOnly && length == work_length::longWork) {
+            break;
+        }
         for (const auto &[key, candidate] : queue->second.of(length)) {
             if (ids.size() == tickets) {
                 break;
@@ -396,7 +419,7 @@
     return given;
 }
 
-auto dispatcher::state::releaseDue(std::uint32_t tickets, time_point now) -> std::vector<ticket>
+auto dispatcher::state::releaseDue(std::uint32_t tickets, bool shortOnly, time_point now) -> std::vector<ticket>
 {
     auto due = std::set<std::pair<double, object_id>>();
     for (const auto &[account, queue] : waiting.accounts()) {
@@ -408,7 +431,7 @@
         if (wanted == 0) {
             break;
         }
-        auto part = release(account, wanted, now);
+        auto part = release(account, wanted, shortOnly, now);
         given.insert(given.end(), part.begin(), part.end());
     }
     return given;
--- a/src/share/dispatcher_state.h
+++ b/src/share/dispatcher_state.h
@@ -31,8 +31,8 @@
     auto pull(time_point now) -> void;
 
     /// Hands tickets of an account, or of those that are due first, to another pool.
-    auto release(object_id account, std::uint32_t tickets, time_point now) -> std::vector<ticket>;
-    auto releaseDue(std::uint32_t tickets, time_point now) -> std::vector<ticket>;
+    auto release(object_id account, std::uint32_t tickets, bool shortOnly, time_point now) -> std::vector<ticket>;
+    auto releaseDue(std::uint32_t tickets, bool shortOnly, time_point now) -> std::vector<ticket>;
 
     // Answers and small steps that several of them share.
     [[nodiscard]] auto service(object_id account) const -> double;
@@ -51,6 +51,7 @@
     auto grantTurn(const grant_order::turn &turn, time_point now) -> bool;
     auto start(const ticket &chosen, const placement_choice &choice, time_point now) -> void;
     auto finish(ticket_id id, double cost, time_point now) -> void;
+    [[nodiscard]] auto usableForShort(time_point now) -> std::function<bool(object_id)>;
 
     pool_id pool;
     dispatcher_settings settings;
@@ -70,6 +71,7 @@
     std::optional<time_point> started; ///< First pass.
     std::optional<time_point> rejoined; ///< Another pool was heard again after a silence.
     std::optional<time_point> lastShortArrival;
+    rate_meter shortArrivals;
     double starvationCredit = 0; ///< Grants out of order that may be made.
     double meanCharge = 0; ///< Weighted tokens, smoothed.
     rate_meter ends;
--- a/src/share/pull_policy.cpp
+++ b/src/share/pull_policy.cpp
@@ -145,6 +145,17 @@
 }
 
 auto pull_policy::chooseIdle(std::uint32_t tickets, std::uint32_t slots, time_point now) -> std::vector<pull_request>
+{
+    return askBusiest(tickets, slots, false, now);
+}
+
+auto pull_policy::chooseShort(std::uint32_t tickets, std::uint32_t slots, time_point now) -> std::vector<pull_request>
+{
+    return askBusiest(tickets, slots, true, now);
+}
+
+auto pull_policy::askBusiest(std::uint32_t tickets, std::uint32_t slots, bool shortOnly, time_point now)
+    -> std::vector<pull_request>
 {
     auto chosen = std::vector<pull_request>();
     if (now < m_nextIdle) {
@@ -165,7 +176,7 @@
     busiest.resize(std::min(busiest.size(), idleTargets));
     const auto each = (budget + std::uint32_t(busiest.size()) - 1) / std::uint32_t(busiest.size());
     for (const auto &[spare, pool] : busiest) {
-        chosen.push_back({ m_pool, pool, anyAccount, each });
+        chosen.push_back({ m_pool, pool, anyAccount, each, shortOnly });
         note(chosen.back(), idlePeriod, now);
     }
     m_nextIdle = now + idlePeriod;
--- a/src/share/pull_policy.h
+++ b/src/share/pull_policy.h
@@ -50,6 +50,11 @@
     [[nodiscard]] auto chooseIdle(std::uint32_t tickets, std::uint32_t slots, time_point now)
         -> std::vector<pull_request>;
 
+    /// Requests for short work only, of a pool whose \p slots run long work that can be suspended for it. They go to
+    /// the pools with fewest spare slots, as a digest tells too late of a crest that has just begun.
+    [[nodiscard]] auto chooseShort(std::uint32_t tickets, std::uint32_t slots, time_point now)
+        -> std::vector<pull_request>;
+
     /// Tickets asked for and not arrived.
     [[nodiscard]] auto requested() const -> std::uint32_t;
 
@@ -80,6 +85,8 @@
     [[nodiscard]] auto estimate(const remote_pool &remote, const pool_digest::waiting_account &waiting) const -> double;
     [[nodiscard]] auto candidates(time_point now) const -> std::set<candidate>;
     [[nodiscard]] auto behind(const candidate &next, double localLowest, double ticketCost) const -> std::uint32_t;
+    [[nodiscard]] auto askBusiest(std::uint32_t tickets, std::uint32_t slots, bool shortOnly, time_point now)
+        -> std::vector<pull_request>;
     auto note(const pull_request &request, duration lifetime, time_point now) -> void;
     auto expire(time_point now) -> void;
 
--- a/src/share/server_placement.cpp
+++ b/src/share/server_placement.cpp
@@ -113,7 +113,9 @@
     for (auto &[id, entry] : servers) {
         const auto byFirstToken = typicalFirstToken > 0 ? entry.pace().firstTokenSeconds() / typicalFirstToken : 1;
         const auto byToken = typicalToken > 0 ? entry.pace().tokenSeconds() / typicalToken : 1;
-        entry.slowness = std::max({ 1.0, byFirstToken, byToken });
+        // The first token's time depends on the prompt too; it counts where nothing better is known.
+        const auto paceKnown = typicalToken > 0 && entry.pace().tokenSeconds() > 0;
+        entry.slowness = std::max(1.0, paceKnown ? byToken : byFirstToken);
     }
 }
 
--- a/src/share/suspension_policy.cpp
+++ b/src/share/suspension_policy.cpp
@@ -9,13 +9,27 @@
 namespace {
 
 /// With half a second of repeated prefill at a resume, at most a tenth of a long request's slot time is repeated.
-constexpr auto shortestRun = duration(std::chrono::seconds(5));
+constexpr auto shortestRun = duration(std::chrono::milliseconds(300));
 
 /// A router that did not suspend a request by then will not; the slot is not counted on.
 constexpr auto suspensionTimeout = duration(std::chrono::seconds(2));
 
+auto mayBeSuspended(const running_piece &piece, const suspension_policy::server_function &usable, time_point now)
+    -> bool
+{
+    return piece.length == work_length::longWork && piece.suspendable && !piece.suspendedAt
+        && now - piece.grantedAt >= shortestRun && usable(piece.granted.server);
+}
+
 } // namespace
 
+auto suspension_policy::candidates(const running_work &running, const server_function &usable, time_point now) const
+    -> std::size_t
+{
+    return std::size_t(
+        std::ranges::count_if(running.all(), [&](const auto &row) { return mayBeSuspended(row.second, usable, now); }));
+}
+
 auto suspension_policy::choose(running_work &running, const demand &wanted, const service_function &serviceOf,
                                const server_function &usable, time_point now) const -> std::vector<suspension>
 {
@@ -27,8 +41,7 @@
             continue;
         }
         const auto account = piece.granted.account;
-        const auto exempt = piece.length == work_length::shortWork || !piece.suspendable;
-        if (exempt || now - piece.grantedAt < shortestRun || !usable(piece.granted.server)) {
+        if (!mayBeSuspended(piece, usable, now)) {
             continue;
         }
         if (account == wanted.shortAccount || wanted.shortService <= serviceOf(account) + wanted.allowance) {
--- a/src/share/suspension_policy.h
+++ b/src/share/suspension_policy.h
@@ -29,6 +29,10 @@
     using service_function = std::function<double(object_id)>; ///< Virtual service of an account.
     using server_function = std::function<bool(object_id)>; ///< Whether short work may use a server.
 
+    /// Number of running requests that could be suspended now, as far as fairness allows.
+    [[nodiscard]] auto candidates(const running_work &running, const server_function &usable, time_point now) const
+        -> std::size_t;
+
     /// Marks the chosen requests in \p running and returns them.
     [[nodiscard]] auto choose(running_work &running, const demand &wanted, const service_function &serviceOf,
                               const server_function &usable, time_point now) const -> std::vector<suspension>;
