--- a/src/share/dispatcher_backlog.cpp
+++ b/src/share/dispatcher_backlog.cpp
@@ -42,7 +42,8 @@
     }
     const auto slots = placement.totalSlots(now) * double(1 + pulls.pools(now));
     const auto largest = std::max(costs.largestCost(), typicalCharge());
-    return debtFactor * (settings.pullThreshold + slots * largest);
+    const auto threshold = std::max(settings.pullThreshold, settings.shortAdvance);
+    return debtFactor * (threshold + slots * largest);
 }
 
 auto dispatcher::state::starvationLimit(object_id account, time_point now) const -> duration
--- a/src/share/server_entry.cpp
+++ b/src/share/server_entry.cpp
@@ -136,7 +136,11 @@
 
 auto server_entry::running(time_point now) const -> std::uint32_t
 {
-    return m_running + (now < m_reportExpiry ? m_reportedElsewhere : 0);
+    if (now >= m_reportExpiry) {
+        return m_running;
+    }
+    // Half at most: two dispatchers that each left to the other what it holds would never come to share.
+    return m_running + std::min(m_reportedElsewhere, std::max(limit() / 2, 1U));
 }
 
 auto server_entry::limit() const -> std::uint32_t
