share: the reserve serves no account beyond its allowance; a resumed request is charged the typical cost

Where the last free slots were kept for short work, its short requests took each of them however far ahead it was, as the others had only long work waiting. Beyond the allowance it is now the long work's turn (unit test, four errors before). Ruled out as the cause: charging resumed requests their small rest.

--- a/include/marjoramloom/share/cost_estimator.h
+++ b/include/marjoramloom/share/cost_estimator.h
@@ -18,6 +18,9 @@
     /// Expected cost in weighted tokens. Precondition: \p hint is positive.
     [[nodiscard]] auto expected(object_id account, object_id profile, double hint) const -> double;
 
+    /// Typical cost in weighted tokens whatever the hint, or \p fallback before anything was seen.
+    [[nodiscard]] auto typical(object_id account, object_id profile, double fallback) const -> double;
+
     /// A request that was expected to cost \p hint by its caller ended with \p cost. Preconditions: both are positive.
     auto observe(object_id account, object_id profile, double hint, double cost) -> void;
 
@@ -40,6 +43,8 @@
         capped_mean ratio; ///< Of cost to hint.
     };
 
+    [[nodiscard]] auto find(object_id account, object_id profile) const -> const level *;
+
     std::map<std::pair<object_id, object_id>, level> m_levels; ///< By account and profile.
     std::map<object_id, level> m_profiles; ///< All accounts; for one that was not seen yet.
     double m_largest = 0;
--- a/src/share/cost_estimator.cpp
+++ b/src/share/cost_estimator.cpp
@@ -26,16 +26,29 @@
 auto cost_estimator::expected(object_id account, object_id profile, double hint) const -> double
 {
     assert(hint > 0);
-    const auto own = m_levels.find({ account, profile });
-    const auto shared = m_profiles.find(profile);
-    if (shared == m_profiles.end()) {
+    const auto *chosen = find(account, profile);
+    if (chosen == nullptr) {
         return hint;
     }
-    const auto trusted = own != m_levels.end() && own->second.cost.count >= trustedCount;
-    const auto &chosen = trusted ? own->second : shared->second;
-    const auto byHint = hint * chosen.ratio.value;
-    const auto estimate = std::sqrt(chosen.cost.value * byHint);
-    return std::clamp(estimate, chosen.cost.value / hintRange, chosen.cost.value * hintRange);
+    const auto byHint = hint * chosen->ratio.value;
+    const auto estimate = std::sqrt(chosen->cost.value * byHint);
+    return std::clamp(estimate, chosen->cost.value / hintRange, chosen->cost.value * hintRange);
+}
+
+auto cost_estimator::typical(object_id account, object_id profile, double fallback) const -> double
+{
+    const auto *chosen = find(account, profile);
+    return chosen == nullptr ? fallback : chosen->cost.value;
+}
+
+auto cost_estimator::find(object_id account, object_id profile) const -> const level *
+{
+    const auto own = m_levels.find({ account, profile });
+    if (own != m_levels.end() && own->second.cost.count >= trustedCount) {
+        return &own->second;
+    }
+    const auto shared = m_profiles.find(profile);
+    return shared == m_profiles.end() ? nullptr : &shared->second;
 }
 
 auto cost_estimator::observe(object_id account, object_id profile, double hint, double cost) -> void
--- a/src/share/dispatcher_state.cpp
+++ b/src/share/dispatcher_state.cpp
@@ -212,8 +212,13 @@
 auto dispatcher::state::start(const ticket &chosen, const placement_choice &choice, time_point now) -> void
 {
     auto piece = running_piece();
-    piece.hint = std::max(1.0, chosen.expectedCost);
-    const auto charged = costs.expected(chosen.account, chosen.profile, piece.hint);
+    const auto hint = std::max(1.0, chosen.expectedCost);
+    const auto resumed = chosen.suspensions > 0;
+    // A long request that is resumed has little left by its first estimate and, by the tail of costs, as much again as
+    // any other: it is charged the typical cost, and nothing is learnt from its rest.
+    const auto charged = resumed ? std::max(hint, costs.typical(chosen.account, chosen.profile, hint))
+                                 : costs.expected(chosen.account, chosen.profile, hint);
+    piece.hint = resumed ? 0 : hint;
     piece.granted = { chosen.id, chosen.account, choice.server, chosen.origin, pool, charged, choice.reason };
     piece.profile = chosen.profile;
     piece.length = chosen.length;
--- a/src/share/grant_order.h
+++ b/src/share/grant_order.h
@@ -34,7 +34,9 @@
     /// Sets an account's place and which lengths it has waiting.
     auto place(const due_account &due, bool hasShort, bool hasLong) -> void;
 
-    /// Whose turn it is; short work may be ahead of long work by \p allowance of virtual service.
+    /// Whose turn it is; short work may be ahead of long work by \p allowance of virtual service. Beyond that it is the
+    /// long work's turn also where \p longAllowed is false, or slots kept for short work would serve an account without
+    /// end that is ahead.
     [[nodiscard]] auto next(double allowance, bool longAllowed) const -> std::optional<turn>;
 
     /// Takes an account's tickets of one length out of this pass.
--- a/tests/unit/share/short_and_long_test.cpp
+++ b/tests/unit/share/short_and_long_test.cpp
@@ -44,6 +44,24 @@
     BOOST_TEST(fillWithLong(site, 100).size() == 98U);
 }
 
+/// The last free slots are kept for short work, but not for that of an account far ahead of one with long work.
+BOOST_AUTO_TEST_CASE(the_reserve_serves_no_account_beyond_its_allowance)
+{
+    auto settings = dispatcher_settings();
+    settings.shortReserve = 4;
+    auto site = single_pool(4, settings);
+    site.ledger.merge({ { routerTwo, accountA, 50'000 } });
+    for (auto serial = std::uint64_t(1); serial <= 8; ++serial) {
+        site.pool.submit(ticketOf(accountA, serial), at(0));
+        site.pool.submit(longTicket(accountB, 100 + serial, 0), at(0));
+    }
+    const auto grants = site.pool.decide(at(0)).grants;
+    BOOST_REQUIRE(grants.size() == 4U);
+    for (const auto &granted : grants) {
+        BOOST_TEST((granted.account == accountB));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(waiting_short_work_suspends_the_long_piece_that_used_least)
 {
     auto site = single_pool(4);
@@ -97,6 +115,25 @@
     BOOST_TEST(site.pool.decide(at(7)).suspensions.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_resumed_request_is_charged_the_typical_cost_and_teaches_nothing)
+{
+    auto site = single_pool(8);
+    auto serial = std::uint64_t(0);
+    for (; serial < 20; ++serial) {
+        site.pool.submit(longTicket(accountB, serial + 1, 0), at(0));
+        site.settle(site.pool.decide(at(0)).grants.front(), 500, at(0));
+    }
+    auto resumed = longTicket(accountB, ++serial, 1);
+    resumed.suspensions = 1;
+    resumed.expectedCost = 1;
+    site.pool.submit(resumed, at(1));
+    const auto first = site.pool.decide(at(1)).grants.front();
+    BOOST_TEST(first.charged == 500);
+    site.settle(first, 9000, at(2));
+    site.pool.submit(longTicket(accountB, ++serial, 3), at(3));
+    BOOST_TEST(site.pool.decide(at(3)).grants.front().charged == 500);
+}
+
 BOOST_AUTO_TEST_CASE(a_flooding_account_is_refused_alone_and_told_when_to_come_again)
 {
     auto site = single_pool(1);
