--- a/src/share/dispatcher_backlog.cpp
+++ b/src/share/dispatcher_backlog.cpp
@@ -42,7 +42,7 @@
     }
     const auto slots = placement.totalSlots(now) * double(1 + pulls.pools(now));
     const auto largest = std::max(costs.largestCost(), typicalCharge());
-    const auto threshold = std::max(settings.pullThreshold, settings.shortAdvance);
+    const auto threshold = std::max(settings.pullThreshold, shortAllowance());
     return debtFactor * (threshold + slots * largest);
 }
 
--- a/src/share/dispatcher_state.cpp
+++ b/src/share/dispatcher_state.cpp
@@ -33,6 +33,8 @@
 /// A wait that the next ends of requests will serve within this time needs no suspension.
 constexpr auto toleratedWaitSeconds = 0.25;
 
+/// Short work may be ahead of long work by this many long requests: with less, one grant of long work uses it up.
+constexpr auto allowedLongPieces = 4.0;
 constexpr auto chargeWeight = 0.05; ///< Of a new grant in the mean charge.
 constexpr auto pullAheadFraction = 32U; ///< An idle pool asks ahead for one ticket per this many slots.
 constexpr auto fewestPulls = 4U; ///< Tickets that may be asked for at once by the smallest pool.
@@ -98,6 +100,11 @@
     return std::max(1.0, meanCharge);
 }
 
+auto dispatcher::state::shortAllowance() const -> double
+{
+    return std::max(settings.shortAdvance, allowedLongPieces * meanLongCharge);
+}
+
 auto dispatcher::state::refuse(const ticket &refused, refusal_reason reason, time_point now) -> void
 {
     const auto wait = expectedWait(refused.account, now).value_or(shortestRetryAfter);
@@ -147,7 +154,7 @@
     const auto reserve = longReserve(now);
     free = placement.freeSlots(now);
     while (free > 0) {
-        const auto turn = order.next(settings.shortAdvance, free > reserve);
+        const auto turn = order.next(shortAllowance(), free > reserve);
         if (!turn) {
             return;
         }
@@ -226,6 +233,9 @@
     piece.suspendable = chosen.suspendable;
     lastGrantService = service(chosen.account);
     meanCharge = meanCharge > 0 ? meanCharge + chargeWeight * (charged - meanCharge) : charged;
+    if (chosen.length == work_length::longWork) {
+        meanLongCharge += meanLongCharge > 0 ? chargeWeight * (charged - meanLongCharge) : charged;
+    }
     starvationCredit = std::min(mostStarvationCredit, starvationCredit + starvationShare);
     accountGrants[chosen.account].add(now);
     running.start(piece);
@@ -268,7 +278,7 @@
     wanted.slots = std::size_t(std::ceil(waitingShort - soonFree));
     wanted.shortAccount = due->account;
     wanted.shortService = due->virtualService;
-    wanted.allowance = settings.shortAdvance;
+    wanted.allowance = shortAllowance();
     const auto chosen = suspensions.choose(
         running, wanted, [this](object_id account) { return service(account); }, usableForShort(now), now);
     decided.suspensions.insert(decided.suspensions.end(), chosen.begin(), chosen.end());
--- a/src/share/dispatcher_state.h
+++ b/src/share/dispatcher_state.h
@@ -44,6 +44,7 @@
     [[nodiscard]] auto expectedWait(object_id account, time_point now) const -> std::optional<duration>;
     [[nodiscard]] auto starvationLimit(object_id account, time_point now) const -> duration;
     [[nodiscard]] auto typicalCharge() const -> double;
+    [[nodiscard]] auto shortAllowance() const -> double;
     auto refuse(const ticket &waiting, refusal_reason reason, time_point now) -> void;
     auto takeWaiting(ticket_id id, time_point now) -> std::optional<ticket>;
     auto placeInOrder(object_id account) -> void;
@@ -75,6 +76,7 @@
     rate_meter shortArrivals;
     double starvationCredit = 0; ///< Grants out of order that may be made.
     double meanCharge = 0; ///< Weighted tokens, smoothed.
+    double meanLongCharge = 0; ///< The same of long work.
     rate_meter ends;
     std::unordered_map<object_id, rate_meter> accountGrants;
     std::uint64_t digestSerial = 0;
