Orders and configuration under failure, with real routers

Outcomes are settled in the background and before a router ends; open orders are listed for operators; compaction runs on the watchers' duty.

--- a/include/marjoramloom/contract/configuration_watcher.h
+++ b/include/marjoramloom/contract/configuration_watcher.h
@@ -55,14 +55,15 @@
 private:
     auto applyListed(std::vector<stored_object> objects) -> bool;
     auto onEvent(const watch_event &event) -> bool;
+    static auto raise(std::atomic<std::uint64_t> &value, std::uint64_t least) -> void;
     auto pause(std::chrono::milliseconds wait) -> boost::asio::awaitable<void>;
 
     Platform &m_platform;
     configuration_store &m_store;
     snapshot_store<Platform> m_snapshots;
     retry_backoff m_backoff;
-    std::uint64_t m_listedRevision = 0;
-    std::uint64_t m_floor = 0;
+    std::atomic<std::uint64_t> m_listedRevision = 0; ///< Everything up to here was applied.
+    std::atomic<std::uint64_t> m_floor = 0;
     std::atomic<bool> m_onDuty = true;
     std::atomic<bool> m_stopped = false;
 };
--- a/include/marjoramloom/contract/configuration_watcher.inl
+++ b/include/marjoramloom/contract/configuration_watcher.inl
@@ -63,7 +63,7 @@
     if (!head) {
         co_return false;
     }
-    m_floor = std::max(m_floor, head->floor);
+    raise(m_floor, head->floor);
     if (head->floor > m_store.sequence()) {
         const auto value = co_await m_snapshots.load(*head, why);
         if (!value) {
@@ -76,7 +76,7 @@
         why.fail(failure_kind::unavailable, "apply changes", "platform", "a change is missing in the list");
         co_return false;
     }
-    m_listedRevision = std::max(m_listedRevision, listed->revision);
+    raise(m_listedRevision, listed->revision);
     m_store.noteLoaded();
     co_return true;
 }
@@ -100,10 +100,10 @@
 template<watched_store Platform>
 auto configuration_watcher<Platform>::onEvent(const watch_event &event) -> bool
 {
-    m_listedRevision = std::max(m_listedRevision, event.revision);
+    raise(m_listedRevision, event.revision);
     if (event.kind == watch_event_kind::put && event.object.kind == snapshotKind) {
         const auto head = parseSnapshotHead(event.object);
-        m_floor = head ? std::max(m_floor, head->floor) : m_floor;
+        raise(m_floor, head ? head->floor : 0);
     }
     if (event.kind == watch_event_kind::put && event.object.kind == changeKind) {
         const auto sequence = changeSequence(event.object.name);
@@ -116,6 +116,14 @@
     return !behind && m_onDuty.load(std::memory_order_acquire) && !m_stopped.load(std::memory_order_acquire);
 }
 
+template<watched_store Platform>
+auto configuration_watcher<Platform>::raise(std::atomic<std::uint64_t> &value, std::uint64_t least) -> void
+{
+    auto seen = value.load();
+    while (seen < least && !value.compare_exchange_weak(seen, least)) {
+    }
+}
+
 template<watched_store Platform>
 auto configuration_watcher<Platform>::pause(std::chrono::milliseconds wait) -> boost::asio::awaitable<void>
 {
--- a/include/marjoramloom/order/order_ledger.h
+++ b/include/marjoramloom/order/order_ledger.h
@@ -5,6 +5,7 @@
 #include "marjoramloom/platform/retry_backoff.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/json/object.hpp>
 #include <deque>
 #include <mutex>
 #include <vector>
@@ -22,8 +23,12 @@
     std::chrono::milliseconds retryLimit{ 2'000 };
     std::size_t answerInRecordBytes = std::size_t(512) << 10U; ///< Larger answers are stored in pieces.
     std::uint64_t seed = 0; ///< Of the retries' jitter.
-    /// Whether a router's incarnation is proved to have ended; may be empty. Thread safe.
-    std::function<bool(incarnation_id)> creatorEnded;
+    /// A claim that stands for longer than this is told as an unknown outcome. Decides about words only: nobody takes
+    /// the claim over, so clocks that differ do no harm.
+    std::chrono::milliseconds claimAge{ 120'000 };
+    /// Whether a router's incarnation is gone, as far as its peers can tell; may be empty. Thread safe. Decides about
+    /// words only, as a router that seems gone may be paused.
+    std::function<bool(incarnation_id)> creatorGone;
 };
 
 /// What a router does with an order after asking the ledger.
@@ -51,9 +56,12 @@
     incarnation_id incarnation = 0;
     order_state state = order_state::started;
     std::int64_t unixMs = 0; ///< When it was claimed.
-    bool creatorEnded = false; ///< Proved: nobody can settle it any more.
+    bool creatorGone = false; ///< Its router is not heard any more.
 };
 
+/// JSON of \p orders, for operators. Thread safe.
+auto toJson(const std::vector<open_order> &orders) -> boost::json::object;
+
 /// Carries out the protocol of orders on the platform: claims before sending, stored outcomes, settlement in the
 /// background of what could not be written at once.
 ///
@@ -103,6 +111,7 @@
     auto makeBackoff() -> retry_backoff;
     auto claimStep(order_machine &machine, last_reason &why) -> boost::asio::awaitable<void>;
     auto readStep(order_machine &machine, last_reason &why) -> boost::asio::awaitable<void>;
+    auto seemsAbandoned(const order_claim &claim) const -> bool;
     auto finishAdmission(order_machine machine, last_reason &why) -> boost::asio::awaitable<order_admission>;
     auto admitted(order_machine machine) -> order_admission;
     auto loadAnswer(const order_record &record, last_reason &why)
--- a/include/marjoramloom/order/order_ledger.inl
+++ b/include/marjoramloom/order/order_ledger.inl
@@ -47,8 +47,8 @@
         }
         const auto waiting = machine.step() == order_step::mayRead;
         const auto limit = waiting ? m_options.waitForOther : m_options.claimLimit;
-        const auto ended = waiting && m_options.creatorEnded && m_options.creatorEnded(machine.standing().incarnation);
-        if (ended || std::chrono::steady_clock::now() - started >= limit) {
+        const auto abandoned = waiting && seemsAbandoned(machine.standing());
+        if (abandoned || std::chrono::steady_clock::now() - started >= limit) {
             machine.giveUp();
             break;
         }
@@ -83,6 +83,14 @@
     }
 }
 
+template<object_store Store>
+auto order_ledger<Store>::seemsAbandoned(const order_claim &claim) const -> bool
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto oldest = std::chrono::duration_cast<std::chrono::milliseconds>(now) - m_options.claimAge;
+    return claim.unixMs < oldest.count() || (m_options.creatorGone && m_options.creatorGone(claim.incarnation));
+}
+
 template<object_store Store>
 auto order_ledger<Store>::finishAdmission(order_machine machine, last_reason &why)
     -> boost::asio::awaitable<order_admission>
@@ -101,6 +109,9 @@
         }
         admission.verdict = order_verdict::unknownOutcome;
     }
+    if (admission.verdict == order_verdict::inProgress && seemsAbandoned(machine.standing())) {
+        admission.verdict = order_verdict::unknownOutcome;
+    }
     if (admission.verdict == order_verdict::unknownOutcome) {
         m_unknown.add();
     }
@@ -256,7 +267,7 @@
         if (!record || record->state == order_state::finished || record->state == order_state::released) {
             continue;
         }
-        const auto ended = m_options.creatorEnded && m_options.creatorEnded(record->claim.incarnation);
+        const auto gone = m_options.creatorGone && m_options.creatorGone(record->claim.incarnation);
         open.push_back({ .name = object.name,
                          .account = record->request.accountName,
                          .service = record->request.service,
@@ -264,7 +275,7 @@
                          .incarnation = record->claim.incarnation,
                          .state = record->state,
                          .unixMs = record->claim.unixMs,
-                         .creatorEnded = ended });
+                         .creatorGone = gone });
     }
     co_return open;
 }
--- a/include/marjoramloom/order/order_machine.h
+++ b/include/marjoramloom/order/order_machine.h
@@ -64,7 +64,7 @@
         return m_seen;
     }
 
-    /// The other claim that stands. Precondition: step() is mayRead.
+    /// The other claim that was seen last. Precondition: step() is mayRead, or the verdict is inProgress.
     [[nodiscard]] auto standing() const -> const order_claim &
     {
         return m_seen.claim;
--- a/include/marjoramloom/router/order_handler.h
+++ b/include/marjoramloom/router/order_handler.h
@@ -28,6 +28,9 @@
     /// Stores outcomes that could not be stored at once. Runs until the process ends.
     auto run() -> boost::asio::awaitable<void>;
 
+    /// Orders without a stored outcome, as the platform's records tell.
+    auto openOrders() -> boost::asio::awaitable<boost::json::object>;
+
     /// Outcomes that are not stored yet.
     [[nodiscard]] auto unsettled() const -> std::size_t;
 
--- a/src/order/order_verdict.cpp
+++ b/src/order/order_verdict.cpp
@@ -1,5 +1,8 @@
+#include "marjoramloom/contract/configuration_file.h"
 #include "marjoramloom/order/order_ledger.h"
 
+#include <boost/json.hpp>
+
 namespace marjoramloom {
 
 auto explainVerdict(order_verdict verdict, last_reason &why) -> void
@@ -30,4 +33,19 @@
     }
 }
 
+auto toJson(const std::vector<open_order> &orders) -> boost::json::object
+{
+    auto rows = boost::json::array();
+    for (const auto &order : orders) {
+        rows.push_back(boost::json::object{ { "record", order.name },
+                                            { "account", order.account },
+                                            { "service", order.service },
+                                            { "state", nameOf(order.state) },
+                                            { "router", order.router },
+                                            { "router_gone", order.creatorGone },
+                                            { "claimed", formatTime(order.unixMs) } });
+    }
+    return boost::json::object{ { "orders", std::move(rows) } };
+}
+
 } // namespace marjoramloom
--- a/src/router/order_handler.cpp
+++ b/src/router/order_handler.cpp
@@ -144,6 +144,13 @@
     co_await m_ledger.run();
 }
 
+auto order_handler::openOrders() -> asio::awaitable<boost::json::object>
+{
+    auto why = last_reason();
+    const auto open = co_await m_ledger.listOpen(why);
+    co_return open ? toJson(*open) : boost::json::object{ { "unreadable", why.text() } };
+}
+
 auto order_handler::unsettled() const -> std::size_t
 {
     return m_ledger.unsettled();
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -3,6 +3,7 @@
 #include "marjoramloom/call/connection_pool.h"
 #include "marjoramloom/call/hedge_policy.h"
 #include "marjoramloom/call/retry_budget.h"
+#include "marjoramloom/contract/configuration_compactor.h"
 #include "marjoramloom/contract/configuration_store.h"
 #include "marjoramloom/contract/configuration_watcher.h"
 #include "marjoramloom/contract/operator_api.h"
@@ -111,6 +112,7 @@
     platform_client platform;
     configuration_store store;
     configuration_watcher<platform_client> watcher;
+    configuration_compactor<platform_client> compactor;
     peer_links links;
     configuration_relay<peer_links> relay;
     ticket_queue tickets;
@@ -141,6 +143,7 @@
     , platform(context.get_executor(), platformOptions(config), counters)
     , store(counters)
     , watcher(platform, store, self.incarnation)
+    , compactor(platform, store, {})
     , links(strand, self, meshSettings(config), counters)
     , relay(links, store)
     , tickets(strand, self.incarnation, counters)
@@ -157,6 +160,7 @@
     , operatorRequests(operators, counters, ready, config.operatorKeyHash)
 {
     operators.addSource("/v1/status", [this] { return status.json(); });
+    operators.addSource("/v1/orders", [this] { return orders.openOrders(); });
     calls.dataCentre = config.dataCentre;
     calls.connections = &connections;
     calls.retries = &retries;
@@ -232,8 +236,10 @@
     constexpr auto watchers = std::size_t(2);
     const auto order = dutyOrder(links.members(), { duty_kind::watcher, config.dataCentre, "" });
     const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(watchers, order.size()));
-    watcher.setOnDuty(std::any_of(order.begin(), end,
-                                  [this](const member &holder) { return holder.incarnation == self.incarnation; }));
+    const auto onDuty = std::any_of(order.begin(), end,
+                                    [this](const member &holder) { return holder.incarnation == self.incarnation; });
+    watcher.setOnDuty(onDuty);
+    compactor.setOnDuty(onDuty);
 }
 
 auto router_process::parts::tickLoop() -> asio::awaitable<void>
@@ -312,6 +318,10 @@
         all.strand, [&all] { return all.servers.pollInstances(); }, asio::detached);
     asio::co_spawn(
         all.context, [&all] { return all.watcher.run(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.compactor.run(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.orders.run(); }, asio::detached);
     auto threads = std::vector<std::thread>();
     for (auto index = std::uint32_t(1); index < all.config.threads; ++index) {
         threads.emplace_back([&all] { all.context.run(); });
