--- a/include/marjoramloom/call/plain_call.h
+++ b/include/marjoramloom/call/plain_call.h
@@ -19,6 +19,8 @@
     std::string contentType;
     std::string body;
     bool repeatable = true;
+    std::string idempotencyKey; ///< The caller's, passed on; empty for none.
+    std::string accountName; ///< Passed on; empty for none.
 };
 
 /// A plain service's whole answer.
