--- a/src/order/order_machine.cpp
+++ b/src/order/order_machine.cpp
@@ -66,7 +66,7 @@
         m_step = order_step::writeClaim;
         return;
     }
-    if (m_seen.request.bodyHash != m_request.bodyHash) {
+    if (m_seen.request.bodyHash != m_request.bodyHash || m_seen.request.service != m_request.service) {
         end(order_verdict::bodyDiffers);
         return;
     }
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -27,6 +27,7 @@
 public:
     std::deque<write_fault> faults; ///< One for each of the next writes.
     bool down = false; ///< Every call fails, with nothing sent.
+    std::size_t readsBehind = 0; ///< Lists show what stood so many writes ago.
     std::vector<stored_object> history; ///< Every object written, in order.
 
     auto get(std::string kind, std::string name, last_reason &why)
@@ -43,8 +44,10 @@
         if (down) {
             co_return why.fail(failure_kind::notSent, "connect", "memory", "down");
         }
-        auto listed = object_list{ m_revision, {} };
-        for (const auto &[key, object] : m_objects) {
+        const auto stale = readsBehind > 0 && readsBehind <= m_versions.size();
+        const auto &shown = stale ? m_versions[m_versions.size() - readsBehind] : m_objects;
+        auto listed = object_list{ m_revision - (stale ? readsBehind : 0), {} };
+        for (const auto &[key, object] : shown) {
             if (key.first == kind) {
                 listed.objects.push_back(object);
             }
@@ -140,6 +143,7 @@
         if (standing.revision != object.revision) {
             return { write_result::conflict, standing };
         }
+        m_versions.push_back(m_objects);
         object.revision = ++m_revision;
         const auto key = std::pair(object.kind, object.name);
         if (removing) {
@@ -154,6 +158,7 @@
 
     std::uint64_t m_revision = 0;
     std::map<std::pair<std::string, std::string>, stored_object> m_objects;
+    std::vector<std::map<std::pair<std::string, std::string>, stored_object>> m_versions; ///< Before each write.
     std::vector<std::pair<stored_object, bool>> m_late;
 };
 
--- a/tests/unit/order/order_ledger_test.cpp
+++ b/tests/unit/order/order_ledger_test.cpp
@@ -84,6 +84,9 @@
     auto first = admit(deposit());
     const auto other = admit(deposit("b2"));
     BOOST_TEST((other.verdict == order_verdict::bodyDiffers));
+    auto release = deposit();
+    release.service = "releases";
+    BOOST_TEST((admit(release).verdict == order_verdict::bodyDiffers));
 }
 
 BOOST_AUTO_TEST_CASE(the_platform_down_sends_nothing)
