--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -317,6 +317,10 @@
         all.strand, [&all] { return all.servers.pollInstances(); }, asio::detached);
     asio::co_spawn(
         all.context, [&all] { return all.watcher.run(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.compactor.run(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.orders.run(); }, asio::detached);
     auto threads = std::vector<std::thread>();
     for (auto index = std::uint32_t(1); index < all.config.threads; ++index) {
         threads.emplace_back([&all] { all.context.run(); });
