--- a/include/marjoramloom/order/order_ledger.h
+++ b/include/marjoramloom/order/order_ledger.h
@@ -5,7 +5,6 @@
 #include "marjoramloom/platform/retry_backoff.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/json/object.hpp>
 #include <deque>
 #include <mutex>
 #include <vector>
@@ -59,9 +58,6 @@
     bool creatorGone = false; ///< Its router is not heard any more.
 };
 
-/// JSON of \p orders, for operators. Thread safe.
-auto toJson(const std::vector<open_order> &orders) -> boost::json::object;
-
 /// Carries out the protocol of orders on the platform: claims before sending, stored outcomes, settlement in the
 /// background of what could not be written at once.
 ///
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -236,10 +236,9 @@
     constexpr auto watchers = std::size_t(2);
     const auto order = dutyOrder(links.members(), { duty_kind::watcher, config.dataCentre, "" });
     const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(watchers, order.size()));
-    const auto onDuty = std::any_of(order.begin(), end,
-                                    [this](const member &holder) { return holder.incarnation == self.incarnation; });
-    watcher.setOnDuty(onDuty);
-    compactor.setOnDuty(onDuty);
+    compactor.setOnDuty(!order.empty() && order.front().incarnation == self.incarnation);
+    watcher.setOnDuty(std::any_of(order.begin(), end,
+                                  [this](const member &holder) { return holder.incarnation == self.incarnation; }));
 }
 
 auto router_process::parts::tickLoop() -> asio::awaitable<void>
