--- a/src/router/dispatch_service.cpp
+++ b/src/router/dispatch_service.cpp
@@ -4,6 +4,7 @@
 #include "marjoramloom/peer/peer_links.h"
 #include "marjoramloom/peer/wire_codec.h"
 #include "peer.pb.h"
+#include "router/dispatch_messages.h"
 
 #include <boost/asio/post.hpp>
 #include <cassert>
@@ -17,7 +18,7 @@
 /// Ticks between two reports of running requests' use.
 constexpr std::uint64_t progressTicks = 4;
 /// Ticks between two rounds in which waiting tickets are sent again.
-constexpr std::uint64_t resubmitTicks = 20;
+constexpr std::uint64_t resubmitTicks = 100;
 /// Ticks between two digests.
 constexpr std::uint64_t digestTicks = 10;
 
@@ -36,6 +37,8 @@
     , m_network(network)
     , m_tickets(tickets)
     , m_counters(counters)
+    , m_digests(network, {}, [this](const pool_digest &digest) { absorbDigest(digest); })
+    , m_totals(network, m_ledger, {})
 {
 }
 
@@ -67,6 +70,11 @@
         weights[account.id] = account.weight;
     }
     m_ledger.setWeights(weights);
+    auto services = std::vector<object_id>();
+    for (const auto &[name, entry] : m_view->contracts().services) {
+        services.push_back(entry.id);
+    }
+    m_totals.setServices(std::move(services));
     refreshDuties();
     for (const auto &[pool, holder] : m_held) {
         refreshServers(pool, *holder);
@@ -75,16 +83,21 @@
 
 auto dispatch_service::onMember(const member_event &event) -> void
 {
+    m_digests.onMember(event.who.incarnation);
     if (!event.joined) {
         m_ledger.retire(event.who.incarnation);
         m_outbox.erase(event.who.incarnation);
-        m_totalsSent.erase(event.who.incarnation);
+        m_totals.onLost(event.who.incarnation);
         for (const auto &[pool, holder] : m_held) {
             holder->forgetRouter(event.who.incarnation, now());
             schedulePass(pool);
         }
     }
     refreshDuties();
+    if (!event.joined) {
+        // What was pulled by a dispatcher that is gone waits nowhere else.
+        m_tickets.resubmit();
+    }
 }
 
 auto dispatch_service::selfIncarnation() const -> incarnation_id
@@ -387,135 +400,83 @@
 
 auto dispatch_service::receive(incarnation_id from, const wire::Envelope &message) -> void
 {
-    const auto peer = std::to_string(from);
-    receiveTickets(message, peer, now());
-    receiveOutcomes(message, peer);
-    receiveUse(message, peer, now());
-    receiveNews(message, peer, now());
+    m_totals.receive(from, message);
+    m_digests.receive(from, message, now());
+    readDispatchMessages(message, now(), std::to_string(from), *this);
 }
 
-auto dispatch_service::reject(const last_reason &why) -> void
+auto dispatch_service::take(const running_request &running) -> void
 {
-    m_counters.at("marjoramloom_peer_items_rejected_total").add();
-    log_line(log_level::warning, "peer_item_rejected").with("reason", why.text());
+    if (auto *local = localDispatcher(running.granted.pool)) {
+        local->adopt(running.granted, running.length, now());
+        local->progress(running.granted.ticket, running.cost, now());
+    }
 }
 
-auto dispatch_service::receiveTickets(const wire::Envelope &message, const std::string &peer, time_point now) -> void
+auto dispatch_service::take(const addressed_ticket &addressed) -> void
 {
-    auto why = last_reason();
-    for (const auto &item : message.running()) {
-        const auto running = decodeRunning(item, peer, why);
-        auto *local = running ? localDispatcher(running->granted.pool) : nullptr;
-        if (local) {
-            local->adopt(running->granted, running->length, now);
-            local->progress(running->granted.ticket, running->cost, now);
-        } else if (!running) {
-            reject(why);
-        }
-    }
-    for (const auto &item : message.tickets()) {
-        const auto addressed = decodeTicket(item, now, peer, why);
-        auto *local = addressed ? localDispatcher(addressed->pool) : nullptr;
-        if (local) {
-            local->submit(addressed->waiting, now);
-            schedulePass(addressed->pool);
-        } else if (!addressed) {
-            reject(why);
-        }
-    }
-    for (const auto &item : message.withdrawals()) {
-        const auto id = decodeTicketId(item, peer, why);
-        for (const auto &[pool, local] : m_held) {
-            if (id) {
-                local->withdraw(*id, now);
-            }
-        }
+    if (auto *local = localDispatcher(addressed.pool)) {
+        local->submit(addressed.waiting, now());
+        schedulePass(addressed.pool);
     }
 }
 
-auto dispatch_service::receiveOutcomes(const wire::Envelope &message, const std::string &peer) -> void
+auto dispatch_service::takeWithdrawal(ticket_id id) -> void
 {
-    auto why = last_reason();
-    for (const auto &item : message.grants()) {
-        if (const auto given = decodeGrant(item, peer, why)) {
-            m_tickets.handleGrant(*given);
-        } else {
-            reject(why);
-        }
-    }
-    for (const auto &item : message.refusals()) {
-        if (const auto refused = decodeRefusal(item, peer, why)) {
-            m_tickets.handleRefusal(*refused);
-        } else {
-            reject(why);
-        }
-    }
-    for (const auto &item : message.suspensions()) {
-        if (const auto asked = decodeSuspension(item, peer, why)) {
-            m_tickets.handleSuspension(*asked);
-        } else {
-            reject(why);
-        }
+    for (const auto &[pool, local] : m_held) {
+        local->withdraw(id, now());
     }
 }
 
-auto dispatch_service::receiveUse(const wire::Envelope &message, const std::string &peer, time_point now) -> void
+auto dispatch_service::take(const grant &given) -> void
 {
-    auto why = last_reason();
-    for (const auto &item : message.progress()) {
-        const auto use = decodeProgress(item, peer, why);
-        auto *local = use ? localDispatcher(use->pool) : nullptr;
-        if (local) {
-            local->progress(use->ticket, use->cost, now);
-        } else if (!use) {
-            reject(why);
-        }
-    }
-    for (const auto &item : message.settlements()) {
-        const auto use = decodeSettlement(item, peer, why);
-        auto *local = use ? localDispatcher(use->pool) : nullptr;
-        if (local) {
-            local->settle(use->ticket, use->cost, now);
-            schedulePass(use->pool);
-        } else if (!use) {
-            reject(why);
-        }
-    }
+    m_tickets.handleGrant(given);
 }
 
-auto dispatch_service::receiveNews(const wire::Envelope &message, const std::string &peer, time_point now) -> void
+auto dispatch_service::take(const refusal &refused) -> void
 {
-    auto why = last_reason();
-    auto totals = std::vector<service_total>();
-    for (const auto &item : message.totals()) {
-        if (const auto total = decodeTotal(item, peer, why)) {
-            totals.push_back(*total);
-        }
-    }
-    m_ledger.merge(totals);
-    for (const auto &item : message.digests()) {
-        const auto digest = decodeDigest(item, peer, why);
-        for (const auto &[pool, local] : m_held) {
-            if (digest && digest->pool.service == pool.service) {
-                local->absorbDigest(*digest, now);
-                schedulePass(pool);
-            }
-        }
+    m_tickets.handleRefusal(refused);
+}
+
+auto dispatch_service::take(const suspension &asked) -> void
+{
+    m_tickets.handleSuspension(asked);
+}
+
+auto dispatch_service::takeProgress(const request_use &use) -> void
+{
+    if (auto *local = localDispatcher(use.pool)) {
+        local->progress(use.ticket, use.cost, now());
     }
-    for (const auto &item : message.pulls()) {
-        if (const auto pull = decodePull(item, peer, why)) {
-            answerPull(*pull);
-        }
+}
+
+auto dispatch_service::takeSettlement(const request_use &use) -> void
+{
+    if (auto *local = localDispatcher(use.pool)) {
+        local->settle(use.ticket, use.cost, now());
+        schedulePass(use.pool);
     }
-    for (const auto &item : message.samples()) {
-        const auto sample = decodeSample(item, peer, why);
-        const auto pool = sample ? poolOfServer(sample->server) : std::nullopt;
-        if (auto *local = pool ? localDispatcher(*pool) : nullptr) {
-            local->placement().observe(*sample, now);
-        }
+}
+
+auto dispatch_service::take(const pull_request &pull) -> void
+{
+    answerPull(pull);
+}
+
+auto dispatch_service::take(const pace_sample &sample) -> void
+{
+    const auto pool = poolOfServer(sample.server);
+    if (auto *local = pool ? localDispatcher(*pool) : nullptr) {
+        local->placement().observe(sample, now());
     }
 }
 
+auto dispatch_service::reject(const last_reason &why) -> void
+{
+    m_counters.at("marjoramloom_peer_items_rejected_total").add();
+    log_line(log_level::warning, "peer_item_rejected").with("reason", why.text());
+}
+
 auto dispatch_service::poolOfServer(object_id server) const -> std::optional<pool_id>
 {
     const auto *contract = m_view ? m_view->findServer(server) : nullptr;
@@ -563,37 +524,18 @@
     });
 }
 
-auto dispatch_service::sendDigests(time_point now) -> void
+auto dispatch_service::absorbDigest(const pool_digest &digest) -> void
 {
-    for (const auto &[pool, local] : m_held) {
-        const auto digest = local->makeDigest(now);
-        auto dataCentres = std::set<std::string>();
-        for (const auto &other : m_network.members()) {
-            dataCentres.insert(other.dataCentre);
-        }
-        dataCentres.erase(m_dataCentre);
-        for (const auto &dataCentre : dataCentres) {
-            const auto holder = holderOf({ dataCentre, pool.service });
-            if (holder != 0) {
-                encode(digest, *envelopeFor(holder).add_digests());
-            }
-        }
+    if (auto *local = localDispatcher({ m_dataCentre, digest.pool.service })) {
+        local->absorbDigest(digest, now());
+        schedulePass(local->pool());
     }
 }
 
-auto dispatch_service::sendTotals() -> void
+auto dispatch_service::publishDigests(time_point now) -> void
 {
-    for (const auto &other : m_network.members()) {
-        if (other.incarnation == selfIncarnation()) {
-            continue;
-        }
-        auto next = std::uint64_t(0);
-        auto &since = m_totalsSent[other.incarnation];
-        const auto totals = m_ledger.totalsSince(since, next);
-        since = next;
-        for (const auto &total : totals) {
-            encode(total, *envelopeFor(other.incarnation).add_totals());
-        }
+    for (const auto &[pool, local] : m_held) {
+        m_digests.publish(local->makeDigest(now), now);
     }
 }
 
@@ -610,9 +552,10 @@
         m_tickets.resubmit();
     }
     if (m_ticks % digestTicks == 0) {
-        sendDigests(now);
-        sendTotals();
+        publishDigests(now);
     }
+    m_digests.tick(now);
+    m_totals.tick(now);
     runPass();
 }
 
--- a/src/share/dispatcher_state.cpp
+++ b/src/share/dispatcher_state.cpp
@@ -13,6 +13,11 @@
 /// Tickets of one account that are tried in a pass where servers they exclude are the only free ones.
 constexpr auto excludedLookahead = 4;
 
+/// Long tickets of one account among which one is looked for whose prefix the free server probably holds; the oldest
+/// is not passed over for longer than the patience.
+constexpr auto affinityLookahead = 8;
+constexpr auto affinityPatience = duration(std::chrono::seconds(60));
+
 /// A ticket that excludes every server is refused after this long, as the servers may be about to change.
 constexpr auto noServerGrace = duration(std::chrono::seconds(2));
 
@@ -20,28 +25,14 @@
 constexpr auto starvationShare = 1.0 / 8;
 constexpr auto mostStarvationCredit = 2.0;
 
-/// Such an account waits for this many times the time in which its fair share is one request, so that grants out of
-/// order come to less than its share and never widen a gap.
-constexpr auto starvationFactor = 3.0;
-
 /// Short work counts as arriving for this long after its last ticket.
 constexpr auto shortArrivalMemory = duration(std::chrono::seconds(10));
-constexpr auto reserveFraction = 50U; ///< One slot in this many is kept from long work.
+constexpr auto reserveSeconds = 0.05; ///< Arrivals of short work in this time find a slot without a suspension.
+constexpr auto leastUnreserved = 12U; ///< At most one slot in this many is kept from long work.
 
 /// A wait that the next ends of requests will serve within this time needs no suspension.
-constexpr auto toleratedWaitSeconds = 0.1;
-
-/// Totals of the other side of a partition arrive within this time after its first digest.
-constexpr auto rejoinDelay = duration(std::chrono::seconds(1));
+constexpr auto toleratedWaitSeconds = 0.25;
 
-/// An account that idled and comes back keeps debt up to this factor of the fairness bound: less would let it run large
-/// requests, pause, and be forgiven.
-constexpr auto debtFactor = 2.0;
-
-/// Thresholds of the pull rule that an account keeps. Of its claim when it comes back after idling: one that is behind
-/// has all its requests running now and then, and would lose what it is owed each time. Of its debt after a partition:
-/// the others could not have used what it got then, and no account can bring a partition about.
-constexpr auto keptThresholds = 10.0;
 constexpr auto chargeWeight = 0.05; ///< Of a new grant in the mean charge.
 constexpr auto pullAheadFraction = 32U; ///< An idle pool asks ahead for one ticket per this many slots.
 constexpr auto fewestPulls = 4U; ///< Tickets that may be asked for at once by the smallest pool.
@@ -62,27 +53,6 @@
     return ledger.virtualService(account, pool.service);
 }
 
-auto dispatcher::state::floor(time_point now) const -> std::optional<double>
-{
-    auto lowest = pulls.lowestRemote(now);
-    for (const auto &[account, queue] : waiting.accounts()) {
-        if (backlog.contains(account)) {
-            lowest = std::min(lowest.value_or(service(account)), service(account));
-        }
-    }
-    return lowest ? lowest : lastGrantService;
-}
-
-auto dispatcher::state::debtLimit(time_point now) const -> double
-{
-    if (settings.debtLimit > 0) {
-        return settings.debtLimit;
-    }
-    const auto slots = placement.totalSlots(now) * double(1 + pulls.pools(now));
-    const auto largest = std::max(costs.largestCost(), typicalCharge());
-    return debtFactor * (settings.pullThreshold + slots * largest);
-}
-
 auto dispatcher::state::limitOf(object_id account) const -> std::uint32_t
 {
     const auto own = queueLimits.find(account);
@@ -94,7 +64,13 @@
     if (!lastShortArrival || now - *lastShortArrival > shortArrivalMemory) {
         return 0;
     }
-    return settings.shortReserve > 0 ? settings.shortReserve : placement.totalSlots(now) / reserveFraction;
+    if (settings.shortReserve > 0) {
+        return settings.shortReserve;
+    }
+    const auto slots = placement.totalSlots(now);
+
+    const auto arriving = std::ceil(shortArrivals.perSecond(now) * reserveSeconds);
+    return std::min(std::uint32_t(arriving), slots / leastUnreserved);
 }
 
 auto dispatcher::state::queueSeconds(time_point now) const -> double
@@ -117,25 +93,6 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::min(seconds, 3600.0)));
 }
 
-auto dispatcher::state::starvationLimit(object_id account, time_point now) const -> duration
-{
-    auto weights = std::map<object_id, double>();
-    for (const auto &[other, queue] : waiting.accounts()) {
-        weights[other] = ledger.weight(other);
-    }
-    for (const auto other : pulls.waitingAccounts(now)) {
-        weights[other] = ledger.weight(other);
-    }
-    auto sum = 0.0;
-    for (const auto &[other, weight] : weights) {
-        sum += weight;
-    }
-    const auto fleetRate = std::max(1.0, running.useRate(now) * double(1 + pulls.pools(now)));
-    const auto fairSeconds = typicalCharge() * sum / (ledger.weight(account) * fleetRate);
-    const auto scaled = std::chrono::duration<double>(starvationFactor * fairSeconds);
-    return std::max(settings.starvationLimit, std::chrono::duration_cast<duration>(scaled));
-}
-
 auto dispatcher::state::typicalCharge() const -> double
 {
     return std::max(1.0, meanCharge);
@@ -167,41 +124,6 @@
     }
 }
 
-auto dispatcher::state::enterBacklogs(time_point now) -> void
-{
-    started = started.value_or(now);
-    if (now - *started < settings.warmUp || waiting.size() <= placement.freeSlots(now)) {
-        return;
-    }
-    const auto lowest = floor(now);
-    const auto limit = debtLimit(now);
-    for (const auto &[account, queue] : waiting.accounts()) {
-        if (backlog.contains(account)) {
-            continue;
-        }
-        if (lowest && !pulls.waitsElsewhere(account, now)) {
-            ledger.lift(account, pool.service, *lowest - keptThresholds * settings.pullThreshold);
-            ledger.relieve(account, pool.service, *lowest + limit);
-        }
-        backlog.enter(account);
-    }
-}
-
-auto dispatcher::state::forgiveAfterPartition(time_point now) -> void
-{
-    if (!rejoined || now - *rejoined < rejoinDelay) {
-        return;
-    }
-    rejoined.reset();
-    const auto lowest = floor(now);
-    const auto limit = settings.debtLimit > 0 ? settings.debtLimit : keptThresholds * settings.pullThreshold;
-    for (const auto &[account, queue] : waiting.accounts()) {
-        if (lowest) {
-            ledger.relieve(account, pool.service, *lowest + limit);
-        }
-    }
-}
-
 auto dispatcher::state::placeInOrder(object_id account) -> void
 {
     const auto queue = waiting.accounts().find(account);
@@ -236,36 +158,17 @@
     }
 }
 
-auto dispatcher::state::grantStarving(time_point now) -> void
-{
-    while (starvationCredit >= 1) {
-        auto oldest = std::optional<std::pair<time_point, grant_order::turn>>();
-        for (const auto &[account, queue] : waiting.accounts()) {
-            if (running.count(account) > 0) {
-                continue;
-            }
-            for (const auto length : { work_length::shortWork, work_length::longWork }) {
-                const auto &tickets = queue.of(length);
-                if (!tickets.empty() && (!oldest || tickets.begin()->first.first < oldest->first)) {
-                    oldest = { tickets.begin()->first.first, { account, length } };
-                }
-            }
-        }
-        if (!oldest || now - oldest->first < settings.starvationLimit) {
-            return;
-        }
-        const auto account = oldest->second.account;
-        if (now - oldest->first < starvationLimit(account, now) || !grantTurn(oldest->second, now)) {
-            return;
-        }
-        placeInOrder(account);
-        starvationCredit -= 1;
-    }
-}
-
 auto dispatcher::state::grantTurn(const grant_order::turn &turn, time_point now) -> bool
 {
     const auto &queue = waiting.accounts().at(turn.account);
+    if (turn.length == work_length::longWork) {
+        const auto &candidate = withAffinity(queue.of(turn.length), now);
+        if (const auto choice = placement.choose(candidate, now)) {
+            const auto chosen = takeWaiting(candidate.id, now);
+            start(*chosen, *choice, now);
+            return true;
+        }
+    }
     auto tries = excludedLookahead;
     for (const auto &[key, candidate] : queue.of(turn.length)) {
         if (const auto choice = placement.choose(candidate, now, queueSeconds(now))) {
@@ -290,6 +193,22 @@
     return false;
 }
 
+auto dispatcher::state::withAffinity(const account_queue::ticket_map &tickets, time_point now) -> const ticket &
+{
+    const auto &oldest = tickets.begin()->second;
+    auto tries = affinityLookahead;
+    for (const auto &[key, candidate] : tickets) {
+        if (tries-- == 0 || now - oldest.submitted > affinityPatience) {
+            break;
+        }
+        const auto choice = placement.choose(candidate, now);
+        if (choice && choice->preferred) {
+            return candidate;
+        }
+    }
+    return oldest;
+}
+
 auto dispatcher::state::start(const ticket &chosen, const placement_choice &choice, time_point now) -> void
 {
     auto piece = running_piece();
@@ -346,11 +265,17 @@
     wanted.shortService = due->virtualService;
     wanted.allowance = settings.shortAdvance;
     const auto chosen = suspensions.choose(
-        running, wanted, [this](object_id account) { return service(account); },
-        [&](object_id server) { return placement.mayServeShort(server, now); }, now);
+        running, wanted, [this](object_id account) { return service(account); }, usableForShort(now), now);
     decided.suspensions.insert(decided.suspensions.end(), chosen.begin(), chosen.end());
 }
 
+auto dispatcher::state::usableForShort(time_point now) -> std::function<bool(object_id)>
+{
+    return [this, now](object_id server) {
+        return placement.mayServeShort(server, now);
+    };
+}
+
 auto dispatcher::state::pull(time_point now) -> void
 {
     const auto slots = placement.totalSlots(now);
@@ -367,9 +292,16 @@
     const auto asked = idle ? pulls.chooseIdle(room - queued, slots, now)
                             : pulls.chooseBehind(*lowest, std::max(fewestPulls, slots / 2), typicalCharge(), now);
     decided.pulls.insert(decided.pulls.end(), asked.begin(), asked.end());
+    if (!idle && settings.suspendLongWork && waiting.count(work_length::shortWork) == 0) {
+        const auto lent = std::uint32_t(suspensions.candidates(running, usableForShort(now), now));
+        const auto wanted = std::min(lent, std::max(fewestPulls, slots / 4));
+        const auto shortAsked = pulls.chooseShort(wanted, slots, now);
+        decided.pulls.insert(decided.pulls.end(), shortAsked.begin(), shortAsked.end());
+    }
 }
 
-auto dispatcher::state::release(object_id account, std::uint32_t tickets, time_point now) -> std::vector<ticket>
+auto dispatcher::state::release(object_id account, std::uint32_t tickets, bool shortOnly, time_point now)
+    -> std::vector<ticket>
 {
     auto given = std::vector<ticket>();
     const auto queue = waiting.accounts().find(account);
@@ -380,6 +312,9 @@
     const auto closed = placement.totalSlots(now) == 0;
     auto ids = std::vector<ticket_id>();
     for (const auto length : { work_length::shortWork, work_length::longWork }) {
+        if (shortOnly && length == work_length::longWork) {
+            break;
+        }
         for (const auto &[key, candidate] : queue->second.of(length)) {
             if (ids.size() == tickets) {
                 break;
@@ -396,7 +331,7 @@
     return given;
 }
 
-auto dispatcher::state::releaseDue(std::uint32_t tickets, time_point now) -> std::vector<ticket>
+auto dispatcher::state::releaseDue(std::uint32_t tickets, bool shortOnly, time_point now) -> std::vector<ticket>
 {
     auto due = std::set<std::pair<double, object_id>>();
     for (const auto &[account, queue] : waiting.accounts()) {
@@ -408,7 +343,7 @@
         if (wanted == 0) {
             break;
         }
-        auto part = release(account, wanted, now);
+        auto part = release(account, wanted, shortOnly, now);
         given.insert(given.end(), part.begin(), part.end());
     }
     return given;
