--- a/include/marjoramloom/peer/digest_exchange.inl
+++ b/include/marjoramloom/peer/digest_exchange.inl
@@ -34,14 +34,13 @@
 auto digest_exchange<Network>::gatewaysOfOwn(const std::vector<member> &live) const -> std::set<incarnation_id>
 {
     const auto &own = m_network.self().dataCentre;
-    auto others = std::set<std::string>();
-    for (const auto &who : live) {
-        others.insert(who.dataCentre);
-    }
-    others.erase(own);
+    auto groups = groupByDataCentre(live);
+    const auto members = groups[own];
     auto gateways = std::set<incarnation_id>();
-    for (const auto &other : others) {
-        gateways.insert(dutyHolder(live, gatewayDuty(own, other)));
+    for (const auto &[other, others] : groups) {
+        if (other != own) {
+            gateways.insert(dutyHolder(members, gatewayDuty(own, other)));
+        }
     }
     return gateways;
 }
--- a/include/marjoramloom/peer/duty.h
+++ b/include/marjoramloom/peer/duty.h
@@ -3,6 +3,7 @@
 #include "marjoramloom/core/enum_names.h"
 #include "marjoramloom/peer/member.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,9 @@
 /// still finishes; for dispatchers those that are not ready come after the ready ones. Thread safe.
 auto dutyOrder(const std::vector<member> &members, const duty_key &key) -> std::vector<member>;
 
+/// Members by data centre: duties are looked up faster in a group than among all. Thread safe.
+auto groupByDataCentre(const std::vector<member> &members) -> std::map<std::string, std::vector<member>>;
+
 /// The first of dutyOrder(), or 0. Thread safe.
 auto dutyHolder(const std::vector<member> &members, const duty_key &key) -> incarnation_id;
 
--- a/include/marjoramloom/peer/totals_exchange.inl
+++ b/include/marjoramloom/peer/totals_exchange.inl
@@ -138,11 +138,12 @@
 {
     const auto &self = m_network.self();
     auto targets = std::set<incarnation_id>();
+    const auto own = groupByDataCentre(live)[self.dataCentre];
     for (const auto service : m_services) {
-        targets.insert(dutyHolder(live, dispatcherDuty({ self.dataCentre, service })));
+        targets.insert(dutyHolder(own, dispatcherDuty({ self.dataCentre, service })));
     }
     for (const auto &other : m_dataCentres) {
-        targets.insert(dutyHolder(live, gatewayDuty(self.dataCentre, other)));
+        targets.insert(dutyHolder(own, gatewayDuty(self.dataCentre, other)));
     }
     targets.erase(self.incarnation);
     targets.erase(0);
@@ -203,10 +204,11 @@
 auto totals_exchange<Network>::refreshStreams(const std::vector<member> &live, const std::vector<member> &mine) -> void
 {
     const auto &self = m_network.self();
+    const auto own = groupByDataCentre(live)[self.dataCentre];
     for (const auto &other : m_dataCentres) {
         const auto fresh = outgoing_stream{ growth_sum(streamNumber(other)) };
         auto &outgoing = m_outgoing.try_emplace(other, fresh).first->second;
-        outgoing.active = dutyHolder(live, gatewayDuty(self.dataCentre, other)) == self.incarnation;
+        outgoing.active = dutyHolder(own, gatewayDuty(self.dataCentre, other)) == self.incarnation;
     }
     for (const auto &to : mine) {
         auto &outgoing = m_outgoing.at(to.dataCentre);
--- a/src/peer/duty.cpp
+++ b/src/peer/duty.cpp
@@ -61,6 +61,15 @@
     return order;
 }
 
+auto groupByDataCentre(const std::vector<member> &members) -> std::map<std::string, std::vector<member>>
+{
+    auto groups = std::map<std::string, std::vector<member>>();
+    for (const auto &who : members) {
+        groups[who.dataCentre].push_back(who);
+    }
+    return groups;
+}
+
 auto dutyHolder(const std::vector<member> &members, const duty_key &key) -> incarnation_id
 {
     const auto candidates = candidatesFor(members, key);
--- a/src/peer/relay_plan.cpp
+++ b/src/peer/relay_plan.cpp
@@ -3,27 +3,22 @@
 #include "marjoramloom/peer/duty.h"
 
 #include <algorithm>
-#include <set>
 
 namespace marjoramloom {
 
 auto counterparts(const std::vector<member> &live, const member &self) -> std::vector<member>
 {
-    auto others = std::set<std::string>();
-    for (const auto &who : live) {
-        others.insert(who.dataCentre);
-    }
-    others.erase(self.dataCentre);
+    const auto groups = groupByDataCentre(live);
+    const auto own = groups.find(self.dataCentre);
     auto found = std::vector<member>();
-    for (const auto &other : others) {
-        if (dutyHolder(live, gatewayDuty(self.dataCentre, other)) != self.incarnation) {
+    for (const auto &[other, members] : groups) {
+        const auto isOwn = other == self.dataCentre || own == groups.end();
+        if (isOwn || dutyHolder(own->second, gatewayDuty(self.dataCentre, other)) != self.incarnation) {
             continue;
         }
-        auto order = dutyOrder(live, gatewayDuty(other, self.dataCentre));
+        auto order = dutyOrder(members, gatewayDuty(other, self.dataCentre));
         const auto heard = std::find_if(order.begin(), order.end(), [](const member &who) { return who.direct; });
-        if (!order.empty()) {
-            found.push_back(heard == order.end() ? std::move(order.front()) : std::move(*heard));
-        }
+        found.push_back(heard == order.end() ? std::move(order.front()) : std::move(*heard));
     }
     return found;
 }
--- a/src/peer/topology.cpp
+++ b/src/peer/topology.cpp
@@ -43,11 +43,11 @@
     }
 }
 
-auto addCounterpart(const topology_input &input, const std::vector<member> &live, const std::string &other,
+auto addCounterpart(const topology_input &input, const std::vector<member> &members, const std::string &other,
                     std::set<std::string> &wanted) -> void
 {
     const auto &self = input.routers.self();
-    const auto order = dutyOrder(live, gatewayDuty(other, self.dataCentre));
+    const auto order = dutyOrder(members, gatewayDuty(other, self.dataCentre));
     auto tries = std::size_t(0);
     for (const auto &who : order) {
         wanted.insert(who.peerAddress);
@@ -71,9 +71,10 @@
 auto addGateways(const topology_input &input, const std::vector<member> &live, std::set<std::string> &wanted) -> void
 {
     const auto &self = input.routers.self();
+    auto groups = groupByDataCentre(live);
     for (const auto &other : otherDataCentres(input, live)) {
-        if (dutyHolder(live, gatewayDuty(self.dataCentre, other)) == self.incarnation) {
-            addCounterpart(input, live, other, wanted);
+        if (dutyHolder(groups[self.dataCentre], gatewayDuty(self.dataCentre, other)) == self.incarnation) {
+            addCounterpart(input, groups[other], other, wanted);
         }
     }
 }
--- a/tests/unit/peer/fake_network.h
+++ b/tests/unit/peer/fake_network.h
@@ -144,7 +144,7 @@
     auto run(duration length) -> void
     {
         for (const auto end = now() + length; now() < end;) {
-            m_clock.advance(step);
+            m_clock.advance(period);
             deliver();
             for (auto &[instance, router] : m_routers) {
                 if (!router.paused) {
@@ -191,12 +191,13 @@
     }
 
     counter_registry counters;
+    duration period = step; ///< Between two looks at the clock.
     std::vector<listed_instance> listed; ///< For routers added from now on.
     double loss = 0;
     duration delay = std::chrono::milliseconds(1);
     duration jitter{}; ///< Added at random; messages of different connections overtake each other.
-    std::uint64_t bytes = 0; ///< Written in all.
-    std::uint64_t envelopes = 0;
+    std::map<std::string, std::uint64_t> bytes; ///< Written, by sender's address.
+    std::map<std::string, std::uint64_t> envelopes; ///< Likewise.
 
 private:
     friend class fake_transport;
@@ -214,8 +215,8 @@
 
     auto write(const std::string &from, const std::string &to, link_number link, std::string data) -> void
     {
-        bytes += data.size();
-        ++envelopes;
+        bytes[from] += data.size();
+        ++envelopes[from];
         auto chance = boost::random::uniform_real_distribution<double>(0, 1);
         const auto frozen = m_frozen.find({ from, to });
         const auto silent = frozen != m_frozen.end() && link <= frozen->second;
