--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -139,7 +139,7 @@
 auto exampleMember(int index) -> member
 {
     auto who = member();
-    who.incarnation = makeIncarnation() + static_cast<incarnation_id>(index);
+    who.incarnation = 0x1A0000000000000 + static_cast<incarnation_id>(index);
     who.instance = "router-" + std::to_string(100'000 + index);
     who.dataCentre = "region-1-dc-" + std::to_string(1 + index % 3);
     who.region = "region-1";
@@ -309,9 +309,8 @@
 {
     auto account = client_account();
     account.name = "account-" + std::to_string(index);
-    auto key = std::to_string(index);
-    key.resize(64, '0');
-    account.keyHashes = { key };
+    const auto key = std::to_string(index);
+    account.keyHashes = { std::string(64 - key.size(), '0') + key };
     return account;
 }
 
@@ -367,6 +366,9 @@
         add(exampleServer(index));
     }
     flush();
+    if (store->read()->backendServers.size() != 2'800) {
+        throw std::runtime_error("the example configuration was refused");
+    }
     return store;
 }
 
@@ -537,7 +539,7 @@
 /// Memory of one connected nng link with its listener's end, both in this process.
 auto nngLinkSlope() -> slope
 {
-    constexpr auto links = 64;
+    constexpr auto links = 256;
     auto context = boost::asio::io_context();
     auto transport = nng_transport(context.get_executor());
     auto why = last_reason();
