--- a/include/marjoramloom/peer/membership.h
+++ b/include/marjoramloom/peer/membership.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -14,7 +15,7 @@
 /// Periods of membership.
 struct membership_settings
 {
-    duration suspectAfter = std::chrono::milliseconds(1'100); ///< Silence after which others are asked.
+    duration suspectAfter = std::chrono::milliseconds(750); ///< Silence after which others are asked: 1.5 heartbeats.
     duration timeout = std::chrono::milliseconds(2'000); ///< Silence after which a member counts as gone.
     duration remoteTimeout =
         std::chrono::milliseconds(15'000); ///< The same for members known by their data centre's roster.
@@ -150,6 +151,7 @@
     std::map<incarnation_id, time_point> m_replaced;
     std::map<std::pair<std::string, incarnation_id>, roster_entry> m_rosters;
     std::vector<listed_instance> m_listed;
+    std::set<std::pair<std::string, std::string>> m_listedLeaving; ///< Instance and address.
     std::map<std::string, std::vector<std::string>> m_hints;
     std::vector<member_event> m_events;
 };
--- a/include/marjoramloom/peer/nng_transport.h
+++ b/include/marjoramloom/peer/nng_transport.h
@@ -49,7 +49,8 @@
     /// Precondition: the link is idle.
     auto write(link_number link, std::string bytes) -> void;
 
-    /// Connections to the listener that were turned away, as they did not speak the protocol. Thread safe.
+    /// Connections to the listener that were turned away, as they did not speak the protocol; a lower bound, as nng
+    /// forgets some that come at once.
     [[nodiscard]] auto rejectedConnections() const -> std::uint64_t;
 
 private:
--- a/include/marjoramloom/peer/peer_links.h
+++ b/include/marjoramloom/peer/peer_links.h
@@ -62,7 +62,8 @@
     /// The address that is listened on, with the port that was taken. Precondition: started.
     [[nodiscard]] auto listenAddress() const -> const std::string &;
 
-    /// Connections to the peer port that were turned away, as they did not speak the protocol. Thread safe.
+    /// Connections to the peer port that were turned away, as they did not speak the protocol; a lower bound, as nng
+    /// forgets some that come at once. Precondition: called on the strand.
     [[nodiscard]] auto rejectedConnections() const -> std::uint64_t;
 
     /// Addresses of the links that are held.
--- a/include/marjoramloom/peer/peer_mesh.inl
+++ b/include/marjoramloom/peer/peer_mesh.inl
@@ -12,16 +12,16 @@
                                 counter_registry &counters, time_point now)
     : m_limits(limits)
     , m_transport(transport)
-    , m_counters{ counters.at("peer_sent_bytes"),
-                  counters.at("peer_sent_envelopes"),
-                  counters.at("peer_received_bytes"),
-                  counters.at("peer_received_envelopes"),
-                  counters.at("peer_dropped_envelopes", "reason=\"malformed\""),
-                  counters.at("peer_dropped_envelopes", "reason=\"other_version\""),
-                  counters.at("peer_dropped_envelopes", "reason=\"misdirected\""),
-                  counters.at("peer_dropped_envelopes", "reason=\"out_of_order\""),
-                  counters.at("peer_redials"),
-                  counters.at("peer_refused_messages") }
+    , m_counters{ counters.at("marjoramloom_peer_sent_bytes_total"),
+                  counters.at("marjoramloom_peer_sent_envelopes_total"),
+                  counters.at("marjoramloom_peer_received_bytes_total"),
+                  counters.at("marjoramloom_peer_received_envelopes_total"),
+                  counters.at("marjoramloom_peer_dropped_envelopes_total", "reason=\"malformed\""),
+                  counters.at("marjoramloom_peer_dropped_envelopes_total", "reason=\"other_version\""),
+                  counters.at("marjoramloom_peer_dropped_envelopes_total", "reason=\"misdirected\""),
+                  counters.at("marjoramloom_peer_dropped_envelopes_total", "reason=\"out_of_order\""),
+                  counters.at("marjoramloom_peer_redials_total"),
+                  counters.at("marjoramloom_peer_refused_messages_total") }
     , m_membership(std::move(self), limits.membership)
     , m_nextBeat(now)
 {
--- a/include/marjoramloom/router/settings.h
+++ b/include/marjoramloom/router/settings.h
@@ -22,6 +22,7 @@
     std::string operatorsListen;
     std::string peersListen;
     std::string operatorKeyHash; ///< SHA-256 of the operators' bearer key, hexadecimal.
+    std::string peersAddress; ///< IP:port at which other routers reach peersListen, where it is another one.
     std::vector<std::string> peers; ///< Peers to dial before the instance list is known, IP:port.
 
     std::vector<std::string> platform; ///< Addresses of the object API, IP:port.
--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -199,6 +199,12 @@
 auto membership::setListed(std::vector<listed_instance> listed) -> void
 {
     m_listed = std::move(listed);
+    m_listedLeaving.clear();
+    for (const auto &row : m_listed) {
+        if (row.state == instance_state::leaving) {
+            m_listedLeaving.insert({ row.name, row.address });
+        }
+    }
 }
 
 auto membership::listed() const -> const std::vector<listed_instance> &
@@ -229,9 +235,7 @@
 
 auto membership::listedAsLeaving(const member &who) const -> bool
 {
-    return std::any_of(m_listed.begin(), m_listed.end(), [&](const listed_instance &row) {
-        return row.name == who.instance && row.address == who.peerAddress && row.state == instance_state::leaving;
-    });
+    return m_listedLeaving.contains({ who.instance, who.peerAddress });
 }
 
 auto membership::self() -> member &
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -51,6 +51,7 @@
     self.instance = config.instance;
     self.dataCentre = config.dataCentre;
     self.region = config.region;
+    self.peerAddress = config.peersAddress;
     return self;
 }
 
@@ -59,6 +60,7 @@
     auto limits = peer_mesh_settings();
     limits.heartbeat = config.heartbeat;
     limits.membership.timeout = config.peerTimeout;
+    limits.membership.suspectAfter = config.heartbeat * 3 / 2; // So that an answer comes within four heartbeats.
     return limits;
 }
 
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -120,6 +120,9 @@
     auto readPeers() -> void
     {
         auto reader = table("peers");
+        if (reader.text("address", m_settings.peersAddress)) {
+            readEndpoint(reader, "address", m_settings.peersAddress);
+        }
         readEndpoints(reader, "seeds", m_settings.peers);
         reader.time("heartbeat_ms", m_settings.heartbeat, 50, 10'000);
         reader.time("timeout_ms", m_settings.peerTimeout, 200, 60'000);
