share: the reserve for short work does not stop long work that fairness puts first

The reserve now holds only while no short work waits. Ruled out: the allowance for short work (the gap passed it twentyfold).

--- a/src/share/grant_order.cpp
+++ b/src/share/grant_order.cpp
@@ -30,9 +30,11 @@
     if (!m_short.empty()) {
         const auto &shortest = *m_short.begin();
         const auto ahead = m_long.empty() ? 0 : shortest.virtualService - m_long.begin()->virtualService;
-        if (!longAllowed || ahead <= allowance) {
+        if (ahead <= allowance) {
             return turn{ shortest.account, work_length::shortWork };
         }
+        // Where short work waits there is no reserve to keep: fairness decides.
+        return turn{ m_long.begin()->account, work_length::longWork };
     }
     if (!m_long.empty() && longAllowed) {
         return turn{ m_long.begin()->account, work_length::longWork };
