--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -3,6 +3,7 @@
 #include "marjoramloom/call/connection_pool.h"
 #include "marjoramloom/call/hedge_policy.h"
 #include "marjoramloom/call/retry_budget.h"
+#include "marjoramloom/call/start_gate.h"
 #include "marjoramloom/contract/configuration_compactor.h"
 #include "marjoramloom/contract/configuration_store.h"
 #include "marjoramloom/contract/configuration_watcher.h"
@@ -52,6 +53,7 @@
     self.instance = config.instance;
     self.dataCentre = config.dataCentre;
     self.region = config.region;
+    self.peerAddress = config.peersAddress;
     return self;
 }
 
@@ -60,6 +62,7 @@
     auto limits = peer_mesh_settings();
     limits.heartbeat = config.heartbeat;
     limits.membership.timeout = config.peerTimeout;
+    limits.membership.suspectAfter = config.heartbeat * 3 / 2; // So that an answer comes within four heartbeats.
     return limits;
 }
 
@@ -117,6 +120,7 @@
     configuration_relay<peer_links> relay;
     ticket_queue tickets;
     dispatch_service dispatch;
+    start_gate gate;
     server_watch servers;
 
     connection_pool connections;
@@ -148,7 +152,7 @@
     , relay(links, store)
     , tickets(strand, self.incarnation, counters)
     , dispatch(strand, config.dataCentre, dispatcherSettings(config), links, tickets, counters)
-    , servers(strand, platform, dispatch, tickets, links)
+    , servers(strand, platform, dispatch, tickets, links, gate)
     , retries(config.retryBudget, self.incarnation)
     , hedges(config.hedgeBudget)
     , requests{ config, view, tickets, calls, counters, ready }
@@ -165,6 +169,7 @@
     calls.connections = &connections;
     calls.retries = &retries;
     calls.hedges = &hedges;
+    calls.gate = &gate;
     calls.addressOf = [this](object_id server) -> std::optional<std::string> {
         const auto current = view.read();
         const auto *contract = current->findServer(server);
@@ -317,6 +322,10 @@
         all.strand, [&all] { return all.servers.pollInstances(); }, asio::detached);
     asio::co_spawn(
         all.context, [&all] { return all.watcher.run(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.compactor.run(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.orders.run(); }, asio::detached);
     auto threads = std::vector<std::thread>();
     for (auto index = std::uint32_t(1); index < all.config.threads; ++index) {
         threads.emplace_back([&all] { all.context.run(); });
--- a/src/share/grant_order.cpp
+++ b/src/share/grant_order.cpp
@@ -33,6 +33,7 @@
         if (ahead <= allowance) {
             return turn{ shortest.account, work_length::shortWork };
         }
+        // Where short work waits there is no reserve to keep: fairness decides.
         return turn{ m_long.begin()->account, work_length::longWork };
     }
     if (!m_long.empty() && longAllowed) {
