--- a/tests/process/share/weighted_share_test.cpp
+++ b/tests/process/share/weighted_share_test.cpp
@@ -52,6 +52,12 @@
         return m_unclear;
     }
 
+    /// What these were. Call after stop().
+    [[nodiscard]] auto unclearText() const -> const std::string &
+    {
+        return m_unclearText;
+    }
+
 private:
     auto run(const std::string &account, std::size_t router) -> void
     {
@@ -63,6 +69,9 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(50));
             }
             const auto guard = std::lock_guard(m_mutex);
+            if (answer.status != 200U && !answer.headers.contains("x-not-run")) {
+                m_unclearText += std::to_string(answer.status) + " " + answer.error + " " + answer.body + "; ";
+            }
             ++m_answers[{ account, answer.status }];
         }
     }
@@ -72,6 +81,7 @@
     std::atomic<bool> m_stopped = false;
     std::atomic<int> m_unclear = 0;
     std::mutex m_mutex;
+    std::string m_unclearText;
     std::map<std::pair<std::string, unsigned>, int> m_answers;
 };
 
@@ -165,7 +175,7 @@
                                                  << ", alpha refused " << callers.answers("alpha", 429));
     BOOST_TEST(callers.answers("alpha", 429) > 0);
     BOOST_TEST(callers.answers("beta", 429) == 0);
-    BOOST_TEST(callers.unclearRefusals() == 0);
+    BOOST_TEST(callers.unclearRefusals() == 0, callers.unclearText());
     BOOST_TEST(executed.at("beta") >= 0.4 * (executed.at("alpha") + executed.at("beta")));
     const auto served = callers.answers("alpha", 200) + callers.answers("beta", 200);
     BOOST_TEST(executed.at("alpha") + executed.at("beta") == served * tokensPerRequest);
