--- a/include/marjoramloom/contract/object_id.h
+++ b/include/marjoramloom/contract/object_id.h
@@ -13,7 +13,12 @@
 {
     std::uint64_t value = 0;
 
-    auto operator<=>(const object_id &) const = default;
+    auto operator==(const object_id &other) const -> bool = default;
+
+    auto operator<=>(const object_id &other) const -> std::strong_ordering
+    {
+        return value <=> other.value;
+    }
 };
 
 } // namespace marjoramloom
