--- a/include/marjoramloom/peer/totals_exchange.h
+++ b/include/marjoramloom/peer/totals_exchange.h
@@ -72,6 +72,7 @@
 
     using total_key = std::pair<incarnation_id, object_id>;
 
+    auto placeOf(incarnation_id who) -> std::string;
     auto isNewcomer(incarnation_id from) -> bool;
     [[nodiscard]] auto streamNumber(const std::string &dataCentre) const -> incarnation_id;
     auto countForOthers(const service_total &total, bool rebase) -> void;
@@ -98,6 +99,7 @@
     std::uint64_t m_selfCounted = 0; ///< Ledger serial up to which this router's own totals were counted for others.
     std::map<std::string, outgoing_stream> m_outgoing;
     std::set<incarnation_id> m_remoteStreams; ///< Heard from counterparts, to be told to the own data centre.
+    std::map<incarnation_id, std::string> m_places; ///< Data centres of the live members, as of the last look.
     std::set<std::string> m_dataCentres; ///< The other ones that were ever seen, also while they are cut off.
     time_point m_nextLocal;
 };
--- a/include/marjoramloom/peer/totals_exchange.inl
+++ b/include/marjoramloom/peer/totals_exchange.inl
@@ -55,13 +55,11 @@
         return;
     }
     auto why = last_reason();
-    const auto live = m_network.members();
-    const auto sender =
-        std::find_if(live.begin(), live.end(), [&](const member &who) { return who.incarnation == from; });
-    if (sender == live.end()) {
+    const auto place = placeOf(from);
+    if (place.empty()) {
         return;
     }
-    const auto isLocal = sender->dataCentre == m_network.self().dataCentre;
+    const auto isLocal = place == m_network.self().dataCentre;
     const auto countsFromZero = isLocal && isNewcomer(from);
     auto merged = std::vector<service_total>();
     for (const auto &part : message.totals()) {
@@ -70,7 +68,7 @@
             continue;
         }
         if (totals_exchange_detail::isOffset(*total)) {
-            m_offsetsHeard[sender->dataCentre][{ total->router, total->account }] = total->cost;
+            m_offsetsHeard[place][{ total->router, total->account }] = total->cost;
             merged.push_back(*total);
             continue;
         }
@@ -98,6 +96,17 @@
     }
 }
 
+/// Data centre of a live member, or nothing. Copying all members for each message would cost more than the message.
+template<peer_network Network>
+auto totals_exchange<Network>::placeOf(incarnation_id who) -> std::string
+{
+    if (!m_places.contains(who)) {
+        noteDataCentres(m_network.members());
+    }
+    const auto known = m_places.find(who);
+    return known == m_places.end() ? std::string() : known->second;
+}
+
 /// Whether \p from is heard for the first time and started after this router: then all its growth is to be counted.
 template<peer_network Network>
 auto totals_exchange<Network>::isNewcomer(incarnation_id from) -> bool
@@ -126,7 +135,9 @@
 template<peer_network Network>
 auto totals_exchange<Network>::noteDataCentres(const std::vector<member> &live) -> void
 {
+    m_places.clear();
     for (const auto &who : live) {
+        m_places[who.incarnation] = who.dataCentre;
         if (who.dataCentre != m_network.self().dataCentre) {
             m_dataCentres.insert(who.dataCentre);
         }
