share: short work may be 10,000 weighted tokens ahead of long work that it passes

One heavy short piece costs up to a few thousand tokens, after which its account's short work waited behind all long work.

--- a/include/marjoramloom/share/dispatcher.h
+++ b/include/marjoramloom/share/dispatcher.h
@@ -16,7 +16,7 @@
 struct dispatcher_settings
 {
     double pullThreshold = 1000; ///< Weighted tokens that a remote account must be behind before it is pulled.
-    double shortAdvance = 4000; ///< Weighted tokens by which short work may be ahead of long work that it passes.
+    double shortAdvance = 10000; ///< Weighted tokens by which short work may be ahead of long work that it passes.
     std::uint32_t shortReserve = 0; ///< Slots that long work leaves free while short work arrives; 0: a fiftieth.
     bool suspendLongWork = true; ///< Long work gives its place to waiting short work.
     duration digestAge = std::chrono::seconds(5); ///< A remote digest older than this is not used.
