--- a/bench/results.h
+++ b/bench/results.h
@@ -41,7 +41,7 @@
 struct control_traffic
 {
     std::uint64_t messages = 0;
-    std::uint64_t bytes = 0; ///< 0 where no codec was used.
+    std::uint64_t bytes = 0; ///< As the routers' codec writes them.
     std::vector<std::uint64_t> bytesByRouter; ///< Sent.
 };
 
