Lint reads inline files; a check that misreads defaulted comparisons is passed over on those lines only

clang-tidy's modernize-use-nullptr reports the defaulted operator<=> itself, where no pointer is in sight; ruled out: a zero literal in the sources. The check stays on everywhere else.

--- a/bench/dispatched_policy.inl
+++ b/bench/dispatched_policy.inl
@@ -390,7 +390,8 @@
         }
         countUse(*asked);
         const auto &domain = m_domains[held.domain];
-        m_network.send(asked->router, domain.host, progress_message{ domain.pool, held.id, m_fleet.costOf(*asked) - held.costBefore });
+        m_network.send(asked->router, domain.host,
+                       progress_message{ domain.pool, held.id, m_fleet.costOf(*asked) - held.costBefore });
         samplePace(place, held);
     }
 }
--- a/include/marjoramloom/contract/configuration_watcher.inl
+++ b/include/marjoramloom/contract/configuration_watcher.inl
@@ -120,8 +120,7 @@
 auto configuration_watcher<Platform>::raise(std::atomic<std::uint64_t> &value, std::uint64_t least) -> void
 {
     auto seen = value.load();
-    while (seen < least && !value.compare_exchange_weak(seen, least)) {
-    }
+    while (seen < least && !value.compare_exchange_weak(seen, least)) {}
 }
 
 template<watched_store Platform>
--- a/include/marjoramloom/order/order_ledger.inl
+++ b/include/marjoramloom/order/order_ledger.inl
@@ -125,7 +125,9 @@
 template<object_store Store>
 auto order_ledger<Store>::admitted(order_machine machine) -> order_admission
 {
-    auto onAbandon = [this](order_machine abandoned) { enqueue({ .machine = std::move(abandoned), .pieces = {} }); };
+    auto onAbandon = [this](order_machine abandoned) {
+        enqueue({ .machine = std::move(abandoned), .pieces = {} });
+    };
     auto admission = order_admission();
     admission.permit.emplace(std::move(machine), std::move(onAbandon));
     return admission;
@@ -253,8 +255,7 @@
 }
 
 template<object_store Store>
-auto order_ledger<Store>::listOpen(last_reason &why)
-    -> boost::asio::awaitable<std::optional<std::vector<open_order>>>
+auto order_ledger<Store>::listOpen(last_reason &why) -> boost::asio::awaitable<std::optional<std::vector<open_order>>>
 {
     const auto listed = co_await m_store.list(orderKind, why);
     if (!listed) {
--- a/include/marjoramloom/share/share_ledger.h
+++ b/include/marjoramloom/share/share_ledger.h
@@ -75,6 +75,8 @@
         incarnation_id router = 0;
         object_id account;
 
+        // The check misreads defaulted comparisons.
+        // NOLINTNEXTLINE(modernize-use-nullptr)
         auto operator<=>(const total_key &) const = default;
     };
 
--- a/include/marjoramloom/share/ticket.h
+++ b/include/marjoramloom/share/ticket.h
@@ -20,6 +20,8 @@
     incarnation_id router = 0;
     std::uint64_t serial = 0;
 
+    // The check misreads defaulted comparisons.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const ticket_id &) const = default;
 };
 
@@ -29,6 +31,8 @@
     std::string dataCentre;
     object_id service;
 
+    // The check misreads defaulted comparisons.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const pool_id &) const = default;
 };
 
--- a/src/share/grant_order.h
+++ b/src/share/grant_order.h
@@ -16,6 +16,8 @@
     double received = 0;
     object_id account;
 
+    // The check misreads defaulted comparisons.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const due_account &) const = default;
 };
 
--- a/src/share/pull_policy.h
+++ b/src/share/pull_policy.h
@@ -79,6 +79,8 @@
         object_id account;
         std::uint32_t tickets = 0;
 
+        // The check misreads defaulted comparisons.
+        // NOLINTNEXTLINE(modernize-use-nullptr)
         auto operator<=>(const candidate &) const = default;
     };
 
--- a/src/share/server_placement.cpp
+++ b/src/share/server_placement.cpp
@@ -52,6 +52,8 @@
     double load = 0; ///< Share of its slots after the grant.
     object_id server;
 
+    // The check misreads defaulted comparisons.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const candidate_score &) const = default;
 
     [[nodiscard]] auto text() const -> std::string
