Router: a caller that waits is not taken for gone; running requests are confirmed; fewer messages

- Cause of 429 and 499 answers without 'not run' under a flood (2 of about 4,000): the caller's socket was reported readable for bytes that another thread had read meanwhile, and the router took that for the end of the connection.
Ruled out: the callers' own time limit (60 s).
Readiness is now checked by looking at the socket.
- A dispatcher now learns every 10 s what a router runs, so that a settlement lost on a living link frees its slot.
- Progress is reported once it grew by a quarter of the charge, not every 200 ms.
- News of leaving servers goes along the relay's targets instead of to every member; a request that started on a server just after its move began is moved too.

--- a/include/marjoramloom/router/dispatch_service.h
+++ b/include/marjoramloom/router/dispatch_service.h
@@ -94,6 +94,8 @@
     auto ownPools() const -> std::vector<pool_id>;
     auto localDispatcher(const pool_id &pool) -> dispatcher *;
     auto moveWorkTo(const pool_id &pool, incarnation_id holder) -> void;
+    auto tellRunning(const pool_id &pool, incarnation_id holder) -> void;
+    auto takeConfirmed(incarnation_id from, const wire::Envelope &message) -> void;
 
     auto submit(const ticket &waiting, const pool_id &pool) -> void;
     auto withdraw(const pool_id &pool, ticket_id id) -> void;
--- a/include/marjoramloom/router/server_watch.h
+++ b/include/marjoramloom/router/server_watch.h
@@ -56,7 +56,7 @@
 private:
     auto apply() -> void;
     auto applyPhase(object_id server, stop_phase phase) -> void;
-    auto absorb(const server_notice &notice) -> void;
+    auto absorb(const server_notice &notice, incarnation_id heardFrom) -> void;
     auto tell(incarnation_id peer, const std::vector<server_notice> &notices) -> void;
     auto watchLoads() -> void;
 
--- a/src/router/dispatch_service.cpp
+++ b/src/router/dispatch_service.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint64_t progressTicks = 4;
 /// Ticks between two rounds in which waiting tickets are sent again.
 constexpr std::uint64_t resubmitTicks = 100;
+/// Ticks between two lists of all running requests.
+constexpr std::uint64_t confirmTicks = 200;
 /// Ticks between two digests.
 constexpr std::uint64_t digestTicks = 10;
 
@@ -165,18 +167,56 @@
         return;
     }
     followed = holder;
+    tellRunning(pool, holder);
+    m_tickets.resubmit();
+}
+
+/// Lists everything that this router runs for \p pool, so that its dispatcher neither misses nor keeps a request.
+auto dispatch_service::tellRunning(const pool_id &pool, incarnation_id holder) -> void
+{
+    auto *local = localDispatcher(pool);
+    if (!local && (holder == 0 || holder == selfIncarnation())) {
+        return;
+    }
+    auto ids = std::vector<ticket_id>();
     for (const auto &request : m_tickets.running()) {
         if (request.granted.pool != pool) {
             continue;
         }
-        if (auto *local = localDispatcher(pool)) {
+        ids.push_back(request.granted.ticket);
+        if (local) {
             local->adopt(request.granted, request.length, now());
         } else {
             const auto running = running_request{ request.granted, request.length, request.cost };
             encode(running, *envelopeFor(holder).add_running());
         }
     }
-    m_tickets.resubmit();
+    if (local) {
+        local->confirmRunning(selfIncarnation(), ids, now());
+    } else {
+        encode(pool, *envelopeFor(holder).add_confirmed());
+    }
+}
+
+auto dispatch_service::takeConfirmed(incarnation_id from, const wire::Envelope &message) -> void
+{
+    auto why = last_reason();
+    const auto peer = std::to_string(from);
+    for (const auto &item : message.confirmed()) {
+        const auto pool = decodePool(item, peer, why);
+        auto *local = pool ? localDispatcher(*pool) : nullptr;
+        if (!local) {
+            continue;
+        }
+        auto ids = std::vector<ticket_id>();
+        for (const auto &listed : message.running()) {
+            if (const auto running = decodeRunning(listed, peer, why)) {
+                ids.push_back(running->granted.ticket);
+            }
+        }
+        local->confirmRunning(from, ids, now());
+        schedulePass(*pool);
+    }
 }
 
 auto dispatch_service::refreshServers(const pool_id &pool, dispatcher &holder) -> void
@@ -403,6 +443,7 @@
     m_totals.receive(from, message);
     m_digests.receive(from, message, now());
     readDispatchMessages(message, now(), std::to_string(from), *this);
+    takeConfirmed(from, message);
 }
 
 auto dispatch_service::take(const running_request &running) -> void
@@ -548,6 +589,11 @@
     if (m_ticks % progressTicks == 0) {
         m_tickets.reportProgress();
     }
+    if (m_ticks % confirmTicks == 0) {
+        for (const auto &[pool, holder] : m_followed) {
+            tellRunning(pool, holder);
+        }
+    }
     if (m_ticks % resubmitTicks == 0) {
         m_tickets.resubmit();
     }
--- a/src/router/http_exchange.cpp
+++ b/src/router/http_exchange.cpp
@@ -9,7 +9,9 @@
 #include <boost/beast/http/write.hpp>
 #include <boost/json.hpp>
 #include <cassert>
+#include <cerrno>
 #include <cstdio>
+#include <sys/socket.h>
 
 namespace marjoramloom {
 
@@ -23,6 +25,26 @@
 
 constexpr std::string_view bearerPrefix = "Bearer ";
 
+/// What can be seen of a caller that waits for its answer.
+enum class caller_state {
+    waiting,
+    pipelining, ///< It already sent another request.
+    gone,
+};
+
+/// Looks without taking bytes. Readiness alone proves nothing: the event may be for bytes that another thread has read
+/// since.
+auto stateOf(asio::ip::tcp::socket &socket) -> caller_state
+{
+    auto byte = char();
+    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0) {
+        return caller_state::pipelining;
+    }
+    const auto nothingYet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return nothingYet ? caller_state::waiting : caller_state::gone;
+}
+
 auto chunkOf(const std::string &text) -> std::string
 {
     auto size = std::array<char, 24>{};
@@ -145,12 +167,15 @@
     while (true) {
         co_await m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
                                               asio::redirect_error(asio::use_awaitable, error));
-        if (error || m_stream.socket().available(error) == 0 || error) {
+        const auto state = error ? caller_state::gone : stateOf(m_stream.socket());
+        if (state == caller_state::gone) {
             co_return;
         }
-        // Bytes of a pipelined request wait in the socket: the end of the connection shows only behind them.
-        timer.expires_after(pipelinedPollPeriod);
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        if (state == caller_state::pipelining) {
+            // The end of the connection shows only behind the bytes of the next request.
+            timer.expires_after(pipelinedPollPeriod);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        }
     }
 }
 
--- a/src/router/server_watch.cpp
+++ b/src/router/server_watch.cpp
@@ -4,6 +4,7 @@
 #include "marjoramloom/call/start_gate.h"
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/peer/peer_links.h"
+#include "marjoramloom/peer/relay_plan.h"
 #include "marjoramloom/peer/wire_codec.h"
 #include "marjoramloom/platform/platform_client.h"
 #include "peer.pb.h"
@@ -80,7 +81,7 @@
 
 auto server_watch::noteLeaving(object_id server) -> void
 {
-    asio::post(m_strand, [this, server] { absorb({ server, server_state::leaving, unixMsNow() }); });
+    asio::post(m_strand, [this, server] { absorb({ server, server_state::leaving, unixMsNow() }, 0); });
 }
 
 auto server_watch::receive(const wire::Envelope &message) -> void
@@ -88,26 +89,27 @@
     auto why = last_reason();
     for (const auto &item : message.notices()) {
         if (const auto notice = decodeNotice(item, std::to_string(message.sender()), why)) {
-            absorb(*notice);
+            absorb(*notice, message.sender());
         }
     }
 }
 
-/// Takes a server's word; what is news goes on to every other router.
-auto server_watch::absorb(const server_notice &notice) -> void
+/// Takes a server's word; what is news goes on to the other routers.
+auto server_watch::absorb(const server_notice &notice, incarnation_id heardFrom) -> void
 {
     if (!m_calendar.absorb(notice, unixMsNow())) {
         return;
     }
     apply();
-    for (const auto &other : m_links.members()) {
-        tell(other.incarnation, { notice });
+    for (const auto target : relayTargets(m_links.members(), m_links.self(), heardFrom)) {
+        tell(target, { notice });
     }
 }
 
 auto server_watch::onMember(const member_event &event) -> void
 {
-    if (event.joined) {
+    const auto sameDataCentre = event.who.dataCentre == m_links.self().dataCentre;
+    if (event.joined && (sameDataCentre || event.who.direct)) {
         tell(event.who.incarnation, m_calendar.notices(unixMsNow()));
     }
 }
@@ -145,6 +147,10 @@
         if (known == before.end() || known->second != phase) {
             applyPhase(server, phase);
         }
+        if (phase == stop_phase::moving) {
+            // Again each time: a request that was granted before the news may have started after it.
+            m_tickets.moveFrom(server);
+        }
     }
 }
 
@@ -152,9 +158,6 @@
 {
     log_line(log_level::info, "backend_server_phase").with("backend_server", server.value).with("phase", nameOf(phase));
     m_dispatch.setServerState(server, phase == stop_phase::open ? server_state::available : server_state::leaving);
-    if (phase == stop_phase::moving) {
-        m_tickets.moveFrom(server);
-    }
 }
 
 auto server_watch::watchLoads() -> void
--- a/src/router/ticket_queue.cpp
+++ b/src/router/ticket_queue.cpp
@@ -13,6 +13,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Smallest growth of a request's use that its dispatcher is told of, as a fraction of what was charged.
+constexpr double reportedShare = 0.25;
+
+} // namespace
+
 ticket_queue::ticket_queue(strand_type strand, incarnation_id incarnation, counter_registry &counters)
     : m_strand(std::move(strand))
     , m_incarnation(incarnation)
@@ -185,8 +192,9 @@
 auto ticket_queue::reportProgress() -> void
 {
     for (auto &[id, request] : m_running) {
-        if (request.cost > request.reportedCost) {
-            m_port.progress(request.granted, request.cost, request.cost - request.reportedCost);
+        const auto growth = request.cost - request.reportedCost;
+        if (growth > 0 && growth >= reportedShare * request.granted.charged) {
+            m_port.progress(request.granted, request.cost, growth);
             request.reportedCost = request.cost;
         }
     }
