--- a/bench/dispatched_policy.h
+++ b/bench/dispatched_policy.h
@@ -15,6 +15,8 @@
 /// Periods and limits that the routers run with.
 struct control_settings
 {
+    double reportedShare = 0.25; ///< Smallest growth of use that is reported, as a fraction of the charge.
+    double tokensPerSample = 24; ///< Tokens between two observations of a request's pace.
     duration reportPeriod = std::chrono::milliseconds(200); ///< Of the use of running requests, and their pace.
     duration digestPeriod = std::chrono::milliseconds(500); ///< Of totals and digests.
     duration decidePeriod = std::chrono::milliseconds(20); ///< Passes without news.
@@ -65,6 +67,8 @@
         request_key request = 0;
         bool hedge = false;
         double costBefore = 0; ///< Weighted tokens that the request had used before it got here.
+        double charged = 0; ///< Weighted tokens at its grant.
+        double reportedCost = 0; ///< What its dispatcher was told.
         double sampledTokens = 0; ///< Generated at the last report.
         time_point sampledAt;
     };
--- a/bench/dispatched_policy.inl
+++ b/bench/dispatched_policy.inl
@@ -196,6 +196,7 @@
     held.request = asked->key;
     held.hedge = waiting.mapped().hedge;
     held.costBefore = m_fleet.costOf(*asked);
+    held.charged = message.charged;
     m_placeByTicket[message.ticket] = place;
     m_placesByRequest.emplace(asked->key, place);
     auto &results = m_fleet.results();
@@ -369,7 +370,7 @@
     const auto tokens = m_fleet.engine(running->engine).generated(place);
     const auto since = toSeconds(now - held.sampledAt);
     const auto grown = tokens - held.sampledTokens;
-    if (grown < 1 || since <= 0) {
+    if (grown < m_settings.tokensPerSample || since <= 0) {
         return;
     }
     held.sampledTokens = tokens;
@@ -388,11 +389,15 @@
         if (asked == nullptr || running == nullptr || !running->firstToken || held.hedge) {
             continue;
         }
+        samplePace(place, held);
+        const auto cost = m_fleet.costOf(*asked) - held.costBefore;
+        if (cost - held.reportedCost < m_settings.reportedShare * held.charged) {
+            continue;
+        }
+        held.reportedCost = cost;
         countUse(*asked);
         const auto &domain = m_domains[held.domain];
-        m_network.send(asked->router, domain.host,
-                       progress_message{ domain.pool, held.id, m_fleet.costOf(*asked) - held.costBefore });
-        samplePace(place, held);
+        m_network.send(asked->router, domain.host, progress_message{ domain.pool, held.id, cost });
     }
 }
 
--- a/include/marjoramloom/call/model_call.h
+++ b/include/marjoramloom/call/model_call.h
@@ -108,7 +108,7 @@
                                 ticket_id id, double cost, duration limit) -> boost::asio::awaitable<void>;
 
     static constexpr std::size_t CHANNEL_EVENTS = 16; ///< An attempt is held back beyond these.
-    static constexpr std::uint64_t PIECES_PER_SAMPLE = 32;
+    static constexpr std::uint64_t PIECES_PER_SAMPLE = 24;
     static constexpr duration HEDGE_WAIT = std::chrono::seconds(1); ///< Longest wait of a hedge for a place.
 
     const call_environment &m_environment;
--- a/tests/standins/generation.h
+++ b/tests/standins/generation.h
@@ -2,6 +2,7 @@
 
 #include "answer_text.h"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 
--- a/tests/standins/http_server.h
+++ b/tests/standins/http_server.h
@@ -3,6 +3,7 @@
 #include "http_exchange.h"
 
 #include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/json.hpp>
 #include <concepts>
 #include <iostream>
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 extern char **environ;
 
