--- a/include/marjoramloom/router/dispatch_service.h
+++ b/include/marjoramloom/router/dispatch_service.h
@@ -6,6 +6,7 @@
 #include "marjoramloom/peer/peer_links.h"
 #include "marjoramloom/peer/totals_exchange.h"
 #include "marjoramloom/peer/wire_codec.h"
+#include "marjoramloom/router/held_dispatchers.h"
 #include "marjoramloom/router/router_view.h"
 #include "marjoramloom/router/ticket_queue.h"
 #include "marjoramloom/share/dispatcher.h"
@@ -90,9 +91,6 @@
     auto selfIncarnation() const -> incarnation_id;
     auto holderOf(const pool_id &pool) -> incarnation_id;
     auto refreshDuties() -> void;
-    auto refreshServers(const pool_id &pool, dispatcher &holder) -> void;
-    auto ownPools() const -> std::vector<pool_id>;
-    auto localDispatcher(const pool_id &pool) -> dispatcher *;
     auto moveWorkTo(const pool_id &pool, incarnation_id holder) -> void;
     auto tellRunning(const pool_id &pool, incarnation_id holder) -> void;
     auto takeConfirmed(incarnation_id from, const wire::Envelope &message) -> void;
@@ -115,22 +113,18 @@
     auto flush() -> void;
     auto absorbDigest(const pool_digest &digest) -> void;
     auto publishDigests(time_point now) -> void;
-    auto poolOfServer(object_id server) const -> std::optional<pool_id>;
 
     strand_type m_strand;
     std::string m_dataCentre;
-    dispatcher_settings m_limits;
     peer_links &m_network;
     ticket_queue &m_tickets;
     counter_registry &m_counters;
     share_ledger m_ledger;
+    held_dispatchers m_held;
     digest_exchange<peer_links> m_digests;
     totals_exchange<peer_links> m_totals;
-    std::shared_ptr<const router_view> m_view;
-    std::map<pool_id, std::unique_ptr<dispatcher>> m_held;
     std::map<pool_id, incarnation_id> m_holders; ///< As last seen; empty after a change of membership.
     std::map<pool_id, incarnation_id> m_followed; ///< Holder that knows this router's work in the pool.
-    std::unordered_map<object_id, server_state> m_serverStates;
     std::unordered_map<incarnation_id, std::unique_ptr<wire::Envelope>> m_outbox;
     std::set<pool_id> m_dirty;
     bool m_passScheduled = false;
--- a/src/router/dispatch_service.cpp
+++ b/src/router/dispatch_service.cpp
@@ -35,10 +35,10 @@
                                    peer_links &network, ticket_queue &tickets, counter_registry &counters)
     : m_strand(std::move(strand))
     , m_dataCentre(std::move(dataCentre))
-    , m_limits(limits)
     , m_network(network)
     , m_tickets(tickets)
     , m_counters(counters)
+    , m_held(m_dataCentre, limits, m_ledger)
     , m_digests(network, {}, [this](const pool_digest &digest) { absorbDigest(digest); })
     , m_totals(network, m_ledger, {})
 {
@@ -66,20 +66,20 @@
 
 auto dispatch_service::setView(std::shared_ptr<const router_view> view) -> void
 {
-    m_view = std::move(view);
     auto weights = std::map<object_id, double>();
-    for (const auto &[name, account] : m_view->contracts().clientAccounts) {
+    for (const auto &[name, account] : view->contracts().clientAccounts) {
         weights[account.id] = account.weight;
     }
     m_ledger.setWeights(weights);
     auto services = std::vector<object_id>();
-    for (const auto &[name, entry] : m_view->contracts().services) {
+    for (const auto &[name, entry] : view->contracts().services) {
         services.push_back(entry.id);
     }
     m_totals.setServices(std::move(services));
+    m_held.setView(std::move(view), now());
     refreshDuties();
-    for (const auto &[pool, holder] : m_held) {
-        refreshServers(pool, *holder);
+    for (const auto &[pool, held] : m_held.all()) {
+        schedulePass(pool);
     }
 }
 
@@ -90,7 +90,7 @@
         m_ledger.retire(event.who.incarnation);
         m_outbox.erase(event.who.incarnation);
         m_totals.onLost(event.who.incarnation);
-        for (const auto &[pool, holder] : m_held) {
+        for (const auto &[pool, holder] : m_held.all()) {
             holder->forgetRouter(event.who.incarnation, now());
             schedulePass(pool);
         }
@@ -118,43 +118,19 @@
     return holder;
 }
 
-auto dispatch_service::ownPools() const -> std::vector<pool_id>
-{
-    auto pools = std::vector<pool_id>();
-    if (m_view) {
-        for (const auto &[name, entry] : m_view->contracts().services) {
-            pools.push_back({ m_dataCentre, entry.id });
-        }
-    }
-    return pools;
-}
-
 /// Takes up and gives up dispatchers by the duties of the members that are alive now.
 auto dispatch_service::refreshDuties() -> void
 {
     m_holders.clear();
-    auto held = std::map<pool_id, std::unique_ptr<dispatcher>>();
-    for (const auto &pool : ownPools()) {
-        const auto holder = holderOf(pool);
-        if (holder == selfIncarnation()) {
-            auto &slot = held[pool];
-            const auto before = m_held.find(pool);
-            if (before != m_held.end()) {
-                slot = std::move(before->second);
-            } else {
-                slot = std::make_unique<dispatcher>(pool, m_limits, m_ledger);
-                log_line(log_level::info, "dispatcher_taken_up").with("service", pool.service.value);
-            }
-            refreshServers(pool, *slot);
+    const auto pools = m_held.ownPools();
+    auto own = std::vector<pool_id>();
+    for (const auto &pool : pools) {
+        if (holderOf(pool) == selfIncarnation()) {
+            own.push_back(pool);
         }
     }
-    for (const auto &[pool, given] : m_held) {
-        if (given) {
-            log_line(log_level::info, "dispatcher_given_up").with("service", pool.service.value);
-        }
-    }
-    m_held = std::move(held);
-    for (const auto &pool : ownPools()) {
+    m_held.hold(own, now());
+    for (const auto &pool : pools) {
         moveWorkTo(pool, holderOf(pool));
     }
 }
@@ -174,7 +150,7 @@
 /// Lists everything that this router runs for \p pool, so that its dispatcher neither misses nor keeps a request.
 auto dispatch_service::tellRunning(const pool_id &pool, incarnation_id holder) -> void
 {
-    auto *local = localDispatcher(pool);
+    auto *local = m_held.find(pool);
     if (!local && (holder == 0 || holder == selfIncarnation())) {
         return;
     }
@@ -204,7 +180,7 @@
     const auto peer = std::to_string(from);
     for (const auto &item : message.confirmed()) {
         const auto pool = decodePool(item, peer, why);
-        auto *local = pool ? localDispatcher(*pool) : nullptr;
+        auto *local = pool ? m_held.find(*pool) : nullptr;
         if (!local) {
             continue;
         }
@@ -219,42 +195,9 @@
     }
 }
 
-auto dispatch_service::refreshServers(const pool_id &pool, dispatcher &holder) -> void
-{
-    if (!m_view) {
-        return;
-    }
-    auto servers = std::vector<backend_server>();
-    auto limits = std::map<object_id, std::uint32_t>();
-    const auto *target = m_view->findService(pool.service);
-    for (const auto &[name, server] : m_view->contracts().backendServers) {
-        if (target && server.service == target->name && server.dataCentre == pool.dataCentre) {
-            servers.push_back(server);
-        }
-    }
-    for (const auto &[name, account] : m_view->contracts().clientAccounts) {
-        limits[account.id] = account.queueLimit;
-    }
-    holder.setQueueLimits(limits);
-    holder.placement().setServers(servers, now());
-    for (const auto &server : servers) {
-        const auto state = m_serverStates.find(server.id);
-        if (state != m_serverStates.end()) {
-            holder.placement().setState(server.id, state->second, now());
-        }
-    }
-    schedulePass(pool);
-}
-
-auto dispatch_service::localDispatcher(const pool_id &pool) -> dispatcher *
-{
-    const auto found = m_held.find(pool);
-    return found == m_held.end() ? nullptr : found->second.get();
-}
-
 auto dispatch_service::submit(const ticket &waiting, const pool_id &pool) -> void
 {
-    if (auto *local = localDispatcher(pool)) {
+    if (auto *local = m_held.find(pool)) {
         local->submit(waiting, now());
         schedulePass(pool);
         return;
@@ -268,7 +211,7 @@
 
 auto dispatch_service::withdraw(const pool_id &pool, ticket_id id) -> void
 {
-    if (auto *local = localDispatcher(pool)) {
+    if (auto *local = m_held.find(pool)) {
         local->withdraw(id, now());
         return;
     }
@@ -281,7 +224,7 @@
 auto dispatch_service::progress(const grant &granted, double cost, double growth) -> void
 {
     m_ledger.count(selfIncarnation(), granted.account, growth);
-    if (auto *local = localDispatcher(granted.pool)) {
+    if (auto *local = m_held.find(granted.pool)) {
         local->progress(granted.ticket, cost, now());
         return;
     }
@@ -295,7 +238,7 @@
 auto dispatch_service::settle(const grant &granted, double cost, double growth) -> void
 {
     m_ledger.count(selfIncarnation(), granted.account, growth);
-    if (auto *local = localDispatcher(granted.pool)) {
+    if (auto *local = m_held.find(granted.pool)) {
         local->settle(granted.ticket, cost, now());
         schedulePass(granted.pool);
         return;
@@ -338,7 +281,7 @@
     m_passScheduled = false;
     const auto dirty = std::exchange(m_dirty, {});
     for (const auto &pool : dirty) {
-        if (auto *local = localDispatcher(pool)) {
+        if (auto *local = m_held.find(pool)) {
             carryOut(local->decide(now()));
         }
     }
@@ -429,7 +372,7 @@
 
 auto dispatch_service::answerPull(const pull_request &pull) -> void
 {
-    auto *local = localDispatcher(pull.to);
+    auto *local = m_held.find(pull.to);
     if (!local) {
         return;
     }
@@ -448,7 +391,7 @@
 
 auto dispatch_service::take(const running_request &running) -> void
 {
-    if (auto *local = localDispatcher(running.granted.pool)) {
+    if (auto *local = m_held.find(running.granted.pool)) {
         local->adopt(running.granted, running.length, now());
         local->progress(running.granted.ticket, running.cost, now());
     }
@@ -456,7 +399,7 @@
 
 auto dispatch_service::take(const addressed_ticket &addressed) -> void
 {
-    if (auto *local = localDispatcher(addressed.pool)) {
+    if (auto *local = m_held.find(addressed.pool)) {
         local->submit(addressed.waiting, now());
         schedulePass(addressed.pool);
     }
@@ -464,7 +407,7 @@
 
 auto dispatch_service::takeWithdrawal(ticket_id id) -> void
 {
-    for (const auto &[pool, local] : m_held) {
+    for (const auto &[pool, local] : m_held.all()) {
         local->withdraw(id, now());
     }
 }
@@ -486,14 +429,14 @@
 
 auto dispatch_service::takeProgress(const request_use &use) -> void
 {
-    if (auto *local = localDispatcher(use.pool)) {
+    if (auto *local = m_held.find(use.pool)) {
         local->progress(use.ticket, use.cost, now());
     }
 }
 
 auto dispatch_service::takeSettlement(const request_use &use) -> void
 {
-    if (auto *local = localDispatcher(use.pool)) {
+    if (auto *local = m_held.find(use.pool)) {
         local->settle(use.ticket, use.cost, now());
         schedulePass(use.pool);
     }
@@ -506,8 +449,8 @@
 
 auto dispatch_service::take(const pace_sample &sample) -> void
 {
-    const auto pool = poolOfServer(sample.server);
-    if (auto *local = pool ? localDispatcher(*pool) : nullptr) {
+    const auto pool = m_held.poolOf(sample.server);
+    if (auto *local = pool ? m_held.find(*pool) : nullptr) {
         local->placement().observe(sample, now());
     }
 }
@@ -518,30 +461,17 @@
     log_line(log_level::warning, "peer_item_rejected").with("reason", why.text());
 }
 
-auto dispatch_service::poolOfServer(object_id server) const -> std::optional<pool_id>
-{
-    const auto *contract = m_view ? m_view->findServer(server) : nullptr;
-    const auto *target = contract ? m_view->findService(contract->service) : nullptr;
-    if (!target) {
-        return std::nullopt;
-    }
-    return pool_id{ contract->dataCentre, target->id };
-}
-
 auto dispatch_service::setServerState(object_id server, server_state state) -> void
 {
-    m_serverStates[server] = state;
-    const auto pool = poolOfServer(server);
-    if (auto *local = pool ? localDispatcher(*pool) : nullptr) {
-        local->placement().setState(server, state, now());
+    if (const auto pool = m_held.setServerState(server, state, now())) {
         schedulePass(*pool);
     }
 }
 
 auto dispatch_service::observeLoad(const load_report &report) -> void
 {
-    const auto pool = poolOfServer(report.server);
-    if (auto *local = pool ? localDispatcher(*pool) : nullptr) {
+    const auto pool = m_held.poolOf(report.server);
+    if (auto *local = pool ? m_held.find(*pool) : nullptr) {
         local->placement().observe(report, now());
     }
 }
@@ -549,11 +479,11 @@
 auto dispatch_service::observePace(const pace_sample &sample) -> void
 {
     asio::post(m_strand, [this, sample] {
-        const auto pool = poolOfServer(sample.server);
+        const auto pool = m_held.poolOf(sample.server);
         if (!pool) {
             return;
         }
-        if (auto *local = localDispatcher(*pool)) {
+        if (auto *local = m_held.find(*pool)) {
             local->placement().observe(sample, now());
             schedulePass(*pool);
             return;
@@ -567,7 +497,7 @@
 
 auto dispatch_service::absorbDigest(const pool_digest &digest) -> void
 {
-    if (auto *local = localDispatcher({ m_dataCentre, digest.pool.service })) {
+    if (auto *local = m_held.find({ m_dataCentre, digest.pool.service })) {
         local->absorbDigest(digest, now());
         schedulePass(local->pool());
     }
@@ -575,7 +505,7 @@
 
 auto dispatch_service::publishDigests(time_point now) -> void
 {
-    for (const auto &[pool, local] : m_held) {
+    for (const auto &[pool, local] : m_held.all()) {
         m_digests.publish(local->makeDigest(now), now);
     }
 }
@@ -583,7 +513,7 @@
 auto dispatch_service::tick(time_point now) -> void
 {
     ++m_ticks;
-    for (const auto &[pool, local] : m_held) {
+    for (const auto &[pool, local] : m_held.all()) {
         m_dirty.insert(pool);
     }
     if (m_ticks % progressTicks == 0) {
@@ -607,12 +537,12 @@
 
 auto dispatch_service::holds(const pool_id &pool) const -> bool
 {
-    return m_held.contains(pool);
+    return m_held.find(pool) != nullptr;
 }
 
 auto dispatch_service::heldPools() const -> std::size_t
 {
-    return m_held.size();
+    return m_held.all().size();
 }
 
 auto dispatch_service::ledger() -> share_ledger &
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -464,10 +464,23 @@
 
 auto freeAddress() -> std::string
 {
+    // Below the ports that the system gives to outgoing connections, which may take any other between now and its use.
+    constexpr auto firstPort = 10'000;
+    constexpr auto portCount = 20'000;
+    constexpr auto stride = 97;
+    static auto tried = std::atomic<int>(getpid() * stride % portCount);
     auto context = boost::asio::io_context();
-    const auto any = boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0);
-    const auto acceptor = boost::asio::ip::tcp::acceptor(context, any);
-    return endpointText(acceptor.local_endpoint());
+    while (true) {
+        const auto port = firstPort + tried++ % portCount;
+        const auto wanted =
+            boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port));
+        auto acceptor = boost::asio::ip::tcp::acceptor(context, wanted.protocol());
+        auto error = boost::system::error_code();
+        acceptor.bind(wanted, error);
+        if (!error) {
+            return endpointText(wanted);
+        }
+    }
 }
 
 } // namespace marjoramloom::test
