Router: one look for a pool's dispatcher elsewhere; counters of dispatch are looked up once

The test for a holder that is another router stood five times; it is envelopeToHolder() now. Each grant took the registry's lock and built a name for its counter; the counters are held as references, as their class asks for. An accessor that nobody called is gone.

--- a/include/marjoramloom/router/dispatch_service.h
+++ b/include/marjoramloom/router/dispatch_service.h
@@ -84,9 +84,6 @@
     /// Pools whose dispatcher this router holds.
     [[nodiscard]] auto heldPools() const -> std::size_t;
 
-    /// The fleet's service counters as this router knows them.
-    [[nodiscard]] auto ledger() -> share_ledger &;
-
 private:
     auto selfIncarnation() const -> incarnation_id;
     auto holderOf(const pool_id &pool) -> incarnation_id;
@@ -101,6 +98,7 @@
     auto settle(const grant &granted, double cost, double growth) -> void;
 
     auto envelopeFor(incarnation_id to) -> wire::Envelope &;
+    auto envelopeToHolder(const pool_id &pool) -> wire::Envelope *;
     auto schedulePass(const pool_id &pool) -> void;
     auto schedulePass() -> void;
     auto runPass() -> void;
@@ -118,7 +116,11 @@
     std::string m_dataCentre;
     peer_links &m_network;
     ticket_queue &m_tickets;
-    counter_registry &m_counters;
+    counter &m_grants;
+    counter &m_suspensions;
+    counter &m_pulls;
+    counter &m_dropped; ///< Messages that a link did not take.
+    counter &m_rejected; ///< Items of messages that make no sense.
     share_ledger m_ledger;
     held_dispatchers m_held;
     digest_exchange<peer_links> m_digests;
--- a/src/router/dispatch_service.cpp
+++ b/src/router/dispatch_service.cpp
@@ -37,7 +37,11 @@
     , m_dataCentre(std::move(dataCentre))
     , m_network(network)
     , m_tickets(tickets)
-    , m_counters(counters)
+    , m_grants(counters.at("marjoramloom_grants_total"))
+    , m_suspensions(counters.at("marjoramloom_suspensions_total"))
+    , m_pulls(counters.at("marjoramloom_pulls_total"))
+    , m_dropped(counters.at("marjoramloom_peer_messages_dropped_total"))
+    , m_rejected(counters.at("marjoramloom_peer_items_rejected_total"))
     , m_held(m_dataCentre, limits, m_ledger)
     , m_digests(network, {}, [this](const pool_digest &digest) { absorbDigest(digest); })
     , m_totals(network, m_ledger, {})
@@ -202,10 +206,9 @@
         schedulePass(pool);
         return;
     }
-    const auto holder = holderOf(pool);
-    if (holder != 0 && holder != selfIncarnation()) {
+    if (auto *message = envelopeToHolder(pool)) {
         const auto addressed = addressed_ticket{ waiting, pool };
-        encode(addressed, now(), *envelopeFor(holder).add_tickets());
+        encode(addressed, now(), *message->add_tickets());
     }
 }
 
@@ -215,9 +218,8 @@
         local->withdraw(id, now());
         return;
     }
-    const auto holder = holderOf(pool);
-    if (holder != 0 && holder != selfIncarnation()) {
-        encode(id, *envelopeFor(holder).add_withdrawals());
+    if (auto *message = envelopeToHolder(pool)) {
+        encode(id, *message->add_withdrawals());
     }
 }
 
@@ -228,10 +230,9 @@
         local->progress(granted.ticket, cost, now());
         return;
     }
-    const auto holder = holderOf(granted.pool);
-    if (holder != 0 && holder != selfIncarnation()) {
+    if (auto *message = envelopeToHolder(granted.pool)) {
         const auto use = request_use{ granted.ticket, granted.pool, cost };
-        encode(use, *envelopeFor(holder).add_progress());
+        encode(use, *message->add_progress());
     }
 }
 
@@ -243,10 +244,9 @@
         schedulePass(granted.pool);
         return;
     }
-    const auto holder = holderOf(granted.pool);
-    if (holder != 0 && holder != selfIncarnation()) {
+    if (auto *message = envelopeToHolder(granted.pool)) {
         const auto use = request_use{ granted.ticket, granted.pool, cost };
-        encode(use, *envelopeFor(holder).add_settlements());
+        encode(use, *message->add_settlements());
     }
 }
 
@@ -261,6 +261,13 @@
     return *slot;
 }
 
+/// The envelope to the router that dispatches \p pool, or null where that is this router or nobody.
+auto dispatch_service::envelopeToHolder(const pool_id &pool) -> wire::Envelope *
+{
+    const auto holder = holderOf(pool);
+    return holder == 0 || holder == selfIncarnation() ? nullptr : &envelopeFor(holder);
+}
+
 auto dispatch_service::schedulePass(const pool_id &pool) -> void
 {
     m_dirty.insert(pool);
@@ -293,7 +300,7 @@
     auto outbox = std::exchange(m_outbox, {});
     for (auto &[to, message] : outbox) {
         if (!m_network.send(to, std::move(message))) {
-            m_counters.at("marjoramloom_peer_messages_dropped_total").add();
+            m_dropped.add();
         }
     }
 }
@@ -316,7 +323,7 @@
 
 auto dispatch_service::deliver(const grant &given) -> void
 {
-    m_counters.at("marjoramloom_grants_total").add();
+    m_grants.add();
     log_line(log_level::info, "grant")
         .with("router", given.ticket.router)
         .with("ticket", given.ticket.serial)
@@ -347,7 +354,7 @@
 
 auto dispatch_service::deliver(const suspension &asked) -> void
 {
-    m_counters.at("marjoramloom_suspensions_total").add();
+    m_suspensions.add();
     log_line(log_level::info, "suspension")
         .with("router", asked.ticket.router)
         .with("ticket", asked.ticket.serial)
@@ -361,7 +368,7 @@
 
 auto dispatch_service::ask(const pull_request &pull) -> void
 {
-    m_counters.at("marjoramloom_pulls_total").add();
+    m_pulls.add();
     const auto holder = holderOf(pull.to);
     if (holder == selfIncarnation()) {
         answerPull(pull);
@@ -457,7 +464,7 @@
 
 auto dispatch_service::reject(const last_reason &why) -> void
 {
-    m_counters.at("marjoramloom_peer_items_rejected_total").add();
+    m_rejected.add();
     log_line(log_level::warning, "peer_item_rejected").with("reason", why.text());
 }
 
@@ -488,9 +495,8 @@
             schedulePass(*pool);
             return;
         }
-        const auto holder = holderOf(*pool);
-        if (holder != 0 && holder != selfIncarnation()) {
-            encode(sample, *envelopeFor(holder).add_samples());
+        if (auto *message = envelopeToHolder(*pool)) {
+            encode(sample, *message->add_samples());
         }
     });
 }
@@ -545,9 +551,4 @@
     return m_held.all().size();
 }
 
-auto dispatch_service::ledger() -> share_ledger &
-{
-    return m_ledger;
-}
-
 } // namespace marjoramloom
