--- a/include/marjoramloom/call/http_connection.h
+++ b/include/marjoramloom/call/http_connection.h
@@ -35,7 +35,7 @@
     /// Sends \p message whole. Precondition: the connection is open and the answer before it ended cleanly.
     auto send(const request &message, duration limit, last_reason &why) -> boost::asio::awaitable<bool>;
 
-    /// Reads the head of the answer. Precondition: send() succeeded.
+    /// Reads the head of the answer, past any interim ones. Precondition: send() succeeded.
     auto readHead(duration limit, last_reason &why) -> boost::asio::awaitable<bool>;
 
     /// The next bytes of the answer's body, valid until the next call; empty at its end. Precondition: readHead()
@@ -46,6 +46,13 @@
     auto readRest(std::size_t sizeLimit, duration limit, last_reason &why)
         -> boost::asio::awaitable<std::optional<std::string>>;
 
+    /// Head of the answer, valid until the next send(). Precondition: readHead() succeeded.
+    [[nodiscard]] auto head() const -> const boost::beast::http::response_header<> &;
+
+    /// How long the connection may stay idle and still be used again; 0 for not at all.
+    auto limitIdle(duration limit) -> void;
+    [[nodiscard]] auto idleLimit() const -> duration;
+
     /// Status of the answer. Precondition: readHead() succeeded.
     [[nodiscard]] auto status() const -> unsigned;
 
@@ -79,11 +86,15 @@
     auto fail(std::string_view step, const boost::system::error_code &error, last_reason &why) -> void;
 
     static constexpr std::size_t PART_BYTES = 16 * 1024;
+    /// Unacknowledged bytes end the connection after this long: a peer without power answers nothing at all.
+    static constexpr std::chrono::milliseconds UNACKNOWLEDGED_LIMIT{ 1'500 };
 
     std::string m_peer;
     boost::asio::ip::tcp::socket m_socket;
     std::shared_ptr<step_limit> m_limit;
     bool m_anythingSent = false;
+    bool m_expectsNoBody = false; ///< The answer to a HEAD request has none, whatever its head says.
+    duration m_idleLimit = duration::max();
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     std::array<char, PART_BYTES> m_part;
--- a/include/marjoramloom/call/stop_calendar.h
+++ b/include/marjoramloom/call/stop_calendar.h
@@ -3,7 +3,7 @@
 #include "marjoramloom/contract/configuration.h"
 #include "marjoramloom/core/clock.h"
 #include "marjoramloom/core/enum_names.h"
-#include "marjoramloom/platform/instance_list.h"
+#include "marjoramloom/store/instance_list.h"
 #include "marjoramloom/share/server_placement.h"
 
 #include <cstdint>
--- a/include/marjoramloom/contract/configuration_watcher.h
+++ b/include/marjoramloom/contract/configuration_watcher.h
@@ -2,8 +2,8 @@
 
 #include "marjoramloom/contract/configuration_store.h"
 #include "marjoramloom/contract/snapshot_store.h"
-#include "marjoramloom/platform/retry_backoff.h"
-#include "marjoramloom/platform/watch_event.h"
+#include "marjoramloom/store/retry_backoff.h"
+#include "marjoramloom/store/watch_event.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <vector>
--- a/include/marjoramloom/contract/snapshot_store.h
+++ b/include/marjoramloom/contract/snapshot_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "marjoramloom/contract/configuration_store.h"
-#include "marjoramloom/platform/object_store.h"
+#include "marjoramloom/store/object_store.h"
 
 namespace marjoramloom {
 
--- /dev/null
+++ b/include/marjoramloom/gateway/gateway_handler.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "marjoramloom/gateway/gateway_state.h"
+#include "marjoramloom/router/http_exchange.h"
+
+namespace marjoramloom {
+
+/// Answers callers by the platform's routes: any method, path, header and body is passed on unchanged. Belongs to the
+/// router's only thread.
+class gateway_handler
+{
+public:
+    /// Precondition: \p state outlives the handler.
+    explicit gateway_handler(gateway_state &state);
+
+    auto handle(http_exchange &exchange) -> boost::asio::awaitable<void>;
+
+    /// Requests that are being carried out.
+    [[nodiscard]] auto running() const -> std::size_t;
+
+private:
+    auto refuse(http_exchange &exchange, const routed_request &request, unsigned status, std::string_view reason)
+        -> boost::asio::awaitable<void>;
+    auto carryOut(http_exchange &exchange, routed_request request, const route_rule &route, std::string account)
+        -> boost::asio::awaitable<void>;
+
+    gateway_state &m_state;
+    std::size_t m_running = 0;
+};
+
+} // namespace marjoramloom
--- /dev/null
+++ b/include/marjoramloom/gateway/gateway_settings.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "marjoramloom/gateway/repeat_budget.h"
+
+#include <chrono>
+
+namespace marjoramloom {
+
+/// Settings of a router that takes its routes from the platform; docs/SETTINGS.md lists their keys.
+struct gateway_settings
+{
+    std::chrono::milliseconds keyLifetime{ 4'300 }; ///< How long keys are served after a proof that they are in force.
+    std::chrono::milliseconds graceTime{ 8'000 }; ///< From the signal to stop until the process is ended.
+    repeat_budget_settings repeats;
+};
+
+} // namespace marjoramloom
--- /dev/null
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "marjoramloom/call/connection_pool.h"
+#include "marjoramloom/core/counters.h"
+#include "marjoramloom/gateway/gateway_settings.h"
+#include "marjoramloom/gateway/key_freshness.h"
+#include "marjoramloom/gateway/prompt_placement.h"
+#include "marjoramloom/gateway/repeat_budget.h"
+#include "marjoramloom/gateway/route_table.h"
+#include "marjoramloom/gateway/server_directory.h"
+#include "marjoramloom/gateway/server_loads.h"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace marjoramloom {
+
+/// What the requests of a router share. All of it belongs to the router's only thread.
+struct gateway_state
+{
+    gateway_state(const gateway_settings &given, std::string ownDataCentre, counter_registry &registry,
+                  std::uint64_t seed);
+
+    /// The budget of repeats to the servers of \p service.
+    auto repeatsOf(const std::string &service) -> repeat_budget &;
+
+    gateway_settings settings;
+    std::string dataCentre;
+    counter_registry &counters;
+    std::shared_ptr<const route_table> routes; ///< Null before the first configuration.
+    bool hasServers = false; ///< Whether the list of backend servers was read.
+    bool stopping = false;
+    key_freshness keys;
+    server_directory servers;
+    server_loads loads;
+    prompt_placement placement;
+    connection_pool connections;
+    boost::random::mt19937_64 random;
+    std::map<std::string, repeat_budget> repeats; ///< By service.
+};
+
+} // namespace marjoramloom
--- /dev/null
+++ b/include/marjoramloom/gateway/server_choice.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "marjoramloom/core/last_reason.h"
+#include "marjoramloom/gateway/gateway_state.h"
+#include "marjoramloom/gateway/routed_request.h"
+
+#include <set>
+
+namespace marjoramloom {
+
+/// A backend server for one send of a request, and what was known when it was chosen.
+struct chosen_server
+{
+    server_directory::server_ptr server;
+    std::uint32_t tokensToRead = 0; ///< Prompt tokens that the server is expected to read.
+    duration firstEvent{}; ///< Expected time to the first event; 0 for plain services.
+    std::size_t candidates = 0;
+};
+
+/// One of \p route's services, drawn by their weights.
+auto chooseService(const route_rule &route, boost::random::mt19937_64 &random) -> const std::string &;
+
+/// A server of \p service that is not among \p tried. Nothing where none is left or all are full: the reason's kind tells
+/// which (notFound, overloaded).
+auto chooseServer(gateway_state &state, const routed_service &service, const route_rule &route,
+                  const prompt_outline &prompt, const std::set<std::string> &tried, time_point now, last_reason &why)
+    -> std::optional<chosen_server>;
+
+} // namespace marjoramloom
--- a/include/marjoramloom/order/order_ledger.h
+++ b/include/marjoramloom/order/order_ledger.h
@@ -2,7 +2,7 @@
 
 #include "marjoramloom/core/counters.h"
 #include "marjoramloom/order/order_permit.h"
-#include "marjoramloom/platform/retry_backoff.h"
+#include "marjoramloom/store/retry_backoff.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <deque>
--- a/include/marjoramloom/order/order_machine.h
+++ b/include/marjoramloom/order/order_machine.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "marjoramloom/order/order_record.h"
-#include "marjoramloom/platform/object_store.h"
+#include "marjoramloom/store/object_store.h"
 
 #include <optional>
 
--- a/include/marjoramloom/peer/membership.h
+++ b/include/marjoramloom/peer/membership.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "marjoramloom/peer/member.h"
-#include "marjoramloom/platform/instance_list.h"
+#include "marjoramloom/store/instance_list.h"
 
 #include <cstdint>
 #include <map>
--- a/include/marjoramloom/router/http_exchange.h
+++ b/include/marjoramloom/router/http_exchange.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <string>
@@ -69,6 +70,20 @@
     /// Closes the connection without ending the chunked body, so that the caller sees that the answer is unfinished.
     auto abandonEvents() -> void;
 
+    /// Begins an answer that is passed on piece by piece, as chunks. Nothing is sent before the first piece.
+    auto relayHead(const boost::beast::http::response_header<> &head) -> void;
+
+    /// Sends \p piece, behind the head where that is still to be sent. Precondition: relayHead() was called. False: the
+    /// caller is gone.
+    auto relayPiece(std::string_view piece) -> boost::asio::awaitable<bool>;
+
+    /// Ends the answer that relayHead() began.
+    auto relayEnd() -> boost::asio::awaitable<bool>;
+
+    /// Sends \p head with the whole \p body.
+    auto relayWhole(const boost::beast::http::response_header<> &head, std::string_view body)
+        -> boost::asio::awaitable<bool>;
+
     /// Completes once the caller closed its side of the connection.
     auto waitForCallerToLeave() -> boost::asio::awaitable<void>;
 
@@ -88,6 +103,7 @@
     duration m_writeTimeout;
     bool m_answered = false;
     bool m_reusable = true;
+    std::string m_unsentHead;
 };
 
 /// Body of an error response: kind, step, peer and detail of \p why. Thread safe.
--- a/include/marjoramloom/router/http_server.h
+++ b/include/marjoramloom/router/http_server.h
@@ -27,6 +27,7 @@
 struct http_limits
 {
     std::uint32_t bodyBytes = 4U << 20U;
+    std::uint32_t headerBytes = 32U << 10U;
     duration headerTimeout = std::chrono::seconds(10); ///< From the first byte of a request to its last.
     duration idleTimeout = std::chrono::seconds(60); ///< Between requests, and for one write.
 };
@@ -43,6 +44,9 @@
     http_server(boost::asio::io_context &context, Handler &handler, counter_registry &counters, std::string name,
                 http_limits limits);
 
+    /// Replaces the limits for requests that are still to come. Call on the only thread of the context.
+    auto setLimits(http_limits limits) -> void;
+
     /// Starts listening. Returns the port, or nothing where the address cannot be had.
     auto listen(const std::string &address, last_reason &why) -> std::optional<std::uint16_t>;
 
@@ -62,6 +66,8 @@
         -> boost::asio::awaitable<bool>;
     auto serveOne(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, const std::string &peer)
         -> boost::asio::awaitable<bool>;
+    auto readHead(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, boost::system::error_code &error)
+        -> boost::asio::awaitable<bool>;
     auto refuse(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, const std::string &peer,
                 boost::system::error_code error) -> boost::asio::awaitable<void>;
     auto runHandler(http_exchange &exchange) -> boost::asio::awaitable<void>;
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -1,5 +1,6 @@
 #include "marjoramloom/core/endpoint.h"
 #include "marjoramloom/core/log.h"
+#include "marjoramloom/router/request_head.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -18,8 +19,6 @@
 constexpr auto idleCloseDelay = std::chrono::seconds(2);
 /// Pause after an accept that failed, as when no file descriptor is free.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
-/// Largest head of a request, in bytes.
-constexpr std::uint32_t headerBytes = 32U << 10U;
 
 template<http_handler Handler>
 http_server<Handler>::http_server(boost::asio::io_context &context, Handler &handler, counter_registry &counters,
@@ -58,6 +57,12 @@
     return m_acceptor.local_endpoint().port();
 }
 
+template<http_handler Handler>
+auto http_server<Handler>::setLimits(http_limits limits) -> void
+{
+    m_limits = limits;
+}
+
 template<http_handler Handler>
 auto http_server<Handler>::stopAccepting() -> void
 {
@@ -165,9 +170,14 @@
 {
     auto parser = boost::beast::http::request_parser<boost::beast::http::string_body>();
     parser.body_limit(m_limits.bodyBytes);
-    parser.header_limit(headerBytes);
+    parser.header_limit(m_limits.headerBytes);
     auto error = boost::system::error_code();
     stream.expires_after(m_limits.headerTimeout);
+    if (!co_await readHead(stream, buffer, error)) {
+        stream.expires_never();
+        co_await refuse(stream, buffer, peer, error);
+        co_return false;
+    }
     co_await boost::beast::http::async_read(stream, buffer, parser,
                                             boost::asio::redirect_error(boost::asio::use_awaitable, error));
     stream.expires_never();
@@ -183,6 +193,35 @@
     co_return exchange.reusable() && !m_stopping;
 }
 
+/// Reads until the head of the request is whole and checks it; false and an error where it is not to be served.
+template<http_handler Handler>
+auto http_server<Handler>::readHead(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer,
+                                    boost::system::error_code &error) -> boost::asio::awaitable<bool>
+{
+    constexpr std::size_t readSize = 16U << 10U;
+    while (true) {
+        const auto bytes = std::string_view(static_cast<const char *>(buffer.data().data()), buffer.size());
+        const auto state = checkRequestHead(bytes);
+        if (state == head_state::sound) {
+            co_return true;
+        }
+        if (state == head_state::malformed) {
+            error = boost::beast::http::error::bad_field;
+            co_return false;
+        }
+        if (bytes.size() > m_limits.headerBytes) {
+            error = boost::beast::http::error::header_limit;
+            co_return false;
+        }
+        const auto count = co_await stream.async_read_some(
+            buffer.prepare(readSize), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        if (error) {
+            co_return false;
+        }
+        buffer.commit(count);
+    }
+}
+
 template<http_handler Handler>
 auto http_server<Handler>::refuse(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer,
                                   const std::string &peer, boost::system::error_code error)
@@ -190,7 +229,8 @@
 {
     m_counters.at("marjoramloom_bad_requests_total", "listener=\"" + m_name + "\"").add();
     log_line(log_level::warning, "bad_request").with("peer", peer).with("detail", error.message());
-    if (error == boost::beast::http::error::end_of_stream) {
+    if (error == boost::beast::http::error::end_of_stream || error == boost::asio::error::eof
+        || error == boost::asio::error::connection_reset) {
         co_return;
     }
     auto why = last_reason();
@@ -198,6 +238,8 @@
     auto answer = errorReply(why);
     if (error == boost::beast::http::error::body_limit) {
         answer.status = 413;
+    } else if (error == boost::beast::http::error::header_limit) {
+        answer.status = 431;
     } else if (error == boost::beast::error::timeout) {
         answer.status = 408;
     }
--- a/include/marjoramloom/router/operator_handler.h
+++ b/include/marjoramloom/router/operator_handler.h
@@ -2,7 +2,7 @@
 
 #include "marjoramloom/contract/operator_api.h"
 #include "marjoramloom/core/counters.h"
-#include "marjoramloom/platform/platform_client.h"
+#include "marjoramloom/store/store_client.h"
 #include "marjoramloom/router/http_exchange.h"
 
 #include <atomic>
@@ -16,13 +16,13 @@
 {
 public:
     /// Precondition: all outlive the handler.
-    operator_handler(operator_api<platform_client> &api, counter_registry &counters, std::atomic<bool> &ready,
+    operator_handler(operator_api<store_client> &api, counter_registry &counters, std::atomic<bool> &ready,
                      std::string keyHash);
 
     auto handle(http_exchange &exchange) -> boost::asio::awaitable<void>;
 
 private:
-    operator_api<platform_client> &m_api;
+    operator_api<store_client> &m_api;
     counter_registry &m_counters;
     std::atomic<bool> &m_ready;
     std::string m_keyHash;
--- a/include/marjoramloom/router/order_handler.h
+++ b/include/marjoramloom/router/order_handler.h
@@ -3,7 +3,7 @@
 #include "marjoramloom/call/plain_call.h"
 #include "marjoramloom/order/order_ledger.h"
 #include "marjoramloom/peer/member.h"
-#include "marjoramloom/platform/platform_client.h"
+#include "marjoramloom/store/store_client.h"
 #include "marjoramloom/router/http_exchange.h"
 #include "marjoramloom/router/request_context.h"
 
@@ -21,7 +21,7 @@
 {
 public:
     /// Precondition: what \p context refers to, \p platform and \p counters outlive the handler.
-    order_handler(request_context &context, platform_client &platform, const member &self, counter_registry &counters);
+    order_handler(request_context &context, store_client &platform, const member &self, counter_registry &counters);
 
     /// Precondition: the admitted service is not repeatable.
     auto handle(http_exchange &exchange, const admitted_request &admitted, plain_request request)
@@ -42,7 +42,7 @@
     auto replyTo(const order_admission &admission, const last_reason &why) const -> http_reply;
 
     request_context &m_context;
-    order_ledger<platform_client> m_ledger;
+    order_ledger<store_client> m_ledger;
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/router/server_watch.h
+++ b/include/marjoramloom/router/server_watch.h
@@ -14,7 +14,7 @@
 
 class load_watch;
 class peer_links;
-class platform_client;
+class store_client;
 class start_gate;
 class ticket_queue;
 
@@ -28,7 +28,7 @@
     using strand_type = ticket_queue::strand_type;
 
     /// Precondition: all outlive the watch.
-    server_watch(strand_type strand, platform_client &platform, dispatch_service &dispatch, ticket_queue &tickets,
+    server_watch(strand_type strand, store_client &platform, dispatch_service &dispatch, ticket_queue &tickets,
                  peer_links &links, start_gate &gate);
 
     /// Takes over a new configuration with its planned stops.
@@ -61,7 +61,7 @@
     auto watchLoads() -> void;
 
     strand_type m_strand;
-    platform_client &m_platform;
+    store_client &m_platform;
     dispatch_service &m_dispatch;
     ticket_queue &m_tickets;
     peer_links &m_links;
--- a/include/marjoramloom/router/settings.h
+++ b/include/marjoramloom/router/settings.h
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/core/last_reason.h"
 #include "marjoramloom/core/log.h"
+#include "marjoramloom/gateway/gateway_settings.h"
 
 #include <chrono>
 #include <cstdint>
@@ -44,6 +45,8 @@
     double hedgeBudget = 0.05; ///< Hedges as a fraction of calls.
     double retryBudget = 0.1; ///< Retries as a fraction of calls.
 
+    std::optional<gateway_settings> gateway; ///< Set where routes and backend servers come from the platform.
+
     log_level logLevel = log_level::info;
 };
 
--- a/include/marjoramloom/platform/instance_list.h
+++ b/include/marjoramloom/store/instance_list.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "marjoramloom/core/enum_names.h"
+#include "marjoramloom/core/last_reason.h"
+#include "marjoramloom/store/object_store.h"
 
 #include <cstdint>
 #include <string>
@@ -46,4 +48,10 @@
     std::string address; ///< IP:port: peers' listener of a router, requests' of a backend server.
 };
 
+/// Kind of the objects that make the instance list.
+constexpr std::string_view instanceKind = "instances";
+
+/// A row of the instance list from its object; nothing where it is malformed. Thread safe.
+auto parseInstance(const stored_object &object, last_reason &why) -> std::optional<listed_instance>;
+
 } // namespace marjoramloom
--- a/include/marjoramloom/platform/platform_client.h
+++ b/include/marjoramloom/store/store_client.h
@@ -2,10 +2,10 @@
 
 #include "marjoramloom/core/clock.h"
 #include "marjoramloom/core/counters.h"
-#include "marjoramloom/platform/instance_list.h"
-#include "marjoramloom/platform/object_store.h"
-#include "marjoramloom/platform/platform_connection.h"
-#include "marjoramloom/platform/watch_event.h"
+#include "marjoramloom/store/instance_list.h"
+#include "marjoramloom/store/object_store.h"
+#include "marjoramloom/store/store_connection.h"
+#include "marjoramloom/store/watch_event.h"
 
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
@@ -19,12 +19,13 @@
 
 namespace marjoramloom {
 
-/// Limits and addresses of a platform_client.
-struct platform_options
+/// Limits and addresses of a store_client.
+struct store_options
 {
     std::vector<std::string> addresses; ///< IP:port each; any of them serves.
     std::chrono::milliseconds timeout{ 2'000 }; ///< Of one call, with its retries.
-    std::chrono::milliseconds watchSilence{ 3'500 }; ///< A watch without a line for this long is dialled anew.
+    std::chrono::milliseconds watchWait{ 1'000 }; ///< How long one call of a watch waits for changes.
+    std::chrono::milliseconds watchSilence{ 2'000 }; ///< A watch without an answer for this long is dialled anew.
     std::chrono::milliseconds idleLimit{ 15'000 }; ///< Idle connections are not used again after this long.
     std::chrono::milliseconds retryFirst{ 100 };
     std::chrono::milliseconds retryLimit{ 3'000 };
@@ -41,11 +42,11 @@
 ///
 /// Reads are tried again on a fresh connection; a write is sent at most once per call, and its outcome says truthfully
 /// what is known. Thread safe; callbacks of a watch run on the executor of the coroutine that watches.
-class platform_client
+class store_client
 {
 public:
     /// Precondition: at least one address; \p executor and \p counters outlive the client.
-    platform_client(boost::asio::any_io_executor executor, platform_options options, counter_registry &counters);
+    store_client(boost::asio::any_io_executor executor, store_options options, counter_registry &counters);
 
     /// The object; revision 0 where none stands. Nothing where the platform gave no clear answer.
     auto get(std::string kind, std::string name, last_reason &why)
@@ -69,9 +70,10 @@
     /// The platform's list of instances, which lags.
     auto instances(last_reason &why) -> boost::asio::awaitable<std::optional<instance_snapshot>>;
 
-    /// Hands every change of \p kinds after revision \p since to \p callback, in order and each once, with bookmarks
-    /// between them. Dials anew whenever the connection ends or falls silent. Ends when the callback returns false, or
-    /// when the platform no longer keeps the changes after the last revision seen: then list again.
+    /// Hands every change of \p kinds after revision \p since to \p callback, one event at a time; those of one kind come
+    /// in order and each once, with bookmarks between them. Calls again whenever a call ends, and dials anew where the
+    /// connection ends or falls silent. Ends when the callback returns false, or when the platform no longer keeps the
+    /// changes after the last revision seen: then list again. Precondition: \p kinds is not empty.
     auto watch(std::vector<std::string> kinds, std::uint64_t since, watch_callback callback)
         -> boost::asio::awaitable<watch_end>;
 
@@ -81,7 +83,7 @@
 private:
     struct idle_connection
     {
-        std::shared_ptr<platform_connection> connection;
+        std::shared_ptr<store_connection> connection;
         time_point since;
     };
 
@@ -91,18 +93,20 @@
         -> boost::asio::awaitable<std::optional<http_response>>;
     auto attempt(call_budget &state, http_request request, sent_state &sent, last_reason &why)
         -> boost::asio::awaitable<std::optional<http_response>>;
-    auto write(http_request request, last_reason &why) -> boost::asio::awaitable<write_outcome>;
-    auto watchOnce(std::vector<std::string> kinds, std::uint64_t &revision, watch_callback &callback, last_reason &why)
+    auto write(http_request request, std::string kind, last_reason &why) -> boost::asio::awaitable<write_outcome>;
+    auto watchKind(std::string kind, std::uint64_t revision, watch_callback callback)
         -> boost::asio::awaitable<watch_end>;
-    auto takeIdle(const std::string &address) -> std::shared_ptr<platform_connection>;
-    auto giveBack(std::shared_ptr<platform_connection> connection) -> void;
+    auto watchOnce(std::shared_ptr<store_connection> &connection, const std::string &kind, std::uint64_t &revision,
+                   watch_callback &callback, last_reason &why) -> boost::asio::awaitable<watch_end>;
+    auto takeIdle(const std::string &address) -> std::shared_ptr<store_connection>;
+    auto giveBack(std::shared_ptr<store_connection> connection) -> void;
     auto dropIdle(const std::string &address) -> void;
     auto preferredAddress() const -> std::string;
     auto preferNext(const std::string &failed) -> void;
     auto noteAnswer() -> void;
 
     boost::asio::any_io_executor m_executor;
-    platform_options m_options;
+    store_options m_options;
     counter &m_calls;
     counter &m_failures;
     counter &m_redials;
--- a/include/marjoramloom/platform/platform_connection.h
+++ b/include/marjoramloom/store/store_connection.h
@@ -25,11 +25,11 @@
 
 /// One HTTP/1.1 connection of a client. Used by one coroutine at a time, on any executor: it runs on a strand of its
 /// own.
-class platform_connection : public std::enable_shared_from_this<platform_connection>
+class store_connection : public std::enable_shared_from_this<store_connection>
 {
 public:
     /// Precondition: \p address is "IP:port".
-    platform_connection(const boost::asio::any_io_executor &executor, std::string address);
+    store_connection(const boost::asio::any_io_executor &executor, std::string address);
 
     /// Opens the connection; false and a reason of kind notSent where that fails within \p limit.
     auto connect(std::chrono::milliseconds limit, last_reason &why) -> boost::asio::awaitable<bool>;
--- a/include/marjoramloom/platform/watch_event.h
+++ b/include/marjoramloom/store/watch_event.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "marjoramloom/platform/object_store.h"
+#include "marjoramloom/core/boot_clock.h"
+#include "marjoramloom/store/object_store.h"
 
 #include <functional>
 
@@ -22,12 +23,13 @@
     };
 };
 
-/// One line of a watch.
+/// One event of a watch.
 struct watch_event
 {
     watch_event_kind kind = watch_event_kind::bookmark;
     std::uint64_t revision = 0;
     stored_object object; ///< Empty for bookmarks.
+    boot_time askedAt; ///< Bookmarks only: when the call began that showed the store's state at the revision.
 };
 
 /// Receives events in order; false ends the watch.
@@ -37,13 +39,8 @@
 enum class watch_end {
     stopped, ///< The callback returned false.
     expired, ///< The platform no longer keeps the changes asked for.
-    broken, ///< The connection ended or fell silent.
+    broken, ///< The connection ended or fell silent, or the platform refused.
+    idle, ///< Nothing changed while the call waited, or every change was delivered.
 };
 
-/// Parses one line of a watch; nothing where it is malformed. Thread safe.
-auto parseWatchLine(std::string_view line, last_reason &why) -> std::optional<watch_event>;
-
-/// Parses a stored object; nothing where it is malformed. Thread safe.
-auto parseStoredObject(std::string_view text, last_reason &why) -> std::optional<stored_object>;
-
 } // namespace marjoramloom
--- a/src/call/connection_pool.cpp
+++ b/src/call/connection_pool.cpp
@@ -7,7 +7,8 @@
 auto connection_pool::take(const std::string &peer, const boost::asio::any_io_executor &executor)
     -> std::shared_ptr<http_connection>
 {
-    const auto oldest = std::chrono::steady_clock::now() - IDLE_LIMIT;
+    const auto now = std::chrono::steady_clock::now();
+    const auto oldest = now - IDLE_LIMIT;
     const auto lock = std::lock_guard(m_mutex);
     auto &idle = m_idle[peer];
     while (!idle.empty() && idle.front().since < oldest) {
@@ -15,8 +16,9 @@
     }
     while (!idle.empty()) {
         auto newest = std::move(idle.back().connection);
+        const auto isFresh = now - idle.back().since < newest->idleLimit();
         idle.pop_back();
-        if (newest->idleAndOpen()) {
+        if (isFresh && newest->idleAndOpen()) {
             newest->adopt(executor);
             return newest;
         }
--- a/src/call/http_connection.cpp
+++ b/src/call/http_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cassert>
 #include <charconv>
+#include <netinet/tcp.h>
 
 namespace marjoramloom {
 
@@ -48,6 +49,8 @@
         co_return false;
     }
     m_socket.set_option(asio::ip::tcp::no_delay(true), error);
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    m_socket.set_option(user_timeout(static_cast<int>(UNACKNOWLEDGED_LIMIT.count())), error);
     co_return true;
 }
 
@@ -55,6 +58,7 @@
 {
     auto error = error_code();
     m_anythingSent = true;
+    m_expectsNoBody = message.method() == http::verb::head;
     m_parser.reset();
     m_limit->arm(limit);
     co_await http::async_write(m_socket, message, asio::redirect_error(asio::use_awaitable, error));
@@ -69,10 +73,14 @@
 auto http_connection::readHead(duration limit, last_reason &why) -> asio::awaitable<bool>
 {
     auto error = error_code();
-    m_parser.emplace();
-    m_parser->body_limit(boost::none);
     m_limit->arm(limit);
-    co_await http::async_read_header(m_socket, m_buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
+    do {
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
+        m_parser->skip(m_expectsNoBody);
+        co_await http::async_read_header(m_socket, m_buffer, *m_parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
+    } while (!error && http::to_status_class(m_parser->get().result()) == http::status_class::informational);
     m_limit->disarm();
     if (error) {
         fail("read answer head", error, why);
@@ -129,6 +137,22 @@
     }
 }
 
+auto http_connection::head() const -> const http::response_header<> &
+{
+    assert(m_parser && m_parser->is_header_done());
+    return m_parser->get().base();
+}
+
+auto http_connection::limitIdle(duration limit) -> void
+{
+    m_idleLimit = limit;
+}
+
+auto http_connection::idleLimit() const -> duration
+{
+    return m_idleLimit;
+}
+
 auto http_connection::status() const -> unsigned
 {
     assert(m_parser && m_parser->is_header_done());
--- a/src/cli/router_client.cpp
+++ b/src/cli/router_client.cpp
@@ -2,7 +2,7 @@
 
 #include "marjoramloom/contract/configuration_codec.h"
 #include "marjoramloom/contract/operator_api.h"
-#include "marjoramloom/platform/platform_connection.h"
+#include "marjoramloom/store/store_connection.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -34,7 +34,7 @@
 auto roundTrip(asio::any_io_executor executor, std::string address, http_request request, last_reason &why)
     -> asio::awaitable<std::optional<http_response>>
 {
-    const auto connection = std::make_shared<platform_connection>(executor, std::move(address));
+    const auto connection = std::make_shared<store_connection>(executor, std::move(address));
     const auto connected = co_await connection->connect(connectLimit, why);
     if (!connected) {
         co_return std::nullopt;
--- /dev/null
+++ b/src/gateway/gateway_handler.cpp
@@ -0,0 +1,97 @@
+#include "marjoramloom/gateway/gateway_handler.h"
+
+#include "marjoramloom/core/log.h"
+#include "marjoramloom/gateway/gateway_call.h"
+#include "marjoramloom/gateway/refusal.h"
+#include "platform/header_format.h"
+#include "router/caller_watch.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+namespace marjoramloom {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned badRequest = 400;
+constexpr unsigned unauthorized = 401;
+constexpr unsigned notFound = 404;
+constexpr unsigned unavailable = 503;
+
+} // namespace
+
+gateway_handler::gateway_handler(gateway_state &state)
+    : m_state(state)
+{
+}
+
+auto gateway_handler::handle(http_exchange &exchange) -> asio::awaitable<void>
+{
+    auto why = last_reason();
+    auto request = platform::decodeRequest(exchange.request().base(), why);
+    if (!request) {
+        co_await refuse(exchange, {}, badRequest, why.detail);
+        co_return;
+    }
+    request->arrived = boot_clock::now();
+    if (m_state.stopping) {
+        exchange.closeAfterwards();
+    }
+    const auto routes = m_state.routes;
+    if (!routes || !m_state.hasServers) {
+        co_await refuse(exchange, *request, unavailable, "no configuration yet");
+        co_return;
+    }
+    const auto *route = routes->findRoute(request->host, request->path);
+    if (route == nullptr) {
+        co_await refuse(exchange, *request, notFound, "no route");
+        co_return;
+    }
+    auto account = std::string();
+    if (!route->anonymous) {
+        if (!m_state.keys.holds(boot_clock::now())) {
+            co_await refuse(exchange, *request, unavailable, "keys not confirmed lately");
+            co_return;
+        }
+        const auto *holder = request->key ? routes->findAccount(*request->key) : nullptr;
+        if (holder == nullptr) {
+            co_await refuse(exchange, *request, unauthorized, "unknown key");
+            co_return;
+        }
+        account = holder->name;
+    }
+    co_await carryOut(exchange, std::move(*request), *route, std::move(account));
+}
+
+auto gateway_handler::carryOut(http_exchange &exchange, routed_request request, const route_rule &route,
+                               std::string account) -> asio::awaitable<void>
+{
+    using namespace asio::experimental::awaitable_operators;
+    auto call = gateway_call(m_state, exchange, std::move(request), m_state.routes, route, std::move(account));
+    auto control = call_control::make(co_await asio::this_coro::executor);
+    ++m_running;
+    co_await (call.run(control) || cancelWhenCallerLeaves(exchange, control));
+    --m_running;
+}
+
+auto gateway_handler::refuse(http_exchange &exchange, const routed_request &request, unsigned status,
+                             std::string_view reason) -> asio::awaitable<void>
+{
+    const auto routes = m_state.routes;
+    log_line(log_level::info, "refused")
+        .with("request", request.id)
+        .with("status", status)
+        .with("reason", reason)
+        .with("configuration", routes ? routes->version() : 0);
+    m_state.counters.at("marjoramloom_refused_total", "status=\"" + std::to_string(status) + "\"").add();
+    auto answer = ownAnswer(m_state, request, status, reason);
+    co_await exchange.reply(std::move(answer));
+}
+
+auto gateway_handler::running() const -> std::size_t
+{
+    return m_running;
+}
+
+} // namespace marjoramloom
--- /dev/null
+++ b/src/gateway/gateway_process.cpp
@@ -0,0 +1,171 @@
+#include "marjoramloom/gateway/gateway_process.h"
+
+#include "marjoramloom/core/log.h"
+#include "marjoramloom/gateway/gateway_handler.h"
+#include "marjoramloom/gateway/platform_feed.h"
+#include "marjoramloom/gateway/status_handler.h"
+#include "marjoramloom/router/http_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cassert>
+#include <random>
+
+namespace marjoramloom {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto tickPeriod = std::chrono::milliseconds(200);
+/// The balancer asks once a second and takes a router out after two misses; new connections come until then.
+constexpr auto acceptAfterStop = std::chrono::milliseconds(2'600);
+constexpr auto drainPoll = std::chrono::milliseconds(50);
+/// The process ends this long before it would be killed.
+constexpr auto graceMargin = std::chrono::milliseconds(300);
+
+auto storeOptions(const settings &config) -> store_options
+{
+    auto options = store_options();
+    options.addresses = config.platform;
+    options.timeout = config.platformTimeout;
+    options.watchWait = std::chrono::milliseconds(1'500);
+    options.watchSilence = std::chrono::milliseconds(2'200);
+    options.retryLimit = std::chrono::milliseconds(800);
+    return options;
+}
+
+auto httpLimits(const caller_limits &limits) -> http_limits
+{
+    return { .bodyBytes = limits.bodyBytes,
+             .headerBytes = limits.headerBytes,
+             .headerTimeout = limits.headerTimeout,
+             .idleTimeout = limits.idleTimeout };
+}
+
+} // namespace
+
+/// All parts of the process, in the order in which they depend on each other.
+struct gateway_process::parts
+{
+    explicit parts(settings given);
+
+    auto tickLoop() -> asio::awaitable<void>;
+    auto waitForStop() -> asio::awaitable<void>;
+    auto drain() -> asio::awaitable<void>;
+    auto refreshReadiness() -> void;
+
+    settings config;
+    asio::io_context context{ 1 };
+    counter_registry counters;
+    bool ready = false;
+    gateway_state state;
+    store_client store;
+    gateway_handler callers;
+    status_handler status;
+    std::shared_ptr<http_server<gateway_handler>> callerServer;
+    std::shared_ptr<http_server<status_handler>> statusServer;
+    platform_feed feed;
+};
+
+gateway_process::parts::parts(settings given)
+    : config(std::move(given))
+    , state(*config.gateway, config.dataCentre, counters, std::random_device()())
+    , store(context.get_executor(), storeOptions(config), counters)
+    , callers(state)
+    , status(ready, counters)
+    , callerServer(std::make_shared<http_server<gateway_handler>>(context, callers, counters, "callers", http_limits()))
+    , statusServer(std::make_shared<http_server<status_handler>>(context, status, counters, "operators", http_limits()))
+    , feed(store, state, [this] { callerServer->setLimits(httpLimits(state.routes->limits())); })
+{
+}
+
+auto gateway_process::parts::refreshReadiness() -> void
+{
+    const auto now = state.routes && state.hasServers && !state.stopping && state.keys.holds(boot_clock::now());
+    if (now != ready) {
+        log_line(log_level::info, "readiness").with("ready", now ? "yes" : "no");
+    }
+    ready = now;
+}
+
+auto gateway_process::parts::tickLoop() -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(context);
+    while (true) {
+        timer.expires_after(tickPeriod);
+        co_await timer.async_wait(asio::use_awaitable);
+        feed.tick(system_clock_source().now());
+        refreshReadiness();
+    }
+}
+
+auto gateway_process::parts::waitForStop() -> asio::awaitable<void>
+{
+    auto signals = asio::signal_set(context, SIGTERM, SIGINT);
+    co_await signals.async_wait(asio::use_awaitable);
+    co_await drain();
+    context.stop();
+}
+
+auto gateway_process::parts::drain() -> asio::awaitable<void>
+{
+    const auto deadline = system_clock_source().now() + config.gateway->graceTime - graceMargin;
+    log_line(log_level::info, "stop_begins").with("running", callers.running());
+    state.stopping = true;
+    refreshReadiness();
+    auto timer = asio::steady_timer(context, acceptAfterStop);
+    co_await timer.async_wait(asio::use_awaitable);
+    callerServer->stopAccepting();
+    while (callerServer->connections() > 0 && system_clock_source().now() < deadline) {
+        timer.expires_after(drainPoll);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    log_line(log_level::info, "stop_ends")
+        .with("unfinished", callers.running())
+        .with("connections", callerServer->connections());
+}
+
+gateway_process::gateway_process(settings config)
+    : m_parts(std::make_unique<parts>(std::move(config)))
+{
+    assert(m_parts->config.gateway);
+}
+
+gateway_process::~gateway_process() = default;
+
+auto gateway_process::start(last_reason &why) -> bool
+{
+    const auto &config = m_parts->config;
+    if (!m_parts->statusServer->listen(config.operatorsListen, why)
+        || !m_parts->callerServer->listen(config.callersListen, why)) {
+        return false;
+    }
+    log_line(log_level::info, "started")
+        .with("instance", config.instance)
+        .with("data_centre", config.dataCentre)
+        .with("callers", config.callersListen)
+        .with("platform", config.platform.front());
+    return true;
+}
+
+auto gateway_process::run() -> void
+{
+    auto &all = *m_parts;
+    asio::co_spawn(
+        all.context, [&all] { return all.feed.followConfiguration(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.feed.followServers(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.tickLoop(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.waitForStop(); }, asio::detached);
+    all.context.run();
+    log_line(log_level::info, "stopped").with("instance", all.config.instance);
+}
+
+} // namespace marjoramloom
--- /dev/null
+++ b/src/gateway/gateway_state.cpp
@@ -0,0 +1,38 @@
+#include "marjoramloom/gateway/gateway_state.h"
+
+#include "marjoramloom/core/log.h"
+
+namespace marjoramloom {
+
+namespace {
+
+auto logServer(const listed_server &server, std::string_view change) -> void
+{
+    log_line(log_level::info, "server")
+        .with("change", change)
+        .with("server", server.id)
+        .with("service", server.service)
+        .with("address", server.address)
+        .with("started", server.startedMs);
+}
+
+} // namespace
+
+gateway_state::gateway_state(const gateway_settings &given, std::string ownDataCentre, counter_registry &registry,
+                             std::uint64_t seed)
+    : settings(given)
+    , dataCentre(std::move(ownDataCentre))
+    , counters(registry)
+    , keys(given.keyLifetime)
+    , servers(logServer)
+    , placement(reading_pace())
+    , random(seed)
+{
+}
+
+auto gateway_state::repeatsOf(const std::string &service) -> repeat_budget &
+{
+    return repeats.try_emplace(service, settings.repeats).first->second;
+}
+
+} // namespace marjoramloom
--- /dev/null
+++ b/src/gateway/route_table.cpp
@@ -0,0 +1,85 @@
+#include "marjoramloom/gateway/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace marjoramloom {
+
+namespace {
+
+auto normalizedHost(std::string_view host) -> std::string
+{
+    auto name = std::string(host.substr(0, host.rfind(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return std::tolower(letter); });
+    return name;
+}
+
+} // namespace
+
+route_table::route_table(route_table_content content)
+    : m_content(std::move(content))
+{
+    for (auto index = std::size_t(0); index < m_content.routes.size(); ++index) {
+        const auto &route = m_content.routes[index];
+        m_byHost[normalizedHost(route.host)].emplace(route.pathPrefix, index);
+    }
+    for (auto index = std::size_t(0); index < m_content.services.size(); ++index) {
+        m_services.emplace(m_content.services[index].name, index);
+    }
+}
+
+auto route_table::version() const -> std::uint64_t
+{
+    return m_content.version;
+}
+
+auto route_table::findRoute(std::string_view host, std::string_view path) const -> const route_rule *
+{
+    const auto routes = m_byHost.find(normalizedHost(host));
+    if (routes == m_byHost.end()) {
+        return nullptr;
+    }
+    // Every prefix ends with a slash, so only the path's own slashes can end one.
+    for (auto slash = path.rfind('/'); slash != std::string_view::npos;) {
+        const auto found = routes->second.find(std::string(path.substr(0, slash + 1)));
+        if (found != routes->second.end()) {
+            return &m_content.routes[found->second];
+        }
+        slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+auto route_table::findAccount(const std::string &key) const -> const routed_account *
+{
+    const auto found = m_content.accountsByKey.find(key);
+    return found == m_content.accountsByKey.end() ? nullptr : &found->second;
+}
+
+auto route_table::findService(const std::string &name) const -> const routed_service *
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &m_content.services[found->second];
+}
+
+auto route_table::limits() const -> const caller_limits &
+{
+    return m_content.limits;
+}
+
+auto route_table::tokensPerSecond() const -> double
+{
+    return m_content.tokensPerSecond;
+}
+
+auto route_table::routeCount() const -> std::size_t
+{
+    return m_content.routes.size();
+}
+
+auto route_table::keyCount() const -> std::size_t
+{
+    return m_content.accountsByKey.size();
+}
+
+} // namespace marjoramloom
--- /dev/null
+++ b/src/gateway/server_loads.cpp
@@ -0,0 +1,50 @@
+#include "marjoramloom/gateway/server_loads.h"
+
+#include <algorithm>
+
+namespace marjoramloom {
+
+namespace {
+
+auto runKey(const listed_server &server) -> std::string
+{
+    return server.id + "@" + std::to_string(server.startedMs);
+}
+
+} // namespace
+
+auto server_loads::at(const listed_server &server) -> server_load &
+{
+    return m_loads[runKey(server)];
+}
+
+auto server_loads::find(const listed_server &server) const -> const server_load *
+{
+    const auto found = m_loads.find(runKey(server));
+    return found == m_loads.end() ? nullptr : &found->second;
+}
+
+auto server_loads::forget(const listed_server &server) -> void
+{
+    const auto found = m_loads.find(runKey(server));
+    if (found != m_loads.end() && found->second.running == 0) {
+        m_loads.erase(found);
+    }
+}
+
+auto server_loads::noteFailure(const listed_server &server, time_point now) -> void
+{
+    auto &load = at(server);
+    const auto doublings = std::min<std::uint32_t>(load.failuresInRow, 4);
+    load.avoidedUntil = now + std::min<duration>(AVOID_BASE * (1U << doublings), AVOID_LIMIT);
+    ++load.failuresInRow;
+}
+
+auto server_loads::noteSuccess(const listed_server &server) -> void
+{
+    auto &load = at(server);
+    load.failuresInRow = 0;
+    load.avoidedUntil = {};
+}
+
+} // namespace marjoramloom
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 #include "marjoramloom/cli/run_command.h"
 #include "marjoramloom/core/log.h"
+#include "marjoramloom/gateway/gateway_process.h"
 #include "marjoramloom/router/router_process.h"
 
 #include <csignal>
@@ -9,6 +10,20 @@
 
 using namespace marjoramloom;
 
+/// Runs a process until it is told to stop.
+template<typename Process>
+auto runProcess(const settings &config) -> int
+{
+    auto why = last_reason();
+    auto router = Process(config);
+    if (!router.start(why)) {
+        std::cerr << why.text() << "\n";
+        return static_cast<int>(exit_code::unavailable);
+    }
+    router.run();
+    return 0;
+}
+
 /// Runs a router by the settings file \p path until it is told to stop.
 auto serve(const std::string &path) -> int
 {
@@ -21,13 +36,7 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     configureLog(config->logLevel);
-    auto router = router_process(*config);
-    if (!router.start(why)) {
-        std::cerr << why.text() << "\n";
-        return static_cast<int>(exit_code::unavailable);
-    }
-    router.run();
-    return 0;
+    return config->gateway ? runProcess<gateway_process>(*config) : runProcess<router_process>(*config);
 }
 
 } // namespace
--- a/src/router/http_exchange.cpp
+++ b/src/router/http_exchange.cpp
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <cstdio>
 #include <sys/socket.h>
+#include <utility>
 
 namespace marjoramloom {
 
@@ -45,7 +46,20 @@
     return nothingYet ? caller_state::waiting : caller_state::gone;
 }
 
-auto chunkOf(const std::string &text) -> std::string
+/// The status line and fields of \p head, without the empty line that ends them.
+auto headText(const http::response_header<> &head) -> std::string
+{
+    const auto reason = head.reason();
+    auto text = std::string("HTTP/1.1 ") + std::to_string(head.result_int()) + " ";
+    text.append(reason.data(), reason.size()).append("\r\n");
+    for (const auto &field : head) {
+        text.append(field.name_string().data(), field.name_string().size()).append(": ");
+        text.append(field.value().data(), field.value().size()).append("\r\n");
+    }
+    return text;
+}
+
+auto chunkOf(std::string_view text) -> std::string
 {
     auto size = std::array<char, 24>{};
     const auto length = std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
@@ -160,6 +174,47 @@
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, error);
 }
 
+auto http_exchange::relayHead(const http::response_header<> &head) -> void
+{
+    assert(!m_answered);
+    m_answered = true;
+    m_unsentHead = headText(head);
+    m_unsentHead += m_reusable ? "Transfer-Encoding: chunked\r\n\r\n"
+                               : "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+auto http_exchange::relayPiece(std::string_view piece) -> asio::awaitable<bool>
+{
+    assert(m_answered);
+    auto text = std::exchange(m_unsentHead, {});
+    text += chunkOf(piece);
+    co_return co_await write(std::move(text));
+}
+
+auto http_exchange::relayEnd() -> asio::awaitable<bool>
+{
+    assert(m_answered);
+    co_return co_await write(std::exchange(m_unsentHead, {}) + "0\r\n\r\n");
+}
+
+auto http_exchange::relayWhole(const http::response_header<> &head, std::string_view body) -> asio::awaitable<bool>
+{
+    assert(!m_answered);
+    m_answered = true;
+    auto text = headText(head);
+    if (!m_reusable) {
+        text += "Connection: close\r\n";
+    }
+    if (head.result() != http::status::no_content && head.result() != http::status::not_modified) {
+        text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+    }
+    text += "\r\n";
+    if (m_request.method() != http::verb::head) {
+        text += body;
+    }
+    co_return co_await write(std::move(text));
+}
+
 auto http_exchange::waitForCallerToLeave() -> asio::awaitable<void>
 {
     auto timer = asio::steady_timer(co_await asio::this_coro::executor);
--- a/src/router/operator_handler.cpp
+++ b/src/router/operator_handler.cpp
@@ -2,7 +2,7 @@
 
 #include "marjoramloom/contract/operator_api.h"
 #include "marjoramloom/core/hash.h"
-#include "marjoramloom/platform/platform_client.h"
+#include "marjoramloom/store/store_client.h"
 #include "marjoramloom/router/caller_handler.h"
 
 #include <boost/json/serialize.hpp>
@@ -22,7 +22,7 @@
 
 } // namespace
 
-operator_handler::operator_handler(operator_api<platform_client> &api, counter_registry &counters,
+operator_handler::operator_handler(operator_api<store_client> &api, counter_registry &counters,
                                    std::atomic<bool> &ready, std::string keyHash)
     : m_api(api)
     , m_counters(counters)
--- a/src/router/order_handler.cpp
+++ b/src/router/order_handler.cpp
@@ -59,7 +59,7 @@
 
 } // namespace
 
-order_handler::order_handler(request_context &context, platform_client &platform, const member &self,
+order_handler::order_handler(request_context &context, store_client &platform, const member &self,
                              counter_registry &counters)
     : m_context(context)
     , m_ledger(platform, optionsFor(self), counters)
--- /dev/null
+++ b/src/router/request_head.cpp
@@ -0,0 +1,120 @@
+#include "marjoramloom/router/request_head.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+
+namespace marjoramloom {
+
+namespace {
+
+constexpr std::string_view tokenMarks = "!#$%&'*+-.^_`|~";
+
+auto isTokenCharacter(char letter) -> bool
+{
+    const auto isDigit = letter >= '0' && letter <= '9';
+    const auto isLetter = (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z');
+    return isDigit || isLetter || tokenMarks.find(letter) != std::string_view::npos;
+}
+
+auto isToken(std::string_view text) -> bool
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
+auto isNumber(std::string_view text) -> bool
+{
+    return !text.empty()
+        && std::all_of(text.begin(), text.end(), [](char letter) { return letter >= '0' && letter <= '9'; });
+}
+
+auto sameName(std::string_view left, std::string_view right) -> bool
+{
+    return boost::beast::iequals({ left.data(), left.size() }, { right.data(), right.size() });
+}
+
+auto trimmed(std::string_view text) -> std::string_view
+{
+    const auto first = text.find_first_not_of(" \t");
+    const auto last = text.find_last_not_of(" \t");
+    return first == std::string_view::npos ? std::string_view() : text.substr(first, last - first + 1);
+}
+
+/// Method, target and version, with single spaces between them; the target is a path.
+auto isRequestLine(std::string_view line) -> bool
+{
+    const auto first = line.find(' ');
+    const auto last = line.rfind(' ');
+    if (first == std::string_view::npos || first == last || line.find(' ', first + 1) != last) {
+        return false;
+    }
+    return isToken(line.substr(0, first)) && line[first + 1] == '/' && line.substr(last + 1).starts_with("HTTP/1.");
+}
+
+/// Fields of which a request may have one at most.
+struct seen_fields
+{
+    int hosts = 0;
+    int lengths = 0;
+    int encodings = 0;
+
+    auto take(std::string_view name, std::string_view value) -> bool
+    {
+        if (sameName(name, "Host")) {
+            ++hosts;
+        } else if (sameName(name, "Content-Length")) {
+            ++lengths;
+            return isNumber(value);
+        } else if (sameName(name, "Transfer-Encoding")) {
+            ++encodings;
+            return sameName(value, "chunked");
+        }
+        return true;
+    }
+
+    [[nodiscard]] auto areSound() const -> bool
+    {
+        return hosts == 1 && lengths + encodings <= 1;
+    }
+};
+
+auto isSoundField(std::string_view line, seen_fields &seen) -> bool
+{
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || !isToken(line.substr(0, colon))) {
+        return false;
+    }
+    return seen.take(line.substr(0, colon), trimmed(line.substr(colon + 1)));
+}
+
+} // namespace
+
+auto checkRequestHead(std::string_view bytes) -> head_state
+{
+    auto seen = seen_fields();
+    auto isFirst = true;
+    while (true) {
+        const auto end = bytes.find('\n');
+        if (end == std::string_view::npos) {
+            const auto stray = bytes.find('\r');
+            return stray == std::string_view::npos || stray + 1 == bytes.size() ? head_state::incomplete
+                                                                                : head_state::malformed;
+        }
+        if (end == 0 || bytes[end - 1] != '\r') {
+            return head_state::malformed;
+        }
+        const auto line = bytes.substr(0, end - 1);
+        bytes.remove_prefix(end + 1);
+        if (line.empty() && !isFirst) {
+            return seen.areSound() ? head_state::sound : head_state::malformed;
+        }
+        const auto hasControl = std::any_of(line.begin(), line.end(), [](char letter) {
+            return letter == '\r' || letter == '\0';
+        });
+        if (hasControl || !(isFirst ? isRequestLine(line) : isSoundField(line, seen))) {
+            return head_state::malformed;
+        }
+        isFirst = false;
+    }
+}
+
+} // namespace marjoramloom
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -13,7 +13,7 @@
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/peer/configuration_relay.h"
 #include "marjoramloom/peer/peer_links.h"
-#include "marjoramloom/platform/platform_client.h"
+#include "marjoramloom/store/store_client.h"
 #include "marjoramloom/router/caller_handler.h"
 #include "marjoramloom/router/dispatch_service.h"
 #include "marjoramloom/router/http_server.h"
@@ -74,9 +74,9 @@
     return limits;
 }
 
-auto platformOptions(const settings &config) -> platform_options
+auto platformOptions(const settings &config) -> store_options
 {
-    auto options = platform_options();
+    auto options = store_options();
     options.addresses = config.platform;
     options.timeout = config.platformTimeout;
     return options;
@@ -84,7 +84,9 @@
 
 auto httpLimits(const settings &config) -> http_limits
 {
-    return { config.bodyLimitBytes, config.headerTimeout, config.idleTimeout };
+    return { .bodyBytes = config.bodyLimitBytes,
+             .headerTimeout = config.headerTimeout,
+             .idleTimeout = config.idleTimeout };
 }
 
 } // namespace
@@ -112,10 +114,10 @@
     std::atomic<bool> draining = false;
 
     rcu_cell<router_view> view;
-    platform_client platform;
+    store_client platform;
     configuration_store store;
-    configuration_watcher<platform_client> watcher;
-    configuration_compactor<platform_client> compactor;
+    configuration_watcher<store_client> watcher;
+    configuration_compactor<store_client> compactor;
     peer_links links;
     configuration_relay<peer_links> relay;
     ticket_queue tickets;
@@ -131,8 +133,8 @@
     order_handler orders;
     caller_handler callers;
     status_report status;
-    change_log<platform_client> changes;
-    operator_api<platform_client> operators;
+    change_log<store_client> changes;
+    operator_api<store_client> operators;
     operator_handler operatorRequests;
     std::shared_ptr<http_server<caller_handler>> callerServer;
     std::shared_ptr<http_server<operator_handler>> operatorServer;
--- a/src/router/server_watch.cpp
+++ b/src/router/server_watch.cpp
@@ -6,7 +6,7 @@
 #include "marjoramloom/peer/peer_links.h"
 #include "marjoramloom/peer/relay_plan.h"
 #include "marjoramloom/peer/wire_codec.h"
-#include "marjoramloom/platform/platform_client.h"
+#include "marjoramloom/store/store_client.h"
 #include "peer.pb.h"
 
 #include <boost/asio/post.hpp>
@@ -31,7 +31,7 @@
 
 } // namespace
 
-server_watch::server_watch(strand_type strand, platform_client &platform, dispatch_service &dispatch,
+server_watch::server_watch(strand_type strand, store_client &platform, dispatch_service &dispatch,
                            ticket_queue &tickets, peer_links &links, start_gate &gate)
     : m_strand(std::move(strand))
     , m_platform(platform)
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -41,6 +41,7 @@
         readLimits();
         readShare();
         readCalls();
+        readGateway();
         readLog();
         rejectUnknownTables();
         if (!m_problems.empty()) {
@@ -171,6 +172,25 @@
         reader.finish();
     }
 
+    auto readGateway() -> void
+    {
+        auto reader = table("gateway");
+        auto gateway = gateway_settings();
+        auto graceSeconds = toSeconds(gateway.graceTime);
+        auto windowSeconds = toSeconds(gateway.repeats.window);
+        reader.time("key_lifetime_ms", gateway.keyLifetime, 100, hourMs);
+        reader.number("grace_seconds", graceSeconds, 0.5, 3'600);
+        reader.number("repeat_ratio", gateway.repeats.ratio, 0, 1);
+        reader.number("repeat_window_seconds", windowSeconds, 0.1, 3'600);
+        reader.number("repeat_reserve", gateway.repeats.reserve, 0, 1e6);
+        reader.finish();
+        gateway.graceTime = std::chrono::duration_cast<std::chrono::milliseconds>(fromSeconds(graceSeconds));
+        gateway.repeats.window = fromSeconds(windowSeconds);
+        if (m_root.contains("gateway")) {
+            m_settings.gateway = gateway;
+        }
+    }
+
     auto readLog() -> void
     {
         auto reader = table("log");
--- a/src/platform/platform_client.cpp
+++ b/src/store/store_client.cpp
@@ -1,6 +1,7 @@
-#include "marjoramloom/platform/platform_client.h"
+#include "marjoramloom/store/store_client.h"
 
-#include "platform/platform_json.h"
+#include "marjoramloom/core/log.h"
+#include "platform/object_format.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -10,17 +11,12 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-static_assert(object_store<platform_client>);
+static_assert(object_store<store_client>);
 
 namespace {
 
 constexpr auto idlePerClient = std::size_t(64);
 
-auto objectTarget(const std::string &kind, const std::string &name) -> std::string
-{
-    return "/v1/objects/" + kind + "/" + name;
-}
-
 auto makeRequest(http::verb method, const std::string &target) -> http_request
 {
     auto request = http_request(method, target, 11);
@@ -61,14 +57,14 @@
 
 } // namespace
 
-struct platform_client::call_budget
+struct store_client::call_budget
 {
     time_point deadline;
     bool repeatable = false;
     bool fresh = false; ///< Use no idle connection.
 };
 
-platform_client::platform_client(asio::any_io_executor executor, platform_options options, counter_registry &counters)
+store_client::store_client(asio::any_io_executor executor, store_options options, counter_registry &counters)
     : m_executor(std::move(executor))
     , m_options(std::move(options))
     , m_calls(counters.at("marjoramloom_platform_calls_total"))
@@ -78,11 +74,11 @@
     assert(!m_options.addresses.empty());
 }
 
-auto platform_client::get(std::string kind, std::string name, last_reason &why)
+auto store_client::get(std::string kind, std::string name, last_reason &why)
     -> asio::awaitable<std::optional<stored_object>>
 {
     auto sent = sent_state::notSent;
-    auto request = makeRequest(http::verb::get, objectTarget(kind, name));
+    auto request = makeRequest(http::verb::get, platform::objectTarget(kind, name));
     const auto response = co_await call(std::move(request), true, sent, why);
     if (!response) {
         co_return std::nullopt;
@@ -93,83 +89,111 @@
     if (response->result() != http::status::ok) {
         co_return why.fail(failure_kind::unavailable, "get object", "platform", statusText(*response));
     }
-    co_return parseStoredObject(response->body(), why);
+    co_return platform::decodeObject(kind, response->body(), why);
 }
 
-auto platform_client::list(std::string kind, last_reason &why) -> asio::awaitable<std::optional<object_list>>
+auto store_client::list(std::string kind, last_reason &why) -> asio::awaitable<std::optional<object_list>>
 {
-    auto sent = sent_state::notSent;
-    auto request = makeRequest(http::verb::get, "/v1/objects/" + kind);
-    const auto response = co_await call(std::move(request), true, sent, why);
-    if (!response) {
-        co_return std::nullopt;
+    auto listed = object_list();
+    auto unreadable = std::size_t(0);
+    auto after = std::string();
+    while (true) {
+        auto sent = sent_state::notSent;
+        const auto response =
+            co_await call(makeRequest(http::verb::get, platform::pageTarget(kind, after)), true, sent, why);
+        if (!response) {
+            co_return std::nullopt;
+        }
+        if (response->result() != http::status::ok) {
+            co_return why.fail(failure_kind::unavailable, "list objects", "platform", statusText(*response));
+        }
+        auto page = platform::decodePage(kind, response->body(), unreadable, why);
+        if (!page) {
+            co_return std::nullopt;
+        }
+        // A watch that starts at the first page's revision misses nothing that later pages may not show yet.
+        listed.revision = after.empty() ? page->revision : listed.revision;
+        std::move(page->objects.begin(), page->objects.end(), std::back_inserter(listed.objects));
+        if (!page->hasMore || page->objects.empty()) {
+            break;
+        }
+        after = listed.objects.back().name;
     }
-    if (response->result() != http::status::ok) {
-        co_return why.fail(failure_kind::unavailable, "list objects", "platform", statusText(*response));
+    if (unreadable > 0) {
+        log_line(log_level::warning, "objects_unreadable").with("kind", kind).with("count", unreadable);
     }
-    co_return parseObjectList(response->body(), why);
+    co_return listed;
 }
 
-auto platform_client::instances(last_reason &why) -> asio::awaitable<std::optional<instance_snapshot>>
+auto store_client::instances(last_reason &why) -> asio::awaitable<std::optional<instance_snapshot>>
 {
-    auto sent = sent_state::notSent;
-    auto request = makeRequest(http::verb::get, "/v1/instances");
-    const auto response = co_await call(std::move(request), true, sent, why);
-    if (!response) {
+    const auto listed = co_await list(std::string(instanceKind), why);
+    if (!listed) {
         co_return std::nullopt;
     }
-    if (response->result() != http::status::ok) {
-        co_return why.fail(failure_kind::unavailable, "list instances", "platform", statusText(*response));
+    auto snapshot = instance_snapshot{ .revision = listed->revision, .instances = {} };
+    for (const auto &object : listed->objects) {
+        auto reason = last_reason();
+        if (auto instance = parseInstance(object, reason)) {
+            snapshot.instances.push_back(std::move(*instance));
+        } else {
+            log_line(log_level::warning, "instance_unreadable").with("name", object.name).with("reason", reason.text());
+        }
     }
-    co_return parseInstances(response->body(), why);
+    co_return snapshot;
 }
 
-auto platform_client::create(std::string kind, std::string name, std::string value, last_reason &why)
+auto store_client::create(std::string kind, std::string name, std::string value, last_reason &why)
     -> asio::awaitable<write_outcome>
 {
-    auto request = makeRequest(http::verb::put, objectTarget(kind, name));
-    request.set(http::field::if_none_match, "*");
-    request.body() = std::move(value);
-    return write(std::move(request), why);
+    auto request = makeRequest(http::verb::post, platform::kindTarget(kind));
+    request.body() = platform::encodeObject(name, value, std::nullopt);
+    auto outcome = co_await write(std::move(request), kind, why);
+    if (outcome.result == write_result::conflict && outcome.current.revision == 0) {
+        // The refusal does not always carry the object that stands in the way.
+        auto reason = last_reason();
+        auto current = co_await get(std::move(kind), std::move(name), reason);
+        outcome.current = current ? std::move(*current) : stored_object();
+    }
+    co_return outcome;
 }
 
-auto platform_client::update(std::string kind, std::string name, std::string value, std::uint64_t revision,
-                             last_reason &why) -> asio::awaitable<write_outcome>
+auto store_client::update(std::string kind, std::string name, std::string value, std::uint64_t revision,
+                          last_reason &why) -> asio::awaitable<write_outcome>
 {
-    auto request = makeRequest(http::verb::put, objectTarget(kind, name));
-    request.set(http::field::if_match, std::to_string(revision));
-    request.body() = std::move(value);
-    return write(std::move(request), why);
+    auto request = makeRequest(http::verb::put, platform::objectTarget(kind, name));
+    request.body() = platform::encodeObject(name, value, revision);
+    co_return co_await write(std::move(request), kind, why);
 }
 
-auto platform_client::remove(std::string kind, std::string name, std::uint64_t revision, last_reason &why)
+auto store_client::remove(std::string kind, std::string name, std::uint64_t revision, last_reason &why)
     -> asio::awaitable<write_outcome>
 {
-    auto request = makeRequest(http::verb::delete_, objectTarget(kind, name));
-    request.set(http::field::if_match, std::to_string(revision));
-    return write(std::move(request), why);
+    auto request = makeRequest(http::verb::delete_, platform::objectTargetAt(kind, name, revision));
+    co_return co_await write(std::move(request), kind, why);
 }
 
-auto platform_client::write(http_request request, last_reason &why) -> asio::awaitable<write_outcome>
+auto store_client::write(http_request request, std::string kind, last_reason &why) -> asio::awaitable<write_outcome>
 {
     auto sent = sent_state::notSent;
-    const auto removing = request.method() == http::verb::delete_;
+    const auto creating = request.method() == http::verb::post;
     const auto response = co_await call(std::move(request), false, sent, why);
     if (!response) {
         co_return write_outcome{ sent == sent_state::notSent ? write_result::notSent : write_result::unknown, {} };
     }
-    if (response->result() == http::status::ok) {
-        auto stored = parseStoredObject(response->body(), why);
+    if (http::to_status_class(response->result()) == http::status_class::successful) {
+        auto reason = last_reason();
+        auto stored = platform::decodeObject(kind, response->body(), reason);
         co_return write_outcome{ write_result::written, stored ? std::move(*stored) : stored_object() };
     }
-    if (response->result() == http::status::precondition_failed) {
+    if (response->result() == http::status::conflict) {
         why.fail(failure_kind::conflict, "write object", "platform", "another write came first");
         auto reason = last_reason();
-        auto current = parseStoredObject(response->body(), reason);
+        auto current = platform::decodeObject(kind, response->body(), reason);
         co_return write_outcome{ write_result::conflict, current ? std::move(*current) : stored_object() };
     }
-    if (removing && response->result() == http::status::not_found) {
-        why.fail(failure_kind::notFound, "delete object", "platform", "no such object");
+    if (!creating && response->result() == http::status::not_found) {
+        why.fail(failure_kind::notFound, "write object", "platform", "no such object");
         co_return write_outcome{ write_result::conflict, {} };
     }
     if (isRefusal(response->result())) {
@@ -180,7 +204,7 @@
     co_return write_outcome{ write_result::unknown, {} };
 }
 
-auto platform_client::call(http_request request, bool repeatable, sent_state &sent, last_reason &why)
+auto store_client::call(http_request request, bool repeatable, sent_state &sent, last_reason &why)
     -> asio::awaitable<std::optional<http_response>>
 {
     m_calls.add();
@@ -206,7 +230,7 @@
     co_return std::nullopt;
 }
 
-auto platform_client::attempt(call_budget &state, http_request request, sent_state &sent, last_reason &why)
+auto store_client::attempt(call_budget &state, http_request request, sent_state &sent, last_reason &why)
     -> asio::awaitable<std::optional<http_response>>
 {
     const auto address = preferredAddress();
@@ -217,7 +241,7 @@
     const auto half = std::max(remaining / 2, std::chrono::milliseconds(1));
     auto connection = state.fresh ? nullptr : takeIdle(address);
     if (!connection) {
-        connection = std::make_shared<platform_connection>(m_executor, address);
+        connection = std::make_shared<store_connection>(m_executor, address);
         const auto connected = co_await connection->connect(half, why);
         if (!connected) {
             preferNext(address);
@@ -237,7 +261,7 @@
     co_return response;
 }
 
-auto platform_client::takeIdle(const std::string &address) -> std::shared_ptr<platform_connection>
+auto store_client::takeIdle(const std::string &address) -> std::shared_ptr<store_connection>
 {
     const auto lock = std::lock_guard(m_mutex);
     const auto oldest = std::chrono::steady_clock::now() - m_options.idleLimit;
@@ -253,7 +277,7 @@
     return nullptr;
 }
 
-auto platform_client::giveBack(std::shared_ptr<platform_connection> connection) -> void
+auto store_client::giveBack(std::shared_ptr<store_connection> connection) -> void
 {
     const auto lock = std::lock_guard(m_mutex);
     m_idle.push_back({ std::move(connection), std::chrono::steady_clock::now() });
@@ -262,18 +286,18 @@
     }
 }
 
-auto platform_client::dropIdle(const std::string &address) -> void
+auto store_client::dropIdle(const std::string &address) -> void
 {
     const auto lock = std::lock_guard(m_mutex);
     std::erase_if(m_idle, [&](const auto &idle) { return idle.connection->address() == address; });
 }
 
-auto platform_client::preferredAddress() const -> std::string
+auto store_client::preferredAddress() const -> std::string
 {
     return m_options.addresses[m_preferred.load(std::memory_order_relaxed) % m_options.addresses.size()];
 }
 
-auto platform_client::preferNext(const std::string &failed) -> void
+auto store_client::preferNext(const std::string &failed) -> void
 {
     auto expected = m_preferred.load(std::memory_order_relaxed);
     if (m_options.addresses[expected % m_options.addresses.size()] == failed) {
@@ -281,12 +305,12 @@
     }
 }
 
-auto platform_client::noteAnswer() -> void
+auto store_client::noteAnswer() -> void
 {
     m_lastAnswer.store(std::chrono::steady_clock::now().time_since_epoch().count(), std::memory_order_relaxed);
 }
 
-auto platform_client::silence() const -> duration
+auto store_client::silence() const -> duration
 {
     const auto last = m_lastAnswer.load(std::memory_order_relaxed);
     return last == 0 ? duration::max() : std::chrono::steady_clock::now() - time_point(duration(last));
--- a/src/platform/platform_connection.cpp
+++ b/src/store/store_connection.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/platform/platform_connection.h"
+#include "marjoramloom/store/store_connection.h"
 
 #include "marjoramloom/core/endpoint.h"
 
@@ -24,19 +24,19 @@
 
 } // namespace
 
-platform_connection::platform_connection(const asio::any_io_executor &executor, std::string address)
+store_connection::store_connection(const asio::any_io_executor &executor, std::string address)
     : m_address(std::move(address))
     , m_stream(asio::any_io_executor(asio::make_strand(executor)))
 {
 }
 
-auto platform_connection::connect(std::chrono::milliseconds limit, last_reason &why) -> asio::awaitable<bool>
+auto store_connection::connect(std::chrono::milliseconds limit, last_reason &why) -> asio::awaitable<bool>
 {
     const auto self = shared_from_this();
     co_return co_await asio::co_spawn(m_stream.get_executor(), connectOnStrand(limit, why), asio::use_awaitable);
 }
 
-auto platform_connection::exchange(http_request request, std::chrono::milliseconds limit, sent_state &sent,
+auto store_connection::exchange(http_request request, std::chrono::milliseconds limit, sent_state &sent,
                                    last_reason &why) -> asio::awaitable<std::optional<http_response>>
 {
     const auto self = shared_from_this();
@@ -45,7 +45,7 @@
                                       asio::use_awaitable);
 }
 
-auto platform_connection::connectOnStrand(std::chrono::milliseconds limit, last_reason &why) -> asio::awaitable<bool>
+auto store_connection::connectOnStrand(std::chrono::milliseconds limit, last_reason &why) -> asio::awaitable<bool>
 {
     const auto endpoint = parseEndpoint(m_address, why);
     if (!endpoint) {
@@ -62,7 +62,7 @@
     co_return true;
 }
 
-auto platform_connection::exchangeOnStrand(http_request request, std::chrono::milliseconds limit, sent_state &sent,
+auto store_connection::exchangeOnStrand(http_request request, std::chrono::milliseconds limit, sent_state &sent,
                                            last_reason &why) -> asio::awaitable<std::optional<http_response>>
 {
     m_stream.expires_after(limit);
@@ -83,7 +83,7 @@
     co_return parser.release();
 }
 
-auto platform_connection::isQuiet() -> bool
+auto store_connection::isQuiet() -> bool
 {
     auto error = beast::error_code();
     auto &socket = m_stream.socket();
--- /dev/null
+++ b/src/store/store_watch.cpp
@@ -0,0 +1,121 @@
+#include "marjoramloom/core/log.h"
+#include "marjoramloom/store/retry_backoff.h"
+#include "marjoramloom/store/store_client.h"
+#include "platform/object_format.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/deferred.hpp>
+#include <boost/asio/experimental/parallel_group.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace marjoramloom {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+auto store_client::watch(std::vector<std::string> kinds, std::uint64_t since, watch_callback callback)
+    -> asio::awaitable<watch_end>
+{
+    assert(!kinds.empty());
+    if (kinds.size() == 1) {
+        co_return co_await watchKind(std::move(kinds.front()), since, std::move(callback));
+    }
+    const auto strand = asio::make_strand(co_await asio::this_coro::executor);
+    const auto spawn = [&](std::string kind) {
+        return asio::co_spawn(strand, watchKind(std::move(kind), since, callback), asio::deferred);
+    };
+    auto watches = std::vector<decltype(spawn(std::string()))>();
+    for (auto &kind : kinds) {
+        watches.push_back(spawn(std::move(kind)));
+    }
+    // A call returns only after its watches end, so they may refer to this client.
+    const auto [order, failures, ends] = co_await asio::experimental::make_parallel_group(std::move(watches))
+                                             .async_wait(asio::experimental::wait_for_one(), asio::use_awaitable);
+    const auto first = order.front();
+    if (failures[first]) {
+        std::rethrow_exception(failures[first]);
+    }
+    co_return ends[first];
+}
+
+auto store_client::watchKind(std::string kind, std::uint64_t revision, watch_callback callback)
+    -> asio::awaitable<watch_end>
+{
+    auto backoff = retry_backoff(m_options.retryFirst, m_options.retryLimit, std::random_device()());
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor);
+    auto connection = std::shared_ptr<store_connection>();
+    while (true) {
+        auto why = last_reason();
+        const auto end = co_await watchOnce(connection, kind, revision, callback, why);
+        if (end == watch_end::idle) {
+            backoff.reset();
+            continue;
+        }
+        if (end != watch_end::broken) {
+            co_return end;
+        }
+        connection.reset();
+        m_redials.add();
+        log_line(log_level::warning, "watch_redial")
+            .with("kind", kind)
+            .with("reason", why.text())
+            .with("revision", revision);
+        timer.expires_after(backoff.next());
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+auto store_client::watchOnce(std::shared_ptr<store_connection> &connection, const std::string &kind,
+                             std::uint64_t &revision, watch_callback &callback, last_reason &why)
+    -> asio::awaitable<watch_end>
+{
+    const auto address = preferredAddress();
+    if (!connection || connection->address() != address) {
+        connection = std::make_shared<store_connection>(m_executor, address);
+        const auto connected = co_await connection->connect(m_options.timeout, why);
+        if (!connected) {
+            preferNext(address);
+            co_return watch_end::broken;
+        }
+    }
+    auto request = http_request(http::verb::get, platform::watchTarget(kind, revision, m_options.watchWait), 11);
+    request.set(http::field::host, address);
+    request.keep_alive(true);
+    const auto askedAt = boot_clock::now();
+    auto sent = sent_state::notSent;
+    m_calls.add();
+    const auto response = co_await connection->exchange(std::move(request), m_options.watchSilence, sent, why);
+    if (response && response->result() == http::status::gone) {
+        co_return watch_end::expired;
+    }
+    auto batch = std::optional<platform::event_batch>();
+    if (response && response->result() == http::status::ok) {
+        batch = platform::decodeEvents(kind, response->body(), why);
+    } else if (response) {
+        why.fail(failure_kind::unavailable, "watch", address, "status " + std::to_string(response->result_int()));
+    }
+    if (!batch) {
+        preferNext(address);
+        co_return watch_end::broken;
+    }
+    noteAnswer();
+    if (!response->keep_alive()) {
+        connection.reset();
+    }
+    if (batch->unreadable > 0) {
+        log_line(log_level::warning, "objects_unreadable").with("kind", kind).with("count", batch->unreadable);
+    }
+    for (const auto &event : batch->events) {
+        if (event.revision > revision && !callback(event)) {
+            co_return watch_end::stopped;
+        }
+    }
+    revision = std::max(revision, batch->revision);
+    const auto bookmark =
+        watch_event{ .kind = watch_event_kind::bookmark, .revision = revision, .object = {}, .askedAt = askedAt };
+    co_return callback(bookmark) ? watch_end::idle : watch_end::stopped;
+}
+
+} // namespace marjoramloom
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -106,7 +106,7 @@
     auto context = boost::asio::io_context(1);
     auto shared = standin_context();
     if (line.standin == "platform") {
-        auto platform = platform_standin(context, shared, platform_options());
+        auto platform = platform_standin(context, shared, platform_standin_options());
         return runStandin(context, platform, shared, line.listen);
     }
     if (line.standin == "engine") {
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -12,17 +12,19 @@
 namespace {
 
 constexpr auto valueLimitBytes = std::size_t(1) << 20U;
-constexpr auto bookmarkPeriod = std::chrono::seconds(1);
+constexpr auto waitLimit = std::chrono::milliseconds(30'000);
 constexpr auto objectsPath = std::string_view("/v1/objects/");
 
 auto toJson(const object_write &object) -> json::object
 {
-    auto written = json::object();
-    written["kind"] = object.kind;
-    written["name"] = object.name;
-    written["revision"] = object.revision;
-    written["value"] = object.value;
-    return written;
+    auto error = boost::system::error_code();
+    auto spec = json::parse(object.value, error);
+    const auto revision = object.revision;
+    return json::object{
+        { "metadata", json::object{ { "name", object.name }, { "revision", revision } } },
+        { "spec", error ? json::value(nullptr) : std::move(spec) },
+        { "status", nullptr },
+    };
 }
 
 auto replyWith(http::status status, const json::object &body) -> http_reply
@@ -33,20 +35,36 @@
     return answer;
 }
 
-auto eventLine(const object_write &write) -> std::string
+/// What a write asks for: an object's name, its content, and the revision at which it must stand.
+struct asked_write
 {
-    auto event = json::object();
-    event["type"] = write.deleted ? "delete" : "put";
-    event["object"] = toJson(write);
-    return json::serialize(event) + "\n";
-}
+    std::string name;
+    std::string value;
+    std::optional<std::uint64_t> revision;
+};
 
-auto bookmarkLine(std::uint64_t revision) -> std::string
+auto parseWrite(const std::string &body) -> asked_write
 {
-    auto event = json::object();
-    event["type"] = "bookmark";
-    event["revision"] = revision;
-    return json::serialize(event) + "\n";
+    auto asked = asked_write();
+    auto error = boost::system::error_code();
+    const auto parsed = json::parse(body, error);
+    const auto *object = error ? nullptr : parsed.if_object();
+    if (object == nullptr) {
+        return asked;
+    }
+    if (const auto *spec = object->if_contains("spec")) {
+        asked.value = json::serialize(*spec);
+    }
+    const auto *metadata = object->if_contains("metadata");
+    if (metadata != nullptr && metadata->is_object()) {
+        if (const auto *name = metadata->get_object().if_contains("name")) {
+            asked.name = json::value_to<std::string>(*name);
+        }
+        if (const auto *revision = metadata->get_object().if_contains("revision")) {
+            asked.revision = revision->to_number<std::uint64_t>();
+        }
+    }
+    return asked;
 }
 
 /// Splits kind/name; the name may be empty.
@@ -58,7 +76,8 @@
 
 } // namespace
 
-platform_standin::platform_standin(asio::io_context &context, standin_context &shared, platform_options options)
+platform_standin::platform_standin(asio::io_context &context, standin_context &shared,
+                                   platform_standin_options options)
     : m_shared(shared)
     , m_options(options)
     , m_written(context, clock::time_point::max())
@@ -68,27 +87,29 @@
 auto platform_standin::handle(http_exchange &exchange) -> nothing_awaitable
 {
     const auto isObject = exchange.path().starts_with(objectsPath);
-    const auto key = isObject ? exchange.path().substr(objectsPath.size()) : exchange.path();
+    auto key = isObject ? exchange.path().substr(objectsPath.size()) : exchange.path();
+    if (exchange.method() == "POST") {
+        key += "/" + parseWrite(exchange.body()).name;
+    }
     if (co_await appliesBefore(exchange, m_shared, key)) {
         co_return;
     }
-    if (exchange.path() == "/v1/watch") {
-        co_await watch(exchange);
-    } else if (exchange.path() == "/v1/instances") {
-        const auto answer = listInstances();
-        co_await exchange.reply(answer);
-    } else if (!isObject) {
+    const auto [kind, name] = splitKey(key);
+    if (!isObject) {
         const auto answer = replyWith(http::status::not_found, {});
         co_await exchange.reply(answer);
-    } else if (const auto [kind, name] = splitKey(key); exchange.method() == "GET") {
-        const auto answer = readObjects(exchange, kind, name);
+    } else if (exchange.method() == "GET" && !exchange.query("subscription").empty()) {
+        co_await watch(exchange, kind);
+    } else if (exchange.method() == "GET") {
+        const auto isInstances = kind == "instances" && name.empty();
+        const auto answer =
+            isInstances ? listInstances() : (name.empty() ? readPage(exchange, kind) : readObject(exchange, kind, name));
         co_await exchange.reply(answer);
     } else {
         const auto entry = exchange.entry();
-        const auto ifMatch = exchange.header("If-Match");
-        const auto ifNoneMatch = exchange.header("If-None-Match");
+        const auto revision = exchange.query("revision");
         const auto execute = std::function<http_reply()>(
-            [=, this, kind = kind, name = name] { return writeObject(entry, kind, name, ifMatch, ifNoneMatch); });
+            [=, this, kind = kind, name = name] { return writeObject(entry, kind, name, revision); });
         co_await executeAndReply(exchange, m_shared, key, execute);
     }
 }
@@ -102,49 +123,59 @@
     return stale->revision != 0 ? stale->revision : m_log.revision() - std::min(m_log.revision(), stale->behind);
 }
 
-auto platform_standin::readObjects(const http_exchange &exchange, const std::string &kind, const std::string &name)
+auto platform_standin::readObject(const http_exchange &exchange, const std::string &kind, const std::string &name)
     -> http_reply
 {
     ++m_reads;
-    const auto revision = readRevision(exchange.subject(kind + "/" + name));
-    auto body = json::object();
-    if (!name.empty()) {
-        const auto found = m_log.at(kind, name, revision);
-        if (found.revision != 0) {
-            return replyWith(http::status::ok, toJson(found));
-        }
-        body["revision"] = 0;
-        return replyWith(http::status::not_found, body);
-    }
-    auto objects = json::array();
+    const auto found = m_log.at(kind, name, readRevision(exchange.subject(kind + "/" + name)));
+    return found.revision != 0 ? replyWith(http::status::ok, toJson(found)) : replyWith(http::status::not_found, {});
+}
+
+auto platform_standin::readPage(const http_exchange &exchange, const std::string &kind) -> http_reply
+{
+    ++m_reads;
+    const auto revision = readRevision(exchange.subject(kind + "/"));
+    const auto after = exchange.query("after");
+    auto entries = json::array();
+    auto truncated = false;
     for (const auto &object : m_log.listAt(kind, revision)) {
-        objects.push_back(toJson(object));
+        if (object.name <= after) {
+            continue;
+        }
+        truncated = entries.size() == m_options.pageSize;
+        if (truncated) {
+            break;
+        }
+        entries.push_back(toJson(object));
     }
-    body["revision"] = revision;
-    body["objects"] = std::move(objects);
-    return replyWith(http::status::ok, body);
+    return replyWith(http::status::ok,
+                     { { "entries", std::move(entries) }, { "truncated", truncated }, { "at", revision } });
 }
 
 auto platform_standin::writeObject(const execution_entry &entry, const std::string &kind, const std::string &name,
-                                   const std::string &ifMatch, const std::string &ifNoneMatch) -> http_reply
+                                   const std::string &revisionInPath) -> http_reply
 {
     ++m_writes;
     const auto current = m_log.at(kind, name, m_log.revision());
+    const auto creates = entry.method == "POST";
     const auto deletes = entry.method == "DELETE";
-    if (name.empty() || (entry.method != "PUT" && !deletes) || (ifMatch.empty() && ifNoneMatch != "*")) {
+    auto asked = parseWrite(entry.body);
+    if (!revisionInPath.empty()) {
+        asked.revision = std::strtoull(revisionInPath.c_str(), nullptr, 10);
+    }
+    if (name.empty() || (entry.method != "PUT" && !deletes && !creates)) {
         return replyWith(http::status::bad_request, {});
     }
     if (entry.body.size() > valueLimitBytes) {
         return replyWith(http::status::payload_too_large, {});
     }
-    if (deletes && current.revision == 0) {
-        return replyWith(http::status::not_found, toJson(current));
+    if (!creates && current.revision == 0) {
+        return replyWith(http::status::not_found, {});
     }
-    const auto expected = ifMatch.empty() ? std::string("0") : ifMatch;
-    if (std::to_string(current.revision) != expected) {
-        return replyWith(http::status::precondition_failed, toJson(current));
+    if (creates ? current.revision != 0 : asked.revision.value_or(current.revision) != current.revision) {
+        return replyWith(http::status::conflict, toJson(current));
     }
-    auto write = object_write{ kind, name, 0, deletes ? std::string() : entry.body, deletes };
+    auto write = object_write{ kind, name, 0, deletes ? std::string() : asked.value, deletes };
     const auto written = m_log.append(std::move(write));
     auto recorded = entry;
     recorded.state = "finished";
@@ -153,57 +184,52 @@
     return replyWith(http::status::ok, toJson(written));
 }
 
-auto platform_standin::watch(http_exchange &exchange) -> nothing_awaitable
+auto platform_standin::watch(http_exchange &exchange, const std::string &kind) -> nothing_awaitable
 {
-    const auto sinceText = exchange.query("since");
+    const auto sinceText = exchange.query("subscription");
     const auto since = std::strtoull(sinceText.c_str(), nullptr, 10);
     if (since + m_options.watchHistory < m_log.revision() || since > m_log.revision()) {
         const auto answer = replyWith(http::status::gone, {});
         co_await exchange.reply(answer);
         co_return;
     }
-    auto kinds = std::vector<std::string>();
-    const auto kindsText = exchange.query("kinds");
-    boost::split(kinds, kindsText, boost::is_any_of(","));
+    const auto waitText = exchange.query("wait_ms");
+    const auto wait = std::chrono::milliseconds(std::strtoll(waitText.c_str(), nullptr, 10));
+    const auto limit = clock::now() + std::min(wait, waitLimit);
     ++m_watches;
-    try {
-        co_await exchange.startStream("application/x-ndjson");
-        co_await followWrites(exchange, kinds, since);
-    } catch (const boost::system::system_error &) {
-        // The watcher left.
+    auto events = eventsAfter(kind, since);
+    while (events.empty() && clock::now() < limit) {
+        co_await waitForWrite(limit);
+        events = eventsAfter(kind, since);
     }
     --m_watches;
-    exchange.close();
+    const auto answer =
+        replyWith(http::status::ok, { { "events", std::move(events) }, { "at", m_log.revision() } });
+    co_await exchange.reply(answer);
 }
 
-auto platform_standin::followWrites(http_exchange &exchange, const std::vector<std::string> &kinds, std::uint64_t since)
-    -> nothing_awaitable
+auto platform_standin::eventsAfter(const std::string &kind, std::uint64_t since) const -> json::array
 {
-    auto nextBookmark = clock::now() + bookmarkPeriod;
-    auto bookmark = asio::steady_timer(m_written.get_executor());
-    for (;;) {
-        for (const auto &write : m_log.after(since)) {
-            since = write.revision;
-            if (std::find(kinds.begin(), kinds.end(), write.kind) != kinds.end()) {
-                const auto line = eventLine(write);
-                co_await exchange.writePiece(line);
-            }
-        }
-        if (clock::now() >= nextBookmark) {
-            const auto line = bookmarkLine(since);
-            co_await exchange.writePiece(line);
-            nextBookmark += bookmarkPeriod;
+    auto events = json::array();
+    for (const auto &write : m_log.after(since)) {
+        if (write.kind == kind) {
+            events.push_back(json::object{ { "deleted", write.deleted }, { "object", toJson(write) } });
         }
-        bookmark.expires_at(nextBookmark);
-        bookmark.async_wait([this](const boost::system::error_code &error) {
-            if (!error) {
-                m_written.cancel();
-            }
-        });
-        auto ignored = boost::system::error_code();
-        auto token = asio::redirect_error(asio::use_awaitable, ignored);
-        co_await m_written.async_wait(token);
     }
+    return events;
+}
+
+auto platform_standin::waitForWrite(clock::time_point limit) -> nothing_awaitable
+{
+    auto timer = asio::steady_timer(m_written.get_executor(), limit);
+    timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            m_written.cancel();
+        }
+    });
+    auto ignored = boost::system::error_code();
+    auto token = asio::redirect_error(asio::use_awaitable, ignored);
+    co_await m_written.async_wait(token);
 }
 
 auto platform_standin::listInstances() -> http_reply
@@ -211,18 +237,22 @@
     ++m_reads;
     const auto *lag = m_shared.faults.find(fault_kind::listLag);
     const auto shownAt = clock::now() - std::chrono::milliseconds(lag == nullptr ? 0 : lag->ms);
-    auto body = json::object();
-    body["revision"] = 0;
-    body["instances"] = json::array();
+    auto rows = json::array();
     auto revision = std::uint64_t(0);
     for (const auto &version : m_instances) {
         ++revision;
         if (version.since <= shownAt) {
-            body["revision"] = revision;
-            body["instances"] = version.instances;
+            rows = version.instances;
         }
     }
-    return replyWith(http::status::ok, body);
+    auto entries = json::array();
+    for (const auto &row : rows) {
+        const auto &name = row.at("name").as_string();
+        auto write = object_write{ "instances", std::string(name), revision, json::serialize(row), false };
+        entries.push_back(toJson(write));
+    }
+    return replyWith(http::status::ok,
+                     { { "entries", std::move(entries) }, { "truncated", false }, { "at", revision } });
 }
 
 auto platform_standin::statistics() const -> http_reply
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "marjoramloom/platform/object_store.h"
-#include "marjoramloom/platform/watch_event.h"
+#include "marjoramloom/store/object_store.h"
+#include "marjoramloom/store/watch_event.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/tests/unit/platform/retry_backoff_test.cpp
+++ b/tests/unit/store/retry_backoff_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/platform/retry_backoff.h"
+#include "marjoramloom/store/retry_backoff.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/platform/platform_client_test.cpp
+++ b/tests/unit/store/store_client_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/platform/platform_client.h"
+#include "marjoramloom/store/store_client.h"
 
 #include "support/fleet.h"
 #include "support/run_coroutine.h"
@@ -15,9 +15,9 @@
     boost::asio::io_context context;
     counter_registry counters;
     test::standin platform{ "platform", { "platform" }, "/dev/null" };
-    platform_client client{ context.get_executor(), options(), counters };
+    store_client client{ context.get_executor(), options(), counters };
 
-    auto options() const -> platform_options
+    auto options() const -> store_options
     {
         return { .addresses = { platform.address() },
                  .timeout = std::chrono::milliseconds(400),
@@ -51,7 +51,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(platform_client_test, platform_fixture)
+BOOST_FIXTURE_TEST_SUITE(store_client_test, platform_fixture)
 
 BOOST_AUTO_TEST_CASE(writes_are_conditional)
 {
@@ -80,7 +80,7 @@
     platform.setFaults("[]");
     BOOST_TEST(revisionOf("refused") == 0U);
     BOOST_TEST(revisionOf("lost") > 0U);
-    auto nowhere = platform_client(context.get_executor(), { .addresses = { "127.0.0.1:1" } }, counters);
+    auto nowhere = store_client(context.get_executor(), { .addresses = { "127.0.0.1:1" } }, counters);
     auto why = last_reason();
     BOOST_TEST((run(nowhere.create("kind", "b", "v", why)).result == write_result::notSent));
     BOOST_TEST((why.kind == failure_kind::notSent));
@@ -93,7 +93,7 @@
     platform.setFaults("[]");
     BOOST_TEST(revisionOf("a") > 0U);
     auto two =
-        platform_client(context.get_executor(), { .addresses = { "127.0.0.1:1", platform.address() } }, counters);
+        store_client(context.get_executor(), { .addresses = { "127.0.0.1:1", platform.address() } }, counters);
     auto why = last_reason();
     BOOST_TEST((run(two.create("kind", "b", "v", why)).result == write_result::written));
 }
@@ -105,7 +105,8 @@
         if (event.kind == watch_event_kind::bookmark && seen.size() == 1) {
             platform.setFaults(R"([{"kind":"freeze_open"}])");
             platform.setFaults("[]");
-            test::httpCall(platform.address(), { "PUT", "/v1/objects/kind/b", { { "If-None-Match", "*" } }, "v" });
+            const auto body = std::string(R"({"metadata":{"name":"b"},"spec":"v"})");
+            test::httpCall(platform.address(), { "POST", "/v1/objects/kind", {}, body });
             seen.emplace_back("frozen");
         }
         if (event.kind == watch_event_kind::put) {
