--- /dev/null
+++ b/include/marjoramloom/gateway/admission_policy.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "marjoramloom/core/clock.h"
+
+namespace marjoramloom {
+
+/// Decides which prompts are refused when engines cannot serve all in time.
+///
+/// The load it answers: some accounts suddenly ask for many times their usual share, and together all ask for more than the
+/// engines can read. The wait that a request may be sent into shrinks with the part of the fleet's work that its account
+/// got lately. As queues grow, the accounts that got most are refused first, until those that wait have equal parts; an
+/// account that asks for little is refused last. Thread safe: it holds no state.
+class admission_policy
+{
+public:
+    /// Longest time to a request's first event at which it is still sent. \p fraction is what its account got of all work
+    /// lately, from 0 to 1.
+    [[nodiscard]] auto longestWait(duration objective, double fraction) const -> duration;
+};
+
+} // namespace marjoramloom
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -64,6 +64,9 @@
     auto maySendAgain(send_end end) -> bool;
     auto refuse(unsigned status, std::string_view reason) -> boost::asio::awaitable<void>;
     auto giveUp() -> boost::asio::awaitable<void>;
+    auto longestWait() -> duration;
+    auto cost() const -> std::uint64_t;
+    auto noteRead(const listed_server &server) -> void;
     auto timeLeft() const -> duration;
     auto logEnd(std::string_view outcome, unsigned status) const -> void;
 
@@ -73,6 +76,7 @@
     std::shared_ptr<const route_table> m_routes;
     const route_rule &m_route;
     std::string m_account;
+    std::uint64_t m_accountId;
     const routed_service *m_service = nullptr;
     std::shared_ptr<call_control> m_control;
     std::set<std::string> m_tried; ///< Servers that got the request.
--- a/include/marjoramloom/gateway/gateway_handler.h
+++ b/include/marjoramloom/gateway/gateway_handler.h
@@ -15,9 +15,6 @@
 
     auto handle(http_exchange &exchange) -> boost::asio::awaitable<void>;
 
-    /// Requests that are being carried out.
-    [[nodiscard]] auto running() const -> std::size_t;
-
 private:
     auto refuse(http_exchange &exchange, const routed_request &request, unsigned status, std::string_view reason)
         -> boost::asio::awaitable<void>;
@@ -25,7 +22,6 @@
         -> boost::asio::awaitable<void>;
 
     gateway_state &m_state;
-    std::size_t m_running = 0;
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -2,6 +2,9 @@
 
 #include "marjoramloom/call/connection_pool.h"
 #include "marjoramloom/core/counters.h"
+#include "marjoramloom/gateway/account_usage.h"
+#include "marjoramloom/gateway/admission_policy.h"
+#include "marjoramloom/gateway/fleet_loads.h"
 #include "marjoramloom/gateway/gateway_settings.h"
 #include "marjoramloom/gateway/key_freshness.h"
 #include "marjoramloom/gateway/prompt_placement.h"
@@ -17,6 +20,14 @@
 
 namespace marjoramloom {
 
+/// A prompt that an engine has read, to be told to the other routers.
+struct prompt_read
+{
+    std::uint64_t server = 0; ///< Run of the engine.
+    std::vector<prompt_part> parts; ///< Without the last one.
+    std::uint32_t ownTokens = 0;
+};
+
 /// What the requests of a router share. All of it belongs to the router's only thread.
 struct gateway_state
 {
@@ -35,6 +46,11 @@
     key_freshness keys;
     server_directory servers;
     server_loads loads;
+    fleet_loads fleet;
+    account_usage accounts;
+    admission_policy admission;
+    std::vector<prompt_read> unreportedReads;
+    std::size_t running = 0; ///< Requests that are being carried out.
     prompt_placement placement;
     connection_pool connections;
     boost::random::mt19937_64 random;
--- a/include/marjoramloom/gateway/routed_request.h
+++ b/include/marjoramloom/gateway/routed_request.h
@@ -24,6 +24,12 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; ///< Upper limit.
     std::uint32_t expectedOutputTokens = 0; ///< The caller's guess, often far off; 0 where it gives none.
+
+    /// The best guess of the tokens that will be generated.
+    [[nodiscard]] auto likelyOutputTokens() const -> std::uint32_t
+    {
+        return expectedOutputTokens > 0 ? expectedOutputTokens : outputTokens;
+    }
 };
 
 /// A caller's request, decoded.
--- a/include/marjoramloom/gateway/server_loads.h
+++ b/include/marjoramloom/gateway/server_loads.h
@@ -6,8 +6,7 @@
 #include "marjoramloom/gateway/routed_request.h"
 
 #include <cstdint>
-#include <map>
-#include <string>
+#include <unordered_map>
 
 namespace marjoramloom {
 
@@ -30,11 +29,16 @@
 class server_loads
 {
 public:
+    /// Number of a run of a backend server, equal on every router.
+    [[nodiscard]] static auto runId(const listed_server &server) -> std::uint64_t;
+
     /// The load of \p server; made on first use. The reference is valid until forget().
     auto at(const listed_server &server) -> server_load &;
 
-    /// The load of \p server, or null where nothing is known of it.
-    [[nodiscard]] auto find(const listed_server &server) const -> const server_load *;
+    /// The load of the run \p id, or null where nothing is known of it.
+    [[nodiscard]] auto find(std::uint64_t id) -> server_load *;
+
+    [[nodiscard]] auto all() const -> const std::unordered_map<std::uint64_t, server_load> &;
 
     /// Drops what is known of \p server once nothing runs there any more.
     auto forget(const listed_server &server) -> void;
@@ -49,7 +53,7 @@
     static constexpr duration AVOID_BASE = std::chrono::milliseconds(250); ///< Doubles with each failure in a row.
     static constexpr duration AVOID_LIMIT = std::chrono::milliseconds(4'000);
 
-    std::map<std::string, server_load> m_loads;
+    std::unordered_map<std::uint64_t, server_load> m_loads; ///< By runId().
 };
 
 } // namespace marjoramloom
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -101,6 +101,7 @@
     , m_routes(std::move(routes))
     , m_route(route)
     , m_account(std::move(account))
+    , m_accountId(account_usage::accountId(m_account))
     , m_lastEvent(m_request.lastEventId)
 {
 }
@@ -114,9 +115,18 @@
         co_await refuse(unavailable, "unknown service");
         co_return;
     }
+    if (m_route.carriesPrompt) {
+        m_state.accounts.noteAsked(m_accountId, cost(), system_clock_source().now());
+    }
     co_await sendUntilDone();
 }
 
+/// What the request costs its account: tokens read and, twice, tokens generated.
+auto gateway_call::cost() const -> std::uint64_t
+{
+    return m_request.prompt.promptTokens + std::uint64_t(2) * m_request.prompt.likelyOutputTokens();
+}
+
 auto gateway_call::sendUntilDone() -> asio::awaitable<void>
 {
     auto end = send_end::notSent;
@@ -128,8 +138,7 @@
             m_why = m_sends == 0 ? why : m_why;
             break;
         }
-        const auto latest = m_route.latencyObjective;
-        if (m_sends == 0 && chosen->firstEvent > latest) {
+        if (m_sends == 0 && chosen->firstEvent > longestWait()) {
             end = send_end::notSent;
             m_why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
             break;
@@ -190,6 +199,9 @@
                                .gotEvent = false };
     const auto listening = m_control->listen([connection] { connection->interrupt(); });
     if (m_sends++ == 0) {
+        if (m_route.carriesPrompt) {
+            m_state.accounts.noteStarted(m_accountId, cost(), system_clock_source().now());
+        }
         m_state.repeatsOf(m_service->name).noteFirst(system_clock_source().now());
     }
     auto end = co_await exchangeWith(sending);
@@ -384,7 +396,7 @@
         if (!sending.gotEvent) {
             sending.gotEvent = true;
             sending.load.noteRead();
-            m_state.loads.at(*sending.chosen.server).parts.noteRead(m_request.prompt);
+            noteRead(*sending.chosen.server);
         }
         if (event.id && m_lastEvent && *event.id <= *m_lastEvent) {
             continue; // The caller has it from the run before.
@@ -409,6 +421,27 @@
     co_return co_await m_exchange.relayPiece(piece) ? send_end::answered : send_end::callerLeft;
 }
 
+/// Longest time to the first event at which the request is still sent.
+auto gateway_call::longestWait() -> duration
+{
+    const auto fraction = m_state.accounts.startedFraction(m_accountId, system_clock_source().now());
+    return m_state.admission.longestWait(m_route.latencyObjective, fraction);
+}
+
+/// The engine has read the prompt: its shared parts are kept there for others.
+auto gateway_call::noteRead(const listed_server &server) -> void
+{
+    const auto &prompt = m_request.prompt;
+    if (prompt.parts.empty()) {
+        return;
+    }
+    auto read = prompt_read{ .server = server_loads::runId(server), .parts = prompt.parts, .ownTokens = 0 };
+    read.ownTokens = read.parts.back().tokens + prompt.likelyOutputTokens();
+    read.parts.pop_back();
+    m_state.loads.at(server).parts.noteRead(read.parts, read.ownTokens);
+    m_state.unreportedReads.push_back(std::move(read));
+}
+
 auto gateway_call::giveUp() -> asio::awaitable<void>
 {
     if (m_streaming) {
--- a/src/gateway/gateway_handler.cpp
+++ b/src/gateway/gateway_handler.cpp
@@ -70,9 +70,9 @@
     using namespace asio::experimental::awaitable_operators;
     auto call = gateway_call(m_state, exchange, std::move(request), m_state.routes, route, std::move(account));
     auto control = call_control::make(co_await asio::this_coro::executor);
-    ++m_running;
+    ++m_state.running;
     co_await (call.run(control) || cancelWhenCallerLeaves(exchange, control));
-    --m_running;
+    --m_state.running;
 }
 
 auto gateway_handler::refuse(http_exchange &exchange, const routed_request &request, unsigned status,
@@ -89,9 +89,4 @@
     co_await exchange.reply(std::move(answer));
 }
 
-auto gateway_handler::running() const -> std::size_t
-{
-    return m_running;
-}
-
 } // namespace marjoramloom
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -2,8 +2,10 @@
 
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/gateway/gateway_handler.h"
+#include "marjoramloom/gateway/load_exchange.h"
 #include "marjoramloom/gateway/platform_feed.h"
 #include "marjoramloom/gateway/status_handler.h"
+#include "marjoramloom/peer/member.h"
 #include "marjoramloom/router/http_server.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -70,6 +72,7 @@
     std::shared_ptr<http_server<gateway_handler>> callerServer;
     std::shared_ptr<http_server<status_handler>> statusServer;
     platform_feed feed;
+    load_exchange exchange;
 };
 
 gateway_process::parts::parts(settings given)
@@ -81,6 +84,7 @@
     , callerServer(std::make_shared<http_server<gateway_handler>>(context, callers, counters, "callers", http_limits()))
     , statusServer(std::make_shared<http_server<status_handler>>(context, status, counters, "operators", http_limits()))
     , feed(store, state, [this] { callerServer->setLimits(httpLimits(state.routes->limits())); })
+    , exchange(context.get_executor(), store, state, config.instance, makeIncarnation())
 {
 }
 
@@ -115,7 +119,7 @@
 auto gateway_process::parts::drain() -> asio::awaitable<void>
 {
     const auto deadline = system_clock_source().now() + config.gateway->graceTime - graceMargin;
-    log_line(log_level::info, "stop_begins").with("running", callers.running());
+    log_line(log_level::info, "stop_begins").with("running", state.running);
     state.stopping = true;
     refreshReadiness();
     auto timer = asio::steady_timer(context, acceptAfterStop);
@@ -125,8 +129,9 @@
         timer.expires_after(drainPoll);
         co_await timer.async_wait(asio::use_awaitable);
     }
+    exchange.leave();
     log_line(log_level::info, "stop_ends")
-        .with("unfinished", callers.running())
+        .with("unfinished", state.running)
         .with("connections", callerServer->connections());
 }
 
@@ -141,7 +146,7 @@
 auto gateway_process::start(last_reason &why) -> bool
 {
     const auto &config = m_parts->config;
-    if (!m_parts->statusServer->listen(config.operatorsListen, why)
+    if (!m_parts->exchange.listen(config.peersListen, why) || !m_parts->statusServer->listen(config.operatorsListen, why)
         || !m_parts->callerServer->listen(config.callersListen, why)) {
         return false;
     }
@@ -160,6 +165,12 @@
         all.context, [&all] { return all.feed.followConfiguration(); }, asio::detached);
     asio::co_spawn(
         all.context, [&all] { return all.feed.followServers(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.exchange.join(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.exchange.sendReports(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.exchange.receiveReports(); }, asio::detached);
     asio::co_spawn(
         all.context, [&all] { return all.tickLoop(); }, asio::detached);
     asio::co_spawn(
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -25,6 +25,7 @@
     , counters(registry)
     , keys(given.keyLifetime)
     , servers(logServer)
+    , accounts(fleet)
     , placement(reading_pace())
     , random(seed)
 {
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -11,6 +11,8 @@
 
 /// Engines let a few requests wait beyond their slots; plain servers, too.
 constexpr std::uint32_t plainQueue = 2;
+/// The part of an engine's memory that running requests leave to kept parts.
+constexpr double keptShare = 0.85;
 
 /// The id by which prompts that share all but their last part find the same engine.
 auto sharedPart(const prompt_outline &prompt) -> std::uint64_t
@@ -25,14 +27,16 @@
                   const server_list &servers, time_point now, last_reason &why) -> std::optional<chosen_server>
 {
     const auto shared = sharedPart(prompt);
+    state.fleet.expire(now);
     auto candidates = std::vector<engine_candidate>();
     for (const auto &server : servers) {
         auto &load = state.loads.at(*server);
-        load.parts.setCapacity(profile.memoryTokens / 2);
+        load.parts.setCapacity(static_cast<std::uint64_t>(static_cast<double>(profile.memoryTokens) * keptShare));
+        const auto others = state.fleet.onEngine(server_loads::runId(*server));
         candidates.push_back({ .home = prompt_placement::homeScore(server->id, shared),
-                               .running = load.running,
+                               .running = load.running + others.running,
                                .slots = server->slots,
-                               .unreadTokens = load.unreadTokens,
+                               .unreadTokens = load.unreadTokens + others.unreadTokens,
                                .keptTokens = load.parts.keptTokens(prompt),
                                .avoided = load.isAvoided(now) });
     }
--- a/src/gateway/server_loads.cpp
+++ b/src/gateway/server_loads.cpp
@@ -1,32 +1,35 @@
 #include "marjoramloom/gateway/server_loads.h"
 
+#include "marjoramloom/core/hash.h"
+
 #include <algorithm>
 
 namespace marjoramloom {
 
-namespace {
-
-auto runKey(const listed_server &server) -> std::string
+auto server_loads::runId(const listed_server &server) -> std::uint64_t
 {
-    return server.id + "@" + std::to_string(server.startedMs);
+    return hash64(server.id, static_cast<std::uint64_t>(server.startedMs));
 }
 
-} // namespace
-
 auto server_loads::at(const listed_server &server) -> server_load &
 {
-    return m_loads[runKey(server)];
+    return m_loads[runId(server)];
 }
 
-auto server_loads::find(const listed_server &server) const -> const server_load *
+auto server_loads::find(std::uint64_t id) -> server_load *
 {
-    const auto found = m_loads.find(runKey(server));
+    const auto found = m_loads.find(id);
     return found == m_loads.end() ? nullptr : &found->second;
 }
 
+auto server_loads::all() const -> const std::unordered_map<std::uint64_t, server_load> &
+{
+    return m_loads;
+}
+
 auto server_loads::forget(const listed_server &server) -> void
 {
-    const auto found = m_loads.find(runKey(server));
+    const auto found = m_loads.find(runId(server));
     if (found != m_loads.end() && found->second.running == 0) {
         m_loads.erase(found);
     }
