--- a/include/marjoramloom/core/log.h
+++ b/include/marjoramloom/core/log.h
@@ -14,7 +14,7 @@
     error,
 };
 
-/// Sets up log4cxx for the process: lines of key=value to standard error from \p level on. Call once, before threads
+/// Sets up log4cxx for the process: lines of key=value to standard output from \p level on. Call once, before threads
 /// start.
 auto configureLog(log_level level) -> void;
 
--- a/include/marjoramloom/gateway/admission_policy.h
+++ b/include/marjoramloom/gateway/admission_policy.h
@@ -13,9 +13,9 @@
 class admission_policy
 {
 public:
-    /// Longest time to a request's first event at which it is still sent. \p fraction is what its account got of all work
-    /// lately, from 0 to 1.
-    [[nodiscard]] auto longestWait(duration objective, double fraction) const -> duration;
+    /// Longest wait, before the engine begins, that a request is still sent into. \p reading is the time that its own prompt
+    /// takes; \p fraction is what its account got of all work lately, from 0 to 1.
+    [[nodiscard]] auto longestWait(duration objective, duration reading, double fraction) const -> duration;
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -64,7 +64,7 @@
     auto maySendAgain(send_end end) -> bool;
     auto refuse(unsigned status, std::string_view reason) -> boost::asio::awaitable<void>;
     auto giveUp() -> boost::asio::awaitable<void>;
-    auto longestWait() -> duration;
+    auto isWorthWaiting(const chosen_server &chosen) -> bool;
     auto cost() const -> std::uint64_t;
     auto noteRead(const listed_server &server) -> void;
     auto timeLeft() const -> duration;
@@ -83,6 +83,7 @@
     std::uint32_t m_sends = 0; ///< Sends that reached a server.
     std::uint32_t m_attempts = 0; ///< Sends that were tried.
     std::optional<std::int64_t> m_lastEvent; ///< Last event that the caller got of this answer.
+    duration m_firstEvent{}; ///< From the last send to its first event; 0 where none came.
     bool m_mayHaveRun = false; ///< A send reached a server; no later refusal may promise that the request was not run.
     bool m_streaming = false; ///< The caller has the head of a stream.
     last_reason m_why;
--- a/include/marjoramloom/gateway/gateway_settings.h
+++ b/include/marjoramloom/gateway/gateway_settings.h
@@ -9,7 +9,10 @@
 /// Settings of a router that takes its routes from the platform; docs/SETTINGS.md lists their keys.
 struct gateway_settings
 {
-    std::chrono::milliseconds keyLifetime{ 4'300 }; ///< How long keys are served after a proof that they are in force.
+    /// Keys stop being served this long before a revocation must be in force: for the way to a backend server.
+    static constexpr std::chrono::milliseconds KEY_MARGIN{ 500 };
+
+    std::chrono::milliseconds keyLifetime{ 4'500 }; ///< How long keys are served after a proof that they are in force.
     std::chrono::milliseconds graceTime{ 8'000 }; ///< From the signal to stop until the process is ended.
     repeat_budget_settings repeats;
 };
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -34,6 +34,9 @@
     gateway_state(const gateway_settings &given, std::string ownDataCentre, counter_registry &registry,
                   std::uint64_t seed);
 
+    /// Takes over new settings.
+    auto applySettings(const gateway_settings &given) -> void;
+
     /// The budget of repeats to the servers of \p service.
     auto repeatsOf(const std::string &service) -> repeat_budget &;
 
@@ -42,7 +45,8 @@
     counter_registry &counters;
     std::shared_ptr<const route_table> routes; ///< Null before the first configuration.
     bool hasServers = false; ///< Whether the list of backend servers was read.
-    bool stopping = false;
+    bool stopping = false; ///< Connections close after their answers.
+    bool refusing = false; ///< Too late in a stop for further requests.
     key_freshness keys;
     server_directory servers;
     server_loads loads;
--- a/include/marjoramloom/gateway/key_freshness.h
+++ b/include/marjoramloom/gateway/key_freshness.h
@@ -17,6 +17,9 @@
     /// Precondition: \p lifetime is positive.
     explicit key_freshness(std::chrono::milliseconds lifetime);
 
+    /// Replaces the lifetime. Precondition: \p lifetime is positive.
+    auto setLifetime(std::chrono::milliseconds lifetime) -> void;
+
     /// A read that began at \p askedAt showed the newest configuration, and it is in force here.
     auto noteProof(boot_time askedAt) -> void;
 
--- a/include/marjoramloom/gateway/prompt_placement.h
+++ b/include/marjoramloom/gateway/prompt_placement.h
@@ -24,6 +24,7 @@
 {
     std::size_t index = 0; ///< Of the candidate.
     std::uint32_t tokensToRead = 0;
+    duration wait{}; ///< Until the engine begins to read the prompt.
     duration firstEvent{}; ///< Expected time to the first event.
 };
 
@@ -53,6 +54,7 @@
     [[nodiscard]] static auto homeScore(std::string_view server, std::uint64_t sharedPart) -> std::uint64_t;
 
 private:
+    [[nodiscard]] auto readingTime(std::uint64_t tokens) const -> duration;
     [[nodiscard]] auto expected(const engine_candidate &candidate, std::uint32_t promptTokens) const -> duration;
 
     reading_pace m_pace;
--- a/include/marjoramloom/gateway/repeat_budget.h
+++ b/include/marjoramloom/gateway/repeat_budget.h
@@ -23,6 +23,9 @@
 public:
     explicit repeat_budget(repeat_budget_settings limits);
 
+    /// Replaces the limits; what was counted stays.
+    auto setLimits(repeat_budget_settings limits) -> void;
+
     /// A request was sent for the first time.
     auto noteFirst(time_point now) -> void;
 
--- a/include/marjoramloom/gateway/server_choice.h
+++ b/include/marjoramloom/gateway/server_choice.h
@@ -13,7 +13,9 @@
 {
     server_directory::server_ptr server;
     std::uint32_t tokensToRead = 0; ///< Prompt tokens that the server is expected to read.
+    duration wait{}; ///< Expected time until the server begins with the request.
     duration firstEvent{}; ///< Expected time to the first event; 0 for plain services.
+    std::uint32_t running = 0; ///< Requests known to be at the server.
     std::size_t candidates = 0;
 };
 
--- a/include/marjoramloom/router/settings.h
+++ b/include/marjoramloom/router/settings.h
@@ -15,6 +15,8 @@
 /// Settings of one router process; docs/SETTINGS.md lists every key.
 struct settings
 {
+    std::string source; ///< File that the settings were read from.
+
     std::string instance; ///< Unique name.
     std::string dataCentre;
     std::string region;
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -54,7 +54,7 @@
 {
     auto layout =
         std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n"));
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.out"));
     log4cxx::BasicConfigurator::configure(appender);
     processLogger()->setLevel(toLevel(level));
 }
--- a/src/gateway/admission_policy.cpp
+++ b/src/gateway/admission_policy.cpp
@@ -6,19 +6,21 @@
 
 namespace {
 
-/// Longest wait of an account that got nothing lately, as a multiple of the objective.
-constexpr double fullPatience = 1.0;
-/// Shortest, of an account that got everything.
-constexpr double leastPatience = 0.25;
-/// How much an account's patience falls as its part of the work grows by one.
+/// How much an account's patience falls as its part of the work grows by one, and its least value.
 constexpr double slope = 2.0;
+constexpr double leastPatience = 0.25;
+/// Part of the objective that a prompt may wait even where its own reading takes longer: the largest prompts would never be
+/// served otherwise.
+constexpr double leastWait = 0.35;
 
 } // namespace
 
-auto admission_policy::longestWait(duration objective, double fraction) const -> duration
+auto admission_policy::longestWait(duration objective, duration reading, double fraction) const -> duration
 {
-    const auto patience = std::max(fullPatience - slope * fraction, leastPatience);
-    return std::chrono::duration_cast<duration>(objective * patience);
+    const auto patience = std::max(1 - slope * fraction, leastPatience);
+    const auto inTime = std::max<duration>(objective - reading,
+                                           std::chrono::duration_cast<duration>(objective * leastWait));
+    return std::chrono::duration_cast<duration>(inTime * patience);
 }
 
 } // namespace marjoramloom
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -90,6 +90,7 @@
     std::shared_ptr<http_connection> connection;
     load_guard load;
     event_splitter splitter;
+    time_point sentAt;
     bool gotEvent = false;
 };
 
@@ -138,7 +139,7 @@
             m_why = m_sends == 0 ? why : m_why;
             break;
         }
-        if (m_sends == 0 && chosen->firstEvent > longestWait()) {
+        if (m_sends == 0 && !isWorthWaiting(*chosen)) {
             end = send_end::notSent;
             m_why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
             break;
@@ -151,7 +152,10 @@
             .with("end", nameOf(end))
             .with("to_read", chosen->tokensToRead)
             .with("prompt", m_request.prompt.promptTokens)
-            .with("expected_ms", std::chrono::duration_cast<std::chrono::milliseconds>(chosen->firstEvent).count())
+            .with("wait_ms", toSeconds(chosen->wait) * 1e3)
+            .with("expected_ms", toSeconds(chosen->firstEvent) * 1e3)
+            .with("first_event_ms", toSeconds(m_firstEvent) * 1e3)
+            .with("running", chosen->running)
             .with("candidates", chosen->candidates)
             .with("reason", m_why.text());
         m_mayHaveRun = m_mayHaveRun || end == send_end::broken || end == send_end::failed;
@@ -196,7 +200,9 @@
                                .connection = connection,
                                .load = load_guard(m_state.loads, chosen),
                                .splitter = {},
+                               .sentAt = system_clock_source().now(),
                                .gotEvent = false };
+    m_firstEvent = {};
     const auto listening = m_control->listen([connection] { connection->interrupt(); });
     if (m_sends++ == 0) {
         if (m_route.carriesPrompt) {
@@ -395,6 +401,7 @@
     for (auto &event : sending.splitter.feed(bytes)) {
         if (!sending.gotEvent) {
             sending.gotEvent = true;
+            m_firstEvent = system_clock_source().now() - sending.sentAt;
             sending.load.noteRead();
             noteRead(*sending.chosen.server);
         }
@@ -421,11 +428,12 @@
     co_return co_await m_exchange.relayPiece(piece) ? send_end::answered : send_end::callerLeft;
 }
 
-/// Longest time to the first event at which the request is still sent.
-auto gateway_call::longestWait() -> duration
+/// Whether the request is sent into the wait that it has to expect.
+auto gateway_call::isWorthWaiting(const chosen_server &chosen) -> bool
 {
     const auto fraction = m_state.accounts.startedFraction(m_accountId, system_clock_source().now());
-    return m_state.admission.longestWait(m_route.latencyObjective, fraction);
+    return chosen.wait
+        <= m_state.admission.longestWait(m_route.latencyObjective, chosen.firstEvent - chosen.wait, fraction);
 }
 
 /// The engine has read the prompt: its shared parts are kept there for others.
--- a/src/gateway/gateway_handler.cpp
+++ b/src/gateway/gateway_handler.cpp
@@ -38,6 +38,10 @@
     if (m_state.stopping) {
         exchange.closeAfterwards();
     }
+    if (m_state.refusing) {
+        co_await refuse(exchange, *request, unavailable, "this router is stopping");
+        co_return;
+    }
     const auto routes = m_state.routes;
     if (!routes || !m_state.hasServers) {
         co_await refuse(exchange, *request, unavailable, "no configuration yet");
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -58,6 +58,8 @@
 
     auto tickLoop() -> asio::awaitable<void>;
     auto waitForStop() -> asio::awaitable<void>;
+    auto waitForReload() -> asio::awaitable<void>;
+    auto reload() -> void;
     auto drain() -> asio::awaitable<void>;
     auto refreshReadiness() -> void;
 
@@ -116,6 +118,32 @@
     context.stop();
 }
 
+auto gateway_process::parts::waitForReload() -> asio::awaitable<void>
+{
+    auto signals = asio::signal_set(context, SIGHUP);
+    while (true) {
+        co_await signals.async_wait(asio::use_awaitable);
+        reload();
+    }
+}
+
+/// Reads the settings again. What needs new listeners or another platform waits for a restart.
+auto gateway_process::parts::reload() -> void
+{
+    auto why = last_reason();
+    const auto next = loadSettings(config.source, why);
+    if (!next || !next->gateway) {
+        log_line(log_level::error, "reload").with("outcome", "kept the old settings").with("reason", why.text());
+        return;
+    }
+    const auto needsRestart = next->callersListen != config.callersListen
+        || next->operatorsListen != config.operatorsListen || next->peersListen != config.peersListen
+        || next->platform != config.platform;
+    config.gateway = next->gateway;
+    state.applySettings(*next->gateway);
+    log_line(log_level::info, "reload").with("outcome", needsRestart ? "taken over but for addresses" : "taken over");
+}
+
 auto gateway_process::parts::drain() -> asio::awaitable<void>
 {
     const auto deadline = system_clock_source().now() + config.gateway->graceTime - graceMargin;
@@ -124,6 +152,8 @@
     refreshReadiness();
     auto timer = asio::steady_timer(context, acceptAfterStop);
     co_await timer.async_wait(asio::use_awaitable);
+    // What comes later might not be done before the process is ended.
+    state.refusing = true;
     callerServer->stopAccepting();
     while (callerServer->connections() > 0 && system_clock_source().now() < deadline) {
         timer.expires_after(drainPoll);
@@ -175,6 +205,8 @@
         all.context, [&all] { return all.tickLoop(); }, asio::detached);
     asio::co_spawn(
         all.context, [&all] { return all.waitForStop(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.waitForReload(); }, asio::detached);
     all.context.run();
     log_line(log_level::info, "stopped").with("instance", all.config.instance);
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -31,6 +31,15 @@
 {
 }
 
+auto gateway_state::applySettings(const gateway_settings &given) -> void
+{
+    settings = given;
+    keys.setLifetime(given.keyLifetime);
+    for (auto &[service, budget] : repeats) {
+        budget.setLimits(given.repeats);
+    }
+}
+
 auto gateway_state::repeatsOf(const std::string &service) -> repeat_budget &
 {
     return repeats.try_emplace(service, settings.repeats).first->second;
--- a/src/gateway/key_freshness.cpp
+++ b/src/gateway/key_freshness.cpp
@@ -11,6 +11,12 @@
     assert(lifetime.count() > 0);
 }
 
+auto key_freshness::setLifetime(std::chrono::milliseconds lifetime) -> void
+{
+    assert(lifetime.count() > 0);
+    m_lifetime = lifetime;
+}
+
 auto key_freshness::noteProof(boot_time askedAt) -> void
 {
     m_provedAt = std::max(m_provedAt, askedAt);
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -52,6 +52,7 @@
     const auto kept = std::min(chosen.keptTokens, promptTokens);
     return engine_choice{ .index = *best,
                           .tokensToRead = promptTokens - kept,
+                          .wait = readingTime(chosen.unreadTokens),
                           .firstEvent = expected(chosen, promptTokens) };
 }
 
@@ -60,11 +61,16 @@
     return hash64(server, sharedPart);
 }
 
+auto prompt_placement::readingTime(std::uint64_t tokens) const -> duration
+{
+    const auto reading = static_cast<double>(tokens) / m_pace.tokensPerMs;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(reading));
+}
+
 auto prompt_placement::expected(const engine_candidate &candidate, std::uint32_t promptTokens) const -> duration
 {
     const auto toRead = promptTokens - std::min(candidate.keptTokens, promptTokens);
-    const auto reading = static_cast<double>(candidate.unreadTokens + toRead) / m_pace.tokensPerMs;
-    return m_pace.overhead + std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(reading));
+    return m_pace.overhead + readingTime(candidate.unreadTokens + toRead);
 }
 
 } // namespace marjoramloom
--- a/src/gateway/repeat_budget.cpp
+++ b/src/gateway/repeat_budget.cpp
@@ -10,6 +10,12 @@
     assert(m_limits.window > duration::zero());
 }
 
+auto repeat_budget::setLimits(repeat_budget_settings limits) -> void
+{
+    assert(limits.window > duration::zero());
+    m_limits = limits;
+}
+
 auto repeat_budget::noteFirst(time_point now) -> void
 {
     expire(now);
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -46,7 +46,9 @@
     }
     return chosen_server{ .server = servers[choice->index],
                           .tokensToRead = choice->tokensToRead,
+                          .wait = choice->wait,
                           .firstEvent = choice->firstEvent,
+                          .running = candidates[choice->index].running,
                           .candidates = servers.size() };
 }
 
@@ -71,7 +73,12 @@
     if (!best) {
         return why.fail(failure_kind::overloaded, "choose server", "", "every server is full");
     }
-    return chosen_server{ .server = best, .tokensToRead = 0, .firstEvent = {}, .candidates = servers.size() };
+    return chosen_server{ .server = best,
+                          .tokensToRead = 0,
+                          .wait = {},
+                          .firstEvent = {},
+                          .running = std::get<1>(bestRank),
+                          .candidates = servers.size() };
 }
 
 } // namespace
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -178,7 +178,9 @@
         auto gateway = gateway_settings();
         auto graceSeconds = toSeconds(gateway.graceTime);
         auto windowSeconds = toSeconds(gateway.repeats.window);
-        reader.time("key_lifetime_ms", gateway.keyLifetime, 100, hourMs);
+        auto revocation = gateway.keyLifetime + gateway_settings::KEY_MARGIN;
+        reader.time("key_revocation_ms", revocation, 1'000, hourMs);
+        gateway.keyLifetime = revocation - gateway_settings::KEY_MARGIN;
         reader.number("grace_seconds", graceSeconds, 0.5, 3'600);
         reader.number("repeat_ratio", gateway.repeats.ratio, 0, 1);
         reader.number("repeat_window_seconds", windowSeconds, 0.1, 3'600);
@@ -231,7 +233,11 @@
     }
     auto text = std::stringstream();
     text << file.rdbuf();
-    return parseSettings(text.str(), path, why);
+    auto read = parseSettings(text.str(), path, why);
+    if (read) {
+        read->source = path;
+    }
+    return read;
 }
 
 auto parseSettings(const std::string &text, const std::string &source, last_reason &why) -> std::optional<settings>
