--- /dev/null
+++ b/tests/process/gateway/gateway_fleet.cpp
@@ -0,0 +1,189 @@
+#include "gateway_fleet.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace marjoramloom::test {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto host = "desk.example";
+constexpr auto serviceName = "desk";
+
+auto routeRow(const std::string &prefix, const std::string &kind, int attempts, bool anonymous, bool resumable)
+    -> json::object
+{
+    return json::object{
+        { "name", "route" + prefix },   { "host", host },
+        { "path_prefix", prefix },      { "route_kind", kind },
+        { "service", serviceName },     { "timeout_ms", 5'000 },
+        { "slo_ms", 500 },              { "max_attempts", attempts },
+        { "anonymous", anonymous },     { "resumable", resumable },
+        { "sticky", false },            { "priority", 1 },
+    };
+}
+
+} // namespace
+
+gateway_fleet::gateway_fleet(gateway_plan plan)
+    : m_plan(plan)
+    , m_folder(makeTestFolder())
+    , m_store(std::make_unique<standin>("store", std::vector<std::string>{ "platform" }, m_folder + "/store.log"))
+{
+    writeConfiguration({ "key-alpha" });
+    for (auto index = 0; index < m_plan.servers; ++index) {
+        const auto name = "server-" + std::to_string(index);
+        const auto arguments =
+            std::vector<std::string>{ "routed", "--name=" + name, "--call-ms=" + std::to_string(m_plan.callMs),
+                                      "--event-ms=" + std::to_string(m_plan.eventMs) };
+        m_servers.push_back(std::make_unique<standin>(name, arguments, m_folder + "/" + name + ".log"));
+        writeServer(static_cast<std::size_t>(index), "ready");
+    }
+    for (auto index = 0; index < m_plan.routers; ++index) {
+        auto router = router_handle();
+        router.name = "router-" + std::to_string(index);
+        router.callers = freeAddress();
+        router.operators = freeAddress();
+        router.peers = freeAddress();
+        router.settingsFile = m_folder + "/" + router.name + ".toml";
+        router.logFile = m_folder + "/" + router.name + ".log";
+        writeSettings(router);
+        start(router);
+        m_routers.push_back(std::move(router));
+    }
+}
+
+gateway_fleet::~gateway_fleet()
+{
+    m_routers.clear();
+    m_servers.clear();
+    m_store.reset();
+    if (std::getenv("MARJORAMLOOM_KEEP") == nullptr) {
+        auto error = std::error_code();
+        std::filesystem::remove_all(m_folder, error);
+    }
+}
+
+auto gateway_fleet::store() -> standin &
+{
+    return *m_store;
+}
+
+auto gateway_fleet::servers() -> std::vector<std::unique_ptr<standin>> &
+{
+    return m_servers;
+}
+
+auto gateway_fleet::routers() -> std::vector<router_handle> &
+{
+    return m_routers;
+}
+
+auto gateway_fleet::writeSettings(const router_handle &router) -> void
+{
+    auto text = std::ofstream(router.settingsFile);
+    text << "[instance]\nname = \"" << router.name << "\"\ndata_centre = \"north\"\nthreads = 1\n"
+         << "[listen]\ncallers = \"" << router.callers << "\"\noperators = \"" << router.operators << "\"\npeers = \""
+         << router.peers << "\"\n[operators]\nkey_hash = \"" << std::string(64, '0') << "\"\n"
+         << "[platform]\naddresses = [\"" << m_store->address() << "\"]\ntimeout_ms = 1000\n"
+         << "[gateway]\nkey_revocation_ms = " << m_plan.revocationMs << "\ngrace_seconds = " << m_plan.graceSeconds
+         << "\n";
+}
+
+auto gateway_fleet::start(router_handle &router) -> void
+{
+    const auto arguments =
+        std::vector<std::string>{ fromEnvironment("MARJORAMLOOM"), "serve", "--settings", router.settingsFile };
+    router.process = std::make_unique<child_process>(arguments, router.logFile, std::map<std::string, std::string>(),
+                                                     child_output::logFile);
+    constexpr auto startTimeoutMs = 15'000;
+    if (!waitUntil(startTimeoutMs, [&] { return isReady(router); })) {
+        throw std::runtime_error(router.name + " is not ready: " + logOf(router));
+    }
+}
+
+auto gateway_fleet::writeConfiguration(const std::vector<std::string> &alphaKeys) -> void
+{
+    auto keys = json::array(alphaKeys.begin(), alphaKeys.end());
+    const auto spec = json::object{
+        { "version", ++m_version },
+        { "routes",
+          json::array{ routeRow("/read/", "idempotent", 2, false, false),
+                       routeRow("/post/", "non_idempotent", 1, false, false),
+                       routeRow("/talk/", "streaming", 2, false, true),
+                       routeRow("/once/", "streaming", 1, false, false),
+                       routeRow("/open/", "idempotent", 2, true, false) } },
+        { "services", json::array{ json::object{ { "name", serviceName }, { "max_conns", 100 } } } },
+        { "limits",
+          json::object{ { "max_header_bytes", 16'384 },
+                        { "max_body_bytes", 100'000 },
+                        { "header_timeout_ms", 2'000 },
+                        { "idle_timeout_ms", 5'000 } } },
+        { "tenants",
+          json::array{ json::object{ { "name", "alpha" }, { "api_keys", std::move(keys) } },
+                       json::object{ { "name", "beta" }, { "api_keys", json::array{ "key-beta" } } } } },
+    };
+    writeObject("config", "main", spec);
+}
+
+auto gateway_fleet::writeServer(std::size_t index, const std::string &state) -> void
+{
+    const auto &server = *m_servers[index];
+    const auto spec = json::object{
+        { "service", serviceName }, { "address", server.address() }, { "zone", "north" }, { "version", "v1" },
+        { "slots", 8 },             { "state", state },              { "born", 1'700'000'000'000 + index },
+    };
+    writeObject("servers", server.name(), spec);
+}
+
+auto gateway_fleet::writeObject(const std::string &kind, const std::string &name, const json::value &spec) -> void
+{
+    const auto body = json::serialize(json::object{ { "metadata", json::object{ { "name", name } } }, { "spec", spec } });
+    const auto updated = httpCall(m_store->address(), { "PUT", "/v1/objects/" + kind + "/" + name, {}, body });
+    if (updated.status == 404) {
+        httpCall(m_store->address(), { "POST", "/v1/objects/" + kind, {}, body });
+    }
+}
+
+auto gateway_fleet::call(const router_handle &router, const std::string &path, const std::string &id,
+                         const std::string &method, const std::string &key, const std::string &body) -> http_answer
+{
+    auto request = http_request();
+    request.method = method;
+    request.target = path;
+    request.headers = { { "Host", host }, { "X-Attempt-Id", id }, { "X-Deadline-Ms", "4000" } };
+    if (!key.empty()) {
+        request.headers["Authorization"] = "Bearer " + key;
+    }
+    request.body = body;
+    return httpCall(router.callers, request);
+}
+
+auto gateway_fleet::countRuns(const std::string &id, const std::string &state) -> int
+{
+    auto count = 0;
+    for (const auto &server : m_servers) {
+        for (const auto &entry : server->record()) {
+            count += entry.at("request_id").as_string() == id && entry.at("state").as_string() == state ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+auto gateway_fleet::isReady(const router_handle &router) -> bool
+{
+    return httpCall(router.operators, { "GET", "/readyz", {}, "" }).status == 200;
+}
+
+auto gateway_fleet::logOf(const router_handle &router) -> std::string
+{
+    auto text = std::stringstream();
+    text << std::ifstream(router.logFile).rdbuf();
+    return text.str();
+}
+
+} // namespace marjoramloom::test
--- a/tests/standins/http_exchange.cpp
+++ b/tests/standins/http_exchange.cpp
@@ -108,11 +108,15 @@
     co_await http::async_write(m_stream, response, asio::use_awaitable);
 }
 
-auto http_exchange::startStream(std::string contentType) -> nothing_awaitable
+auto http_exchange::startStream(std::string contentType, std::vector<std::pair<std::string, std::string>> headers)
+    -> nothing_awaitable
 {
     co_await silentIfFrozen();
     auto response = http::response<http::empty_body>(http::status::ok, m_request.version());
     response.set(http::field::content_type, contentType);
+    for (const auto &[name, value] : headers) {
+        response.set(name, value);
+    }
     response.chunked(true);
     auto serializer = http::response_serializer<http::empty_body>(response);
     co_await http::async_write_header(m_stream, serializer, asio::use_awaitable);
--- a/tests/standins/http_exchange.h
+++ b/tests/standins/http_exchange.h
@@ -51,7 +51,8 @@
     auto reply(http_reply answer) -> nothing_awaitable;
 
     /// Sends the header of a chunked answer.
-    auto startStream(std::string contentType) -> nothing_awaitable;
+    auto startStream(std::string contentType, std::vector<std::pair<std::string, std::string>> headers = {})
+        -> nothing_awaitable;
     auto writePiece(std::string piece) -> nothing_awaitable;
     auto finishStream() -> nothing_awaitable;
 
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -1,5 +1,6 @@
 #include "engine_standin.h"
 #include "platform_standin.h"
+#include "routed_standin.h"
 #include "service_standin.h"
 
 #include <iostream>
@@ -24,6 +25,7 @@
     int cacheTokens = 100'000;
     int loadLagMs = 1'000;
     int callMs = 0;
+    int eventMs = 5;
     int checksFencing = 0;
     int seed = 1;
     std::string standin;
@@ -47,12 +49,13 @@
         { "cache-tokens", 0, POPT_ARG_INT, &parsed.cacheTokens, 0, "engine: size of the prefix cache", "N" },
         { "load-lag-ms", 0, POPT_ARG_INT, &parsed.loadLagMs, 0, "engine: age of load reports", "MS" },
         { "checks-fencing", 0, POPT_ARG_NONE, &parsed.checksFencing, 0, "engine: refuse old fencing numbers", nullptr },
-        { "call-ms", 0, POPT_ARG_INT, &parsed.callMs, 0, "service: duration of a call", "MS" },
+        { "call-ms", 0, POPT_ARG_INT, &parsed.callMs, 0, "service, routed: duration of a call", "MS" },
+        { "event-ms", 0, POPT_ARG_INT, &parsed.eventMs, 0, "routed: time before each event", "MS" },
         { "seed", 0, POPT_ARG_INT, &parsed.seed, 0, "engine: seed of the variation of the pace", "N" },
         POPT_AUTOHELP POPT_TABLEEND,
     };
     auto *context = poptGetContext(nullptr, argc, argv, options, 0);
-    poptSetOtherOptionHelp(context, "platform|engine|service [OPTION...]");
+    poptSetOtherOptionHelp(context, "platform|engine|service|routed [OPTION...]");
     const auto result = poptGetNextOpt(context);
     const auto *standin = poptGetArg(context);
     const auto valid = result == -1 && standin != nullptr && poptPeekArg(context) == nullptr;
@@ -117,7 +120,11 @@
         auto service = service_standin(shared, { line.name, line.callMs });
         return runStandin(context, service, shared, line.listen);
     }
-    std::cerr << "unknown stand-in '" << line.standin << "'; known are platform, engine, service\n";
+    if (line.standin == "routed") {
+        auto routed = routed_standin(shared, { line.name, line.callMs, line.eventMs });
+        return runStandin(context, routed, shared, line.listen);
+    }
+    std::cerr << "unknown stand-in '" << line.standin << "'; known are platform, engine, service, routed\n";
     return exitUsage;
 }
 
--- /dev/null
+++ b/tests/standins/routed_standin.cpp
@@ -0,0 +1,125 @@
+#include "routed_standin.h"
+
+#include "common_faults.h"
+
+#include "marjoramloom/core/hash.h"
+
+namespace standins {
+
+namespace {
+
+/// Events of every stream.
+constexpr auto streamLength = 12;
+
+auto refusalOf(http::status status) -> http_reply
+{
+    auto answer = http_reply();
+    answer.status = status;
+    answer.headers.emplace_back("X-Not-Executed", "1");
+    return answer;
+}
+
+} // namespace
+
+routed_standin::routed_standin(standin_context &shared, routed_options options)
+    : m_shared(shared)
+    , m_options(std::move(options))
+{
+}
+
+auto routed_standin::handle(http_exchange &exchange) -> nothing_awaitable
+{
+    const auto id = exchange.header("X-Attempt-Id");
+    if (exchange.header("X-Expect-Instance") != m_options.name) {
+        const auto answer = refusalOf(http::status::misdirected_request);
+        co_await exchange.reply(answer);
+        co_return;
+    }
+    if (m_shared.faults.take(fault_kind::refuse, exchange.subject(id))) {
+        const auto answer = refusalOf(http::status::service_unavailable);
+        co_await exchange.reply(answer);
+        co_return;
+    }
+    note(exchange, "started");
+    if (exchange.path().ends_with("stream")) {
+        co_await answerStream(exchange);
+    } else {
+        co_await answerWhole(exchange);
+    }
+}
+
+auto routed_standin::answerWhole(http_exchange &exchange) -> nothing_awaitable
+{
+    if (m_options.callMs > 0) {
+        co_await sleepFor(m_options.callMs);
+    }
+    const auto execute = std::function<http_reply()>([this, &exchange] {
+        note(exchange, "finished");
+        auto body = boost::json::object();
+        body["served_by"] = m_options.name;
+        body["method"] = exchange.method();
+        body["path"] = exchange.path();
+        body["body_hash"] = std::to_string(marjoramloom::hash64(exchange.body()));
+        body["key"] = exchange.header("Authorization");
+        body["account"] = exchange.header("X-Tenant-Id");
+        body["hold"] = exchange.header("X-Cache-Hold");
+        body["custom"] = exchange.header("X-Custom");
+        body["time_left"] = exchange.header("X-Deadline-Ms");
+        auto answer = http_reply();
+        answer.body = boost::json::serialize(body);
+        answer.headers = answerHeaders(exchange);
+        return answer;
+    });
+    co_await executeAndReply(exchange, m_shared, exchange.header("X-Attempt-Id"), execute);
+}
+
+auto routed_standin::answerStream(http_exchange &exchange) -> nothing_awaitable
+{
+    const auto die = m_shared.faults.take(fault_kind::die, exchange.subject(exchange.header("X-Attempt-Id")));
+    const auto after = exchange.header("Last-Event-Id");
+    const auto first = after.empty() ? 1 : std::atoi(after.c_str()) + 1;
+    try {
+        const auto headers = answerHeaders(exchange);
+        co_await exchange.startStream("text/event-stream", headers);
+        auto sent = std::uint32_t(0);
+        for (auto number = first; number <= streamLength; ++number) {
+            co_await sleepFor(m_options.eventMs);
+            const auto event = "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
+            if (die && sent++ == die->events) {
+                const auto half = event.substr(0, event.size() / 2);
+                co_await exchange.writePiece(half);
+                exchange.close();
+                co_return;
+            }
+            co_await exchange.writePiece(event);
+        }
+        co_await exchange.finishStream();
+        note(exchange, "finished");
+    } catch (const boost::system::system_error &) {
+        note(exchange, "cancelled");
+        exchange.close();
+    }
+}
+
+auto routed_standin::answerHeaders(const http_exchange &exchange) const -> header_list
+{
+    return { { "X-Attempt-Id", exchange.header("X-Attempt-Id") }, { "X-Response-Seal", "seal-" + m_options.name } };
+}
+
+auto routed_standin::note(const http_exchange &exchange, std::string state) -> void
+{
+    auto entry = exchange.entry();
+    entry.requestId = exchange.header("X-Attempt-Id");
+    entry.account = exchange.header("X-Tenant-Id");
+    entry.state = std::move(state);
+    m_shared.record.append(entry);
+}
+
+auto routed_standin::control(http_exchange &, const boost::json::value &) -> http_reply
+{
+    auto answer = http_reply();
+    answer.status = http::status::not_found;
+    return answer;
+}
+
+} // namespace standins
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -25,24 +25,6 @@
 constexpr auto operatorKey = "operator-key";
 constexpr auto startTimeoutMs = 20'000;
 
-auto fromEnvironment(const char *name) -> std::string
-{
-    const auto *value = std::getenv(name);
-    if (!value) {
-        throw std::runtime_error(std::string(name) + " is not set; run the test through ctest");
-    }
-    return value;
-}
-
-auto makeFolder() -> std::string
-{
-    static auto made = std::atomic<int>(0);
-    const auto name = "marjoramloom-test-" + std::to_string(getpid()) + "-" + std::to_string(++made);
-    const auto folder = std::filesystem::temp_directory_path() / name;
-    std::filesystem::create_directories(folder);
-    return folder.string();
-}
-
 auto writeFile(const std::string &path, const std::string &text) -> void
 {
     std::ofstream(path) << text;
@@ -156,7 +138,7 @@
 
 fleet::fleet(fleet_plan plan)
     : m_plan(std::move(plan))
-    , m_folder(makeFolder())
+    , m_folder(makeTestFolder())
 {
     startStandins();
     startRouters();
@@ -484,4 +466,22 @@
     }
 }
 
+auto fromEnvironment(const char *name) -> std::string
+{
+    const auto *value = std::getenv(name);
+    if (!value) {
+        throw std::runtime_error(std::string(name) + " is not set; run the test through ctest");
+    }
+    return value;
+}
+
+auto makeTestFolder() -> std::string
+{
+    static auto made = std::atomic<int>(0);
+    const auto name = "marjoramloom-test-" + std::to_string(getpid()) + "-" + std::to_string(++made);
+    const auto folder = std::filesystem::temp_directory_path() / name;
+    std::filesystem::create_directories(folder);
+    return folder.string();
+}
+
 } // namespace marjoramloom::test
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -142,4 +142,10 @@
 /// A port of the loopback address that is free now.
 auto freeAddress() -> std::string;
 
+/// The value of an environment variable that ctest sets; throws where it is missing.
+auto fromEnvironment(const char *name) -> std::string;
+
+/// A new empty folder for the files of one test.
+auto makeTestFolder() -> std::string;
+
 } // namespace marjoramloom::test
