--- a/include/marjoramloom/call/stop_calendar.h
+++ b/include/marjoramloom/call/stop_calendar.h
@@ -3,8 +3,8 @@
 #include "marjoramloom/contract/configuration.h"
 #include "marjoramloom/core/clock.h"
 #include "marjoramloom/core/enum_names.h"
-#include "marjoramloom/store/instance_list.h"
 #include "marjoramloom/share/server_placement.h"
+#include "marjoramloom/store/instance_list.h"
 
 #include <cstdint>
 #include <map>
--- a/include/marjoramloom/core/log.h
+++ b/include/marjoramloom/core/log.h
@@ -15,7 +15,8 @@
 };
 
 /// Sets up log4cxx for the process: lines of key=value to standard output from \p level on. Call once, before threads
-/// start. Lines are buffered: a slow reader of the output never holds the process up, and lines beyond a rate are dropped.
+/// start. Lines are buffered: a slow reader of the output never holds the process up, and lines beyond a rate are
+/// dropped.
 auto configureLog(log_level level) -> void;
 
 /// Writes buffered lines as far as their reader takes them at once. Call several times a second, and before the process
--- a/include/marjoramloom/core/log_sink.h
+++ b/include/marjoramloom/core/log_sink.h
@@ -18,8 +18,8 @@
     double burstBytes = 800'000; ///< Written at once after a quiet time.
 };
 
-/// Writes lines to a file descriptor without ever waiting for its reader. What does not fit is dropped and counted, and the
-/// count is written as a line of its own.
+/// Writes lines to a file descriptor without ever waiting for its reader. What does not fit is dropped and counted, and
+/// the count is written as a line of its own.
 ///
 /// Thread safe.
 class log_sink
--- a/include/marjoramloom/gateway/account_usage.h
+++ b/include/marjoramloom/gateway/account_usage.h
@@ -9,8 +9,8 @@
 
 namespace marjoramloom {
 
-/// What the client accounts asked for and got lately: at this router by its own count, elsewhere by the others' reports.
-/// Not thread safe.
+/// What the client accounts asked for and got lately: at this router by its own count, elsewhere by the others'
+/// reports. Not thread safe.
 class account_usage
 {
 public:
--- a/include/marjoramloom/gateway/fleet_loads.h
+++ b/include/marjoramloom/gateway/fleet_loads.h
@@ -35,8 +35,8 @@
 
 /// What the other routers say of their loads, added up.
 ///
-/// A router that falls silent counts no longer: its requests end with it, or it is cut off and nothing better is known. Not
-/// thread safe.
+/// A router that falls silent counts no longer: its requests end with it, or it is cut off and nothing better is known.
+/// Not thread safe.
 class fleet_loads
 {
 public:
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -26,9 +26,12 @@
 struct enum_names<send_end>
 {
     static constexpr std::array table{
-        enum_name<send_end>{ send_end::answered, "answered" }, enum_name<send_end>{ send_end::notSent, "not_sent" },
-        enum_name<send_end>{ send_end::notRun, "not_run" },    enum_name<send_end>{ send_end::failed, "failed" },
-        enum_name<send_end>{ send_end::broken, "broken" },     enum_name<send_end>{ send_end::callerLeft, "caller_left" },
+        enum_name<send_end>{ send_end::answered, "answered" },
+        enum_name<send_end>{ send_end::notSent, "not_sent" },
+        enum_name<send_end>{ send_end::notRun, "not_run" },
+        enum_name<send_end>{ send_end::failed, "failed" },
+        enum_name<send_end>{ send_end::broken, "broken" },
+        enum_name<send_end>{ send_end::callerLeft, "caller_left" },
     };
 };
 
--- a/include/marjoramloom/gateway/key_freshness.h
+++ b/include/marjoramloom/gateway/key_freshness.h
@@ -8,9 +8,9 @@
 
 /// Whether the keys that this router knows are proved to be in force.
 ///
-/// An account's key may be taken away while the router is cut off or suspended. The router therefore serves keyed requests
-/// only for a limited time after a read of the configuration began that showed nothing newer; time counts while the
-/// machine is suspended, too. Not thread safe.
+/// An account's key may be taken away while the router is cut off or suspended. The router therefore serves keyed
+/// requests only for a limited time after a read of the configuration began that showed nothing newer; time counts
+/// while the machine is suspended, too. Not thread safe.
 class key_freshness
 {
 public:
--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -9,8 +9,8 @@
 
 /// Keeps the routes, keys and backend servers of a gateway_state as the platform's store has them.
 ///
-/// Each kind is listed once and then watched. An answer to a watch that waited without a change also proves that the keys
-/// are in force. Belongs to the router's only thread.
+/// Each kind is listed once and then watched. An answer to a watch that waited without a change also proves that the
+/// keys are in force. Belongs to the router's only thread.
 class platform_feed
 {
 public:
@@ -23,7 +23,8 @@
     /// Follows the list of backend servers; ends with its executor.
     auto followServers() -> boost::asio::awaitable<void>;
 
-    /// Looks whether the store fell silent, and drops servers that were not renewed. Call every few hundred milliseconds.
+    /// Looks whether the store fell silent, and drops servers that were not renewed. Call every few hundred
+    /// milliseconds.
     auto tick(time_point now) -> void;
 
 private:
--- a/include/marjoramloom/gateway/repeat_budget.h
+++ b/include/marjoramloom/gateway/repeat_budget.h
@@ -16,8 +16,8 @@
 
 /// Bounds what a router sends more than once to the servers of one service, in every span of a given length.
 ///
-/// Each router keeps to its own share, as a share that needs no agreement also holds while routers are cut off from each
-/// other. Not thread safe.
+/// Each router keeps to its own share, as a share that needs no agreement also holds while routers are cut off from
+/// each other. Not thread safe.
 class repeat_budget
 {
 public:
--- a/include/marjoramloom/router/operator_handler.h
+++ b/include/marjoramloom/router/operator_handler.h
@@ -2,8 +2,8 @@
 
 #include "marjoramloom/contract/operator_api.h"
 #include "marjoramloom/core/counters.h"
-#include "marjoramloom/store/store_client.h"
 #include "marjoramloom/router/http_exchange.h"
+#include "marjoramloom/store/store_client.h"
 
 #include <atomic>
 #include <string>
--- a/include/marjoramloom/router/order_handler.h
+++ b/include/marjoramloom/router/order_handler.h
@@ -3,9 +3,9 @@
 #include "marjoramloom/call/plain_call.h"
 #include "marjoramloom/order/order_ledger.h"
 #include "marjoramloom/peer/member.h"
-#include "marjoramloom/store/store_client.h"
 #include "marjoramloom/router/http_exchange.h"
 #include "marjoramloom/router/request_context.h"
+#include "marjoramloom/store/store_client.h"
 
 #include <boost/json/object.hpp>
 
--- a/include/marjoramloom/store/store_client.h
+++ b/include/marjoramloom/store/store_client.h
@@ -70,10 +70,10 @@
     /// The platform's list of instances, which lags.
     auto instances(last_reason &why) -> boost::asio::awaitable<std::optional<instance_snapshot>>;
 
-    /// Hands every change of \p kinds after revision \p since to \p callback, one event at a time; those of one kind come
-    /// in order and each once, with bookmarks between them. Calls again whenever a call ends, and dials anew where the
-    /// connection ends or falls silent. Ends when the callback returns false, or when the platform no longer keeps the
-    /// changes after the last revision seen: then list again. Precondition: \p kinds is not empty.
+    /// Hands every change of \p kinds after revision \p since to \p callback, one event at a time; those of one kind
+    /// come in order and each once, with bookmarks between them. Calls again whenever a call ends, and dials anew where
+    /// the connection ends or falls silent. Ends when the callback returns false, or when the platform no longer keeps
+    /// the changes after the last revision seen: then list again. Precondition: \p kinds is not empty.
     auto watch(std::vector<std::string> kinds, std::uint64_t since, watch_callback callback)
         -> boost::asio::awaitable<watch_end>;
 
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -51,9 +51,7 @@
         processSink().write(line, isUrgent, log_sink::clock::now());
     }
 
-    auto close() -> void override
-    {
-    }
+    auto close() -> void override {}
 
     [[nodiscard]] auto requiresLayout() const -> bool override
     {
@@ -97,8 +95,7 @@
 
 auto configureLog(log_level level) -> void
 {
-    auto layout =
-        std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m"));
+    auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m"));
     auto appender = std::make_shared<sink_appender>();
     appender->setLayout(layout);
     log4cxx::BasicConfigurator::configure(appender);
--- a/src/gateway/account_usage.cpp
+++ b/src/gateway/account_usage.cpp
@@ -28,8 +28,8 @@
 auto account_usage::startedFraction(std::uint64_t account, time_point now) -> double
 {
     const auto own = m_accounts.find(account);
-    const auto started = (own == m_accounts.end() ? 0 : own->second.started.total(now))
-        + m_fleet.ofAccount(account).startedTokens;
+    const auto started =
+        (own == m_accounts.end() ? 0 : own->second.started.total(now)) + m_fleet.ofAccount(account).startedTokens;
     const auto all = m_started.total(now) + m_fleet.startedTokens();
     return all == 0 ? 0 : static_cast<double>(started) / static_cast<double>(all);
 }
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -409,7 +409,8 @@
             continue; // The caller has it from the run before.
         }
         if (event.id && m_lastEvent && *event.id != *m_lastEvent + 1) {
-            m_why.fail(failure_kind::protocolViolation, "read answer", sending.chosen.server->id, "an event is missing");
+            m_why.fail(failure_kind::protocolViolation, "read answer", sending.chosen.server->id,
+                       "an event is missing");
             co_return send_end::broken;
         }
         m_lastEvent = event.id ? event.id : m_lastEvent;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -178,7 +178,8 @@
 auto gateway_process::start(last_reason &why) -> bool
 {
     const auto &config = m_parts->config;
-    if (!m_parts->exchange.listen(config.peersListen, why) || !m_parts->statusServer->listen(config.operatorsListen, why)
+    if (!m_parts->exchange.listen(config.peersListen, why)
+        || !m_parts->statusServer->listen(config.operatorsListen, why)
         || !m_parts->callerServer->listen(config.callersListen, why)) {
         return false;
     }
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -225,7 +225,8 @@
         m_state.fleet.drop(report.sender());
         return;
     }
-    auto snapshot = load_snapshot{ .router = report.sender(), .sequence = report.sequence(), .engines = {}, .accounts = {} };
+    auto snapshot =
+        load_snapshot{ .router = report.sender(), .sequence = report.sequence(), .engines = {}, .accounts = {} };
     for (const auto &engine : report.engines()) {
         snapshot.engines.push_back({ engine.server(), engine.running(), engine.unread_tokens() });
     }
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -27,9 +27,8 @@
 auto prompt_placement::choose(std::span<const engine_candidate> candidates, std::uint32_t promptTokens) const
     -> std::optional<engine_choice>
 {
-    const auto home = std::max_element(candidates.begin(), candidates.end(), [](const auto &left, const auto &right) {
-        return left.home < right.home;
-    });
+    const auto home = std::max_element(candidates.begin(), candidates.end(),
+                                       [](const auto &left, const auto &right) { return left.home < right.home; });
     auto best = std::optional<std::size_t>();
     auto bestCost = duration::max();
     for (auto index = std::size_t(0); index < candidates.size(); ++index) {
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -64,7 +64,8 @@
         if (load.running >= server->slots + plainQueue) {
             continue;
         }
-        const auto own = rank(load.isAvoided(now), load.running, server->dataCentre != state.dataCentre, state.random());
+        const auto own =
+            rank(load.isAvoided(now), load.running, server->dataCentre != state.dataCentre, state.random());
         if (!best || own < bestRank) {
             best = server;
             bestRank = own;
--- a/src/router/http_exchange.cpp
+++ b/src/router/http_exchange.cpp
@@ -179,8 +179,8 @@
     assert(!m_answered);
     m_answered = true;
     m_unsentHead = headText(head);
-    m_unsentHead += m_reusable ? "Transfer-Encoding: chunked\r\n\r\n"
-                               : "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    m_unsentHead +=
+        m_reusable ? "Transfer-Encoding: chunked\r\n\r\n" : "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
 auto http_exchange::relayPiece(std::string_view piece) -> asio::awaitable<bool>
--- a/src/router/operator_handler.cpp
+++ b/src/router/operator_handler.cpp
@@ -2,8 +2,8 @@
 
 #include "marjoramloom/contract/operator_api.h"
 #include "marjoramloom/core/hash.h"
-#include "marjoramloom/store/store_client.h"
 #include "marjoramloom/router/caller_handler.h"
+#include "marjoramloom/store/store_client.h"
 
 #include <boost/json/serialize.hpp>
 #include <openssl/crypto.h>
--- a/src/router/request_head.cpp
+++ b/src/router/request_head.cpp
@@ -107,9 +107,8 @@
         if (line.empty() && !isFirst) {
             return seen.areSound() ? head_state::sound : head_state::malformed;
         }
-        const auto hasControl = std::any_of(line.begin(), line.end(), [](char letter) {
-            return letter == '\r' || letter == '\0';
-        });
+        const auto hasControl =
+            std::any_of(line.begin(), line.end(), [](char letter) { return letter == '\r' || letter == '\0'; });
         if (hasControl || !(isFirst ? isRequestLine(line) : isSoundField(line, seen))) {
             return head_state::malformed;
         }
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -13,7 +13,6 @@
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/peer/configuration_relay.h"
 #include "marjoramloom/peer/peer_links.h"
-#include "marjoramloom/store/store_client.h"
 #include "marjoramloom/router/caller_handler.h"
 #include "marjoramloom/router/dispatch_service.h"
 #include "marjoramloom/router/http_server.h"
@@ -21,6 +20,7 @@
 #include "marjoramloom/router/order_handler.h"
 #include "marjoramloom/router/server_watch.h"
 #include "marjoramloom/router/status_report.h"
+#include "marjoramloom/store/store_client.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/store/store_connection.cpp
+++ b/src/store/store_connection.cpp
@@ -37,7 +37,7 @@
 }
 
 auto store_connection::exchange(http_request request, std::chrono::milliseconds limit, sent_state &sent,
-                                   last_reason &why) -> asio::awaitable<std::optional<http_response>>
+                                last_reason &why) -> asio::awaitable<std::optional<http_response>>
 {
     const auto self = shared_from_this();
     sent = sent_state::maybeSent;
@@ -63,7 +63,7 @@
 }
 
 auto store_connection::exchangeOnStrand(http_request request, std::chrono::milliseconds limit, sent_state &sent,
-                                           last_reason &why) -> asio::awaitable<std::optional<http_response>>
+                                        last_reason &why) -> asio::awaitable<std::optional<http_response>>
 {
     m_stream.expires_after(limit);
     const auto [writeError, written] = co_await http::async_write(m_stream, request, asTuple);
--- a/tests/process/gateway/gateway_fleet.cpp
+++ b/tests/process/gateway/gateway_fleet.cpp
@@ -18,12 +18,18 @@
     -> json::object
 {
     return json::object{
-        { "name", "route" + prefix },   { "host", host },
-        { "path_prefix", prefix },      { "route_kind", kind },
-        { "service", serviceName },     { "timeout_ms", 5'000 },
-        { "slo_ms", 500 },              { "max_attempts", attempts },
-        { "anonymous", anonymous },     { "resumable", resumable },
-        { "sticky", false },            { "priority", 1 },
+        { "name", "route" + prefix },
+        { "host", host },
+        { "path_prefix", prefix },
+        { "route_kind", kind },
+        { "service", serviceName },
+        { "timeout_ms", 5'000 },
+        { "slo_ms", 500 },
+        { "max_attempts", attempts },
+        { "anonymous", anonymous },
+        { "resumable", resumable },
+        { "sticky", false },
+        { "priority", 1 },
     };
 }
 
@@ -112,11 +118,10 @@
     const auto spec = json::object{
         { "version", ++m_version },
         { "routes",
-          json::array{ routeRow("/read/", "idempotent", 2, false, false),
-                       routeRow("/post/", "non_idempotent", 1, false, false),
-                       routeRow("/talk/", "streaming", 2, false, true),
-                       routeRow("/once/", "streaming", 1, false, false),
-                       routeRow("/open/", "idempotent", 2, true, false) } },
+          json::array{
+              routeRow("/read/", "idempotent", 2, false, false), routeRow("/post/", "non_idempotent", 1, false, false),
+              routeRow("/talk/", "streaming", 2, false, true), routeRow("/once/", "streaming", 1, false, false),
+              routeRow("/open/", "idempotent", 2, true, false) } },
         { "services", json::array{ json::object{ { "name", serviceName }, { "max_conns", 100 } } } },
         { "limits",
           json::object{ { "max_header_bytes", 16'384 },
@@ -134,15 +139,21 @@
 {
     const auto &server = *m_servers[index];
     const auto spec = json::object{
-        { "service", serviceName }, { "address", server.address() }, { "zone", "north" }, { "version", "v1" },
-        { "slots", 8 },             { "state", state },              { "born", 1'700'000'000'000 + index },
+        { "service", serviceName },
+        { "address", server.address() },
+        { "zone", "north" },
+        { "version", "v1" },
+        { "slots", 8 },
+        { "state", state },
+        { "born", 1'700'000'000'000 + index },
     };
     writeObject("servers", server.name(), spec);
 }
 
 auto gateway_fleet::writeObject(const std::string &kind, const std::string &name, const json::value &spec) -> void
 {
-    const auto body = json::serialize(json::object{ { "metadata", json::object{ { "name", name } } }, { "spec", spec } });
+    const auto body =
+        json::serialize(json::object{ { "metadata", json::object{ { "name", name } } }, { "spec", spec } });
     const auto updated = httpCall(m_store->address(), { "PUT", "/v1/objects/" + kind + "/" + name, {}, body });
     if (updated.status == 404) {
         httpCall(m_store->address(), { "POST", "/v1/objects/" + kind, {}, body });
--- a/tests/process/gateway/gateway_path_test.cpp
+++ b/tests/process/gateway/gateway_path_test.cpp
@@ -67,8 +67,12 @@
     auto all = gateway_fleet({ .routers = 1 });
     auto request = http_request();
     request.target = "/read/x";
-    request.headers = { { "Host", "desk.example" },   { "X-Attempt-Id", "r-1" },      { "X-Tenant-Id", "beta" },
-                        { "X-Cache-Hold", "h" },      { "X-Expect-Instance", "none" }, { "X-Custom", "kept" },
+    request.headers = { { "Host", "desk.example" },
+                        { "X-Attempt-Id", "r-1" },
+                        { "X-Tenant-Id", "beta" },
+                        { "X-Cache-Hold", "h" },
+                        { "X-Expect-Instance", "none" },
+                        { "X-Custom", "kept" },
                         { "Authorization", "Bearer key-alpha" } };
     const auto answer = httpCall(all.routers().front().callers, request);
     BOOST_TEST(answer.status == 200U);
@@ -155,7 +159,8 @@
     all.writeObject("servers", "server-x", "not an entry");
     sleepMs(300);
     for (auto call = 0; call < 10; ++call) {
-        const auto answer = all.call(all.routers()[static_cast<std::size_t>(call % 2)], "/read/x", std::to_string(call));
+        const auto answer =
+            all.call(all.routers()[static_cast<std::size_t>(call % 2)], "/read/x", std::to_string(call));
         BOOST_TEST(fieldOf(answer, "served_by") == "server-1");
     }
 }
@@ -229,7 +234,9 @@
     auto all = gateway_fleet({ .routers = 1, .servers = 1, .eventMs = 200 });
     auto request = http_request();
     request.target = "/once/stream";
-    request.headers = { { "Host", "desk.example" }, { "X-Attempt-Id", "r-1" }, { "Authorization", "Bearer key-alpha" } };
+    request.headers = { { "Host", "desk.example" },
+                        { "X-Attempt-Id", "r-1" },
+                        { "Authorization", "Bearer key-alpha" } };
     request.timeout = std::chrono::milliseconds(500);
     httpCall(all.routers().front().callers, request);
     BOOST_TEST(waitUntil(1'500, [&] { return all.countRuns("r-1", "cancelled") == 1; }));
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -76,8 +76,7 @@
 
 } // namespace
 
-platform_standin::platform_standin(asio::io_context &context, standin_context &shared,
-                                   platform_standin_options options)
+platform_standin::platform_standin(asio::io_context &context, standin_context &shared, platform_standin_options options)
     : m_shared(shared)
     , m_options(options)
     , m_written(context, clock::time_point::max())
@@ -102,8 +101,8 @@
         co_await watch(exchange, kind);
     } else if (exchange.method() == "GET") {
         const auto isInstances = kind == "instances" && name.empty();
-        const auto answer =
-            isInstances ? listInstances() : (name.empty() ? readPage(exchange, kind) : readObject(exchange, kind, name));
+        const auto answer = isInstances ? listInstances()
+                                        : (name.empty() ? readPage(exchange, kind) : readObject(exchange, kind, name));
         co_await exchange.reply(answer);
     } else {
         const auto entry = exchange.entry();
@@ -203,8 +202,7 @@
         events = eventsAfter(kind, since);
     }
     --m_watches;
-    const auto answer =
-        replyWith(http::status::ok, { { "events", std::move(events) }, { "at", m_log.revision() } });
+    const auto answer = replyWith(http::status::ok, { { "events", std::move(events) }, { "at", m_log.revision() } });
     co_await exchange.reply(answer);
 }
 
--- /dev/null
+++ b/tests/unit/gateway/freshness_and_budget_test.cpp
@@ -0,0 +1,43 @@
+#include "marjoramloom/gateway/key_freshness.h"
+#include "marjoramloom/gateway/repeat_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace marjoramloom;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(freshness_and_budget_test)
+
+BOOST_AUTO_TEST_CASE(keys_hold_for_their_lifetime_after_the_beginning_of_a_proof)
+{
+    auto keys = key_freshness(4'500ms);
+    const auto start = boot_time(1'000s);
+    BOOST_TEST(!keys.holds(start));
+    keys.noteProof(start);
+    BOOST_TEST(keys.holds(start + 4'499ms));
+    BOOST_TEST(!keys.holds(start + 4'500ms));
+    // An answer that comes late proves only what its question asked for.
+    keys.noteProof(start - 1s);
+    BOOST_TEST(!keys.holds(start + 4'500ms));
+    keys.noteProof(start + 2s);
+    BOOST_TEST(keys.holds(start + 6s));
+}
+
+BOOST_AUTO_TEST_CASE(repeats_stay_within_their_part_of_every_window)
+{
+    auto budget = repeat_budget({ .ratio = 0.2, .window = 10s, .reserve = 2 });
+    auto now = time_point(100s);
+    BOOST_TEST(budget.take(now));
+    BOOST_TEST(budget.take(now));
+    BOOST_TEST(!budget.take(now));
+    for (auto request = 0; request < 10; ++request) {
+        budget.noteFirst(now);
+    }
+    BOOST_TEST(budget.take(now));
+    BOOST_TEST(budget.take(now));
+    BOOST_TEST(!budget.take(now));
+    BOOST_TEST(!budget.take(now + 10s));
+    BOOST_TEST(budget.take(now + 10'001ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/store/store_client_test.cpp
+++ b/tests/unit/store/store_client_test.cpp
@@ -92,8 +92,7 @@
     platform.setFaults(R"([{"kind":"freeze_open"}])");
     platform.setFaults("[]");
     BOOST_TEST(revisionOf("a") > 0U);
-    auto two =
-        store_client(context.get_executor(), { .addresses = { "127.0.0.1:1", platform.address() } }, counters);
+    auto two = store_client(context.get_executor(), { .addresses = { "127.0.0.1:1", platform.address() } }, counters);
     auto why = last_reason();
     BOOST_TEST((run(two.create("kind", "b", "v", why)).result == write_result::written));
 }
