--- a/include/marjoramloom/gateway/prompt_placement.h
+++ b/include/marjoramloom/gateway/prompt_placement.h
@@ -31,8 +31,9 @@
 /// How engines read prompts.
 struct reading_pace
 {
-    double tokensPerMs = 45;
-    duration overhead = std::chrono::milliseconds(20); ///< From the send to the first event without any reading.
+    double tokensPerMs = 38; ///< While other requests' tokens are generated in between.
+    duration overhead = std::chrono::milliseconds(35); ///< From the send to the first event without any reading.
+    duration perRunning = std::chrono::microseconds(1'500); ///< Each step of an engine serves all that runs there.
 };
 
 /// Chooses the engine whose first event is to be expected soonest.
@@ -55,6 +56,7 @@
 
 private:
     [[nodiscard]] auto readingTime(std::uint64_t tokens) const -> duration;
+    [[nodiscard]] auto waitAt(const engine_candidate &candidate) const -> duration;
     [[nodiscard]] auto expected(const engine_candidate &candidate, std::uint32_t promptTokens) const -> duration;
 
     reading_pace m_pace;
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// What a place among the running requests costs a new one: each step of the engine serves all of them.
-constexpr auto perRunning = std::chrono::microseconds(300);
 /// Added for engines that failed lately, so that they are used only where all others are far behind.
 constexpr auto avoidancePenalty = std::chrono::seconds(2);
 /// Advantage of the home engine over others that look alike, as other routers' requests have filled it.
@@ -36,7 +34,7 @@
         if (candidate.running >= candidate.slots) {
             continue;
         }
-        auto cost = expected(candidate, promptTokens) + perRunning * candidate.running;
+        auto cost = expected(candidate, promptTokens);
         cost += candidate.avoided ? duration(avoidancePenalty) : duration::zero();
         cost -= &candidate == &*home ? duration(homeAdvantage) : duration::zero();
         if (cost < bestCost) {
@@ -51,7 +49,7 @@
     const auto kept = std::min(chosen.keptTokens, promptTokens);
     return engine_choice{ .index = *best,
                           .tokensToRead = promptTokens - kept,
-                          .wait = readingTime(chosen.unreadTokens),
+                          .wait = waitAt(chosen),
                           .firstEvent = expected(chosen, promptTokens) };
 }
 
@@ -66,10 +64,15 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(reading));
 }
 
+auto prompt_placement::waitAt(const engine_candidate &candidate) const -> duration
+{
+    return readingTime(candidate.unreadTokens) + m_pace.perRunning * candidate.running;
+}
+
 auto prompt_placement::expected(const engine_candidate &candidate, std::uint32_t promptTokens) const -> duration
 {
     const auto toRead = promptTokens - std::min(candidate.keptTokens, promptTokens);
-    return m_pace.overhead + readingTime(candidate.unreadTokens + toRead);
+    return m_pace.overhead + waitAt(candidate) + readingTime(toRead);
 }
 
 } // namespace marjoramloom
