One router at a time places all prompts of a service; others ask it and fall back to their own view after 25 ms

Cause: requests arrive in clumps at all routers in the same moment and found the same engines idle: 12 % of first events came over 300 ms later than expected while the median error was near zero. Reports every 60 ms cannot help within a moment. The dispatcher's sums are the routers' reports and the placements that these do not show yet.

--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -3,6 +3,7 @@
 #include "marjoramloom/call/call_control.h"
 #include "marjoramloom/call/http_connection.h"
 #include "marjoramloom/gateway/gateway_state.h"
+#include "marjoramloom/gateway/placement_dispatch.h"
 #include "marjoramloom/gateway/server_choice.h"
 #include "marjoramloom/router/http_exchange.h"
 
@@ -44,7 +45,7 @@
 {
 public:
     /// Preconditions: all outlive the call; \p route belongs to \p routes.
-    gateway_call(gateway_state &state, http_exchange &exchange, routed_request request,
+    gateway_call(gateway_state &state, placement_dispatch &dispatch, http_exchange &exchange, routed_request request,
                  std::shared_ptr<const route_table> routes, const route_rule &route, std::string account);
 
     /// Carries the request out and answers it.
@@ -53,6 +54,8 @@
 private:
     struct send_state;
 
+    auto choose() -> boost::asio::awaitable<std::optional<chosen_server>>;
+    auto chooseForPrompt(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
     auto sendUntilDone() -> boost::asio::awaitable<void>;
     auto sendOnce(const chosen_server &chosen) -> boost::asio::awaitable<send_end>;
     auto openConnection(const chosen_server &chosen, last_reason &why)
@@ -67,13 +70,12 @@
     auto maySendAgain(send_end end) -> bool;
     auto refuse(unsigned status, std::string_view reason) -> boost::asio::awaitable<void>;
     auto giveUp() -> boost::asio::awaitable<void>;
-    auto isWorthWaiting(const chosen_server &chosen) -> bool;
     auto cost() const -> std::uint64_t;
-    auto noteRead(const listed_server &server) -> void;
     auto timeLeft() const -> duration;
     auto logEnd(std::string_view outcome, unsigned status) const -> void;
 
     gateway_state &m_state;
+    placement_dispatch &m_dispatch;
     http_exchange &m_exchange;
     routed_request m_request;
     std::shared_ptr<const route_table> m_routes;
--- a/include/marjoramloom/gateway/gateway_handler.h
+++ b/include/marjoramloom/gateway/gateway_handler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramloom/gateway/gateway_state.h"
+#include "marjoramloom/gateway/placement_dispatch.h"
 #include "marjoramloom/router/http_exchange.h"
 
 namespace marjoramloom {
@@ -10,8 +11,8 @@
 class gateway_handler
 {
 public:
-    /// Precondition: \p state outlives the handler.
-    explicit gateway_handler(gateway_state &state);
+    /// Precondition: \p state and \p dispatch outlive the handler.
+    gateway_handler(gateway_state &state, placement_dispatch &dispatch);
 
     auto handle(http_exchange &exchange) -> boost::asio::awaitable<void>;
 
@@ -22,6 +23,7 @@
         -> boost::asio::awaitable<void>;
 
     gateway_state &m_state;
+    placement_dispatch &m_dispatch;
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -7,6 +7,7 @@
 #include "marjoramloom/gateway/fleet_loads.h"
 #include "marjoramloom/gateway/gateway_settings.h"
 #include "marjoramloom/gateway/key_freshness.h"
+#include "marjoramloom/gateway/open_placements.h"
 #include "marjoramloom/gateway/prompt_placement.h"
 #include "marjoramloom/gateway/repeat_budget.h"
 #include "marjoramloom/gateway/route_table.h"
@@ -20,7 +21,7 @@
 
 namespace marjoramloom {
 
-/// A prompt that an engine has read, to be told to the other routers.
+/// A prompt that an engine reads, to be told to the other routers.
 struct prompt_read
 {
     std::uint64_t server = 0; ///< Run of the engine.
@@ -37,6 +38,10 @@
     /// Takes over new settings.
     auto applySettings(const gateway_settings &given) -> void;
 
+    /// The engine whose run is \p server reads \p prompt: its shared parts are kept there for others. Returns what was
+    /// noted.
+    auto noteRead(std::uint64_t server, const prompt_outline &prompt) -> prompt_read;
+
     /// The budget of repeats to the servers of \p service.
     auto repeatsOf(const std::string &service) -> repeat_budget &;
 
@@ -51,6 +56,7 @@
     server_directory servers;
     server_loads loads;
     fleet_loads fleet;
+    open_placements placements;
     account_usage accounts;
     admission_policy admission;
     std::vector<prompt_read> unreportedReads;
--- a/include/marjoramloom/gateway/load_exchange.h
+++ b/include/marjoramloom/gateway/load_exchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "marjoramloom/gateway/gateway_state.h"
+#include "marjoramloom/gateway/placement_dispatch.h"
 #include "marjoramloom/store/store_client.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -10,6 +10,11 @@
 
 namespace marjoramloom {
 
+namespace wire {
+class LoadReport;
+class PlacementQuery;
+} // namespace wire
+
 /// Tells the other routers this router's load several times a second, and takes over theirs.
 ///
 /// Datagrams, as each report replaces the one before it. Routers find each other by objects that each writes to the
@@ -36,14 +41,20 @@
     /// Tells the others that this router stops.
     auto leave() -> void;
 
+    /// Asks and answers for the router's placements. Call before run.
+    [[nodiscard]] auto dispatch() -> placement_dispatch &;
+
 private:
     using udp = boost::asio::ip::udp;
 
     auto announce(last_reason &why) -> boost::asio::awaitable<bool>;
     auto readRouters(last_reason &why) -> boost::asio::awaitable<bool>;
     auto makeReport(bool leaving) -> std::string;
-    auto sendToAll(const std::string &report) -> void;
-    auto take(std::string_view datagram, const udp::endpoint &from) -> void;
+    auto sendToAll(const std::string &datagram) -> void;
+    auto sendQuery(std::uint64_t router, std::uint64_t number, const placement_query &query) -> void;
+    auto take(std::string_view bytes, const udp::endpoint &from) -> void;
+    auto takeReport(std::uint64_t sender, const wire::LoadReport &report) -> void;
+    auto takeQuery(std::uint64_t sender, const wire::PlacementQuery &query, const udp::endpoint &from) -> void;
 
     boost::asio::any_io_executor m_executor;
     store_client &m_client;
@@ -53,9 +64,11 @@
     std::string m_address;
     udp::socket m_socket;
     std::map<udp::endpoint, time_point> m_peers; ///< Last time that each was heard of.
+    std::map<std::uint64_t, udp::endpoint> m_endpoints; ///< Of the incarnations heard of.
     std::uint64_t m_sequence = 0;
     counter &m_unreadable;
     counter &m_received;
+    placement_dispatch m_dispatch;
 };
 
 } // namespace marjoramloom
--- /dev/null
+++ b/src/gateway/engine_decision.cpp
@@ -0,0 +1,27 @@
+#include "marjoramloom/gateway/engine_decision.h"
+
+namespace marjoramloom {
+
+auto decideEngine(gateway_state &state, const placement_query &query, const std::set<std::string> &tried,
+                  time_point now, last_reason &why) -> std::optional<engine_decision>
+{
+    const auto *service = state.routes ? state.routes->findService(query.service) : nullptr;
+    if (service == nullptr || !service->engine) {
+        return why.fail(failure_kind::notFound, "choose engine", query.service, "no such service of engines");
+    }
+    auto chosen = chooseEngine(state, *service, query.prompt, tried, now, why);
+    if (!chosen) {
+        return why.kind == failure_kind::overloaded
+            ? std::optional(engine_decision{ .chosen = std::nullopt, .everyoneFull = true })
+            : std::nullopt;
+    }
+    const auto fraction = state.accounts.startedFraction(query.account, now);
+    const auto reading = chosen->firstEvent - chosen->wait;
+    if (chosen->wait > state.admission.longestWait(query.objective, reading, fraction)) {
+        why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
+        return engine_decision{ .chosen = std::nullopt, .everyoneFull = false };
+    }
+    return engine_decision{ .chosen = std::move(chosen), .everyoneFull = false };
+}
+
+} // namespace marjoramloom
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -88,15 +88,17 @@
 {
     const chosen_server &chosen;
     std::shared_ptr<http_connection> connection;
-    load_guard load;
+    load_guard &load;
     event_splitter splitter;
     time_point sentAt;
     bool gotEvent = false;
 };
 
-gateway_call::gateway_call(gateway_state &state, http_exchange &exchange, routed_request request,
-                           std::shared_ptr<const route_table> routes, const route_rule &route, std::string account)
+gateway_call::gateway_call(gateway_state &state, placement_dispatch &dispatch, http_exchange &exchange,
+                           routed_request request, std::shared_ptr<const route_table> routes, const route_rule &route,
+                           std::string account)
     : m_state(state)
+    , m_dispatch(dispatch)
     , m_exchange(exchange)
     , m_request(std::move(request))
     , m_routes(std::move(routes))
@@ -132,16 +134,8 @@
 {
     auto end = send_end::notSent;
     while (true) {
-        auto why = last_reason();
-        const auto chosen =
-            chooseServer(m_state, *m_service, m_route, m_request.prompt, m_tried, system_clock_source().now(), why);
+        const auto chosen = co_await choose();
         if (!chosen) {
-            m_why = m_sends == 0 ? why : m_why;
-            break;
-        }
-        if (m_sends == 0 && !isWorthWaiting(*chosen)) {
-            end = send_end::notSent;
-            m_why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
             break;
         }
         ++m_attempts;
@@ -169,6 +163,42 @@
     }
 }
 
+/// A server for the next send; nothing, with the reason in m_why, where there is none or the request is refused.
+auto gateway_call::choose() -> asio::awaitable<std::optional<chosen_server>>
+{
+    auto why = last_reason();
+    auto chosen = std::optional<chosen_server>();
+    if (m_service->engine && m_route.carriesPrompt) {
+        chosen = co_await chooseForPrompt(why);
+    } else {
+        chosen = choosePlain(m_state, *m_service, m_tried, system_clock_source().now(), why);
+    }
+    if (!chosen && m_sends == 0) {
+        m_why = why;
+    }
+    co_return chosen;
+}
+
+auto gateway_call::chooseForPrompt(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
+{
+    if (m_sends > 0) {
+        // Work that was begun goes on wherever it can.
+        co_return chooseEngine(m_state, *m_service, m_request.prompt, m_tried, system_clock_source().now(), why);
+    }
+    auto query = placement_query{ .service = m_service->name,
+                                  .prompt = m_request.prompt,
+                                  .account = m_accountId,
+                                  .cost = static_cast<std::uint32_t>(cost()),
+                                  .objective = m_route.latencyObjective };
+    auto decision = std::optional<engine_decision>();
+    if (m_tried.empty()) {
+        decision = co_await m_dispatch.decide(query, why);
+    } else {
+        decision = decideEngine(m_state, query, m_tried, system_clock_source().now(), why);
+    }
+    co_return decision ? std::move(decision->chosen) : std::nullopt;
+}
+
 auto gateway_call::maySendAgain(send_end end) -> bool
 {
     if (timeLeft() <= answerMargin || m_control->cancelled()) {
@@ -185,6 +215,8 @@
 auto gateway_call::sendOnce(const chosen_server &chosen) -> asio::awaitable<send_end>
 {
     auto why = last_reason();
+    // Counted from the decision on, so that the next one sees it.
+    auto load = load_guard(m_state.loads, chosen);
     auto connection = co_await openConnection(chosen, why);
     if (!connection) {
         m_state.loads.noteFailure(*chosen.server, system_clock_source().now());
@@ -198,7 +230,7 @@
     }
     auto sending = send_state{ .chosen = chosen,
                                .connection = connection,
-                               .load = load_guard(m_state.loads, chosen),
+                               .load = load,
                                .splitter = {},
                                .sentAt = system_clock_source().now(),
                                .gotEvent = false };
@@ -210,6 +242,9 @@
         }
         m_state.repeatsOf(m_service->name).noteFirst(system_clock_source().now());
     }
+    if (!m_request.prompt.parts.empty()) {
+        m_state.unreportedReads.push_back(m_state.noteRead(server_loads::runId(*chosen.server), m_request.prompt));
+    }
     auto end = co_await exchangeWith(sending);
     m_control->forget(listening);
     if (m_control->cancelled() && end != send_end::answered) {
@@ -403,7 +438,6 @@
             sending.gotEvent = true;
             m_firstEvent = system_clock_source().now() - sending.sentAt;
             sending.load.noteRead();
-            noteRead(*sending.chosen.server);
         }
         if (event.id && m_lastEvent && *event.id <= *m_lastEvent) {
             continue; // The caller has it from the run before.
@@ -429,28 +463,6 @@
     co_return co_await m_exchange.relayPiece(piece) ? send_end::answered : send_end::callerLeft;
 }
 
-/// Whether the request is sent into the wait that it has to expect.
-auto gateway_call::isWorthWaiting(const chosen_server &chosen) -> bool
-{
-    const auto fraction = m_state.accounts.startedFraction(m_accountId, system_clock_source().now());
-    return chosen.wait
-        <= m_state.admission.longestWait(m_route.latencyObjective, chosen.firstEvent - chosen.wait, fraction);
-}
-
-/// The engine has read the prompt: its shared parts are kept there for others.
-auto gateway_call::noteRead(const listed_server &server) -> void
-{
-    const auto &prompt = m_request.prompt;
-    if (prompt.parts.empty()) {
-        return;
-    }
-    auto read = prompt_read{ .server = server_loads::runId(server), .parts = prompt.parts, .ownTokens = 0 };
-    read.ownTokens = read.parts.back().tokens + prompt.likelyOutputTokens();
-    read.parts.pop_back();
-    m_state.loads.at(server).parts.noteRead(read.parts, read.ownTokens);
-    m_state.unreportedReads.push_back(std::move(read));
-}
-
 auto gateway_call::giveUp() -> asio::awaitable<void>
 {
     if (m_streaming) {
--- a/src/gateway/gateway_handler.cpp
+++ b/src/gateway/gateway_handler.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-gateway_handler::gateway_handler(gateway_state &state)
+gateway_handler::gateway_handler(gateway_state &state, placement_dispatch &dispatch)
     : m_state(state)
+    , m_dispatch(dispatch)
 {
 }
 
@@ -72,7 +73,8 @@
                                std::string account) -> asio::awaitable<void>
 {
     using namespace asio::experimental::awaitable_operators;
-    auto call = gateway_call(m_state, exchange, std::move(request), m_state.routes, route, std::move(account));
+    auto call =
+        gateway_call(m_state, m_dispatch, exchange, std::move(request), m_state.routes, route, std::move(account));
     auto control = call_control::make(co_await asio::this_coro::executor);
     ++m_state.running;
     co_await (call.run(control) || cancelWhenCallerLeaves(exchange, control));
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -69,24 +69,24 @@
     bool ready = false;
     gateway_state state;
     store_client store;
+    load_exchange exchange;
     gateway_handler callers;
     status_handler status;
     std::shared_ptr<http_server<gateway_handler>> callerServer;
     std::shared_ptr<http_server<status_handler>> statusServer;
     platform_feed feed;
-    load_exchange exchange;
 };
 
 gateway_process::parts::parts(settings given)
     : config(std::move(given))
     , state(*config.gateway, config.dataCentre, counters, std::random_device()())
     , store(context.get_executor(), storeOptions(config), counters)
-    , callers(state)
+    , exchange(context.get_executor(), store, state, config.instance, makeIncarnation())
+    , callers(state, exchange.dispatch())
     , status(ready, counters)
     , callerServer(std::make_shared<http_server<gateway_handler>>(context, callers, counters, "callers", http_limits()))
     , statusServer(std::make_shared<http_server<status_handler>>(context, status, counters, "operators", http_limits()))
     , feed(store, state, [this] { callerServer->setLimits(httpLimits(state.routes->limits())); })
-    , exchange(context.get_executor(), store, state, config.instance, makeIncarnation())
 {
     counters.setGauge("marjoramloom_log_lines_dropped", "", [] { return static_cast<double>(droppedLogLines()); });
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -40,6 +40,19 @@
     }
 }
 
+auto gateway_state::noteRead(std::uint64_t server, const prompt_outline &prompt) -> prompt_read
+{
+    auto read = prompt_read{ .server = server, .parts = prompt.parts, .ownTokens = prompt.likelyOutputTokens() };
+    if (!read.parts.empty()) {
+        read.ownTokens += read.parts.back().tokens;
+        read.parts.pop_back();
+    }
+    if (auto *load = loads.find(server)) {
+        load->parts.noteRead(read.parts, read.ownTokens);
+    }
+    return read;
+}
+
 auto gateway_state::repeatsOf(const std::string &service) -> repeat_budget &
 {
     return repeats.try_emplace(service, settings.repeats).first->second;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::uint32_t reportVersion = 1;
+constexpr std::uint32_t datagramVersion = 1;
 /// Kind of the objects by which routers find each other.
 constexpr std::string_view routerKind = "routers";
 /// Time between two reports. Engines read about 50 tokens a millisecond, so this is a few prompts of staleness.
@@ -31,6 +31,66 @@
 constexpr auto joinRetryLimit = std::chrono::milliseconds(3'000);
 constexpr auto datagramBytes = std::size_t(64) << 10U;
 
+auto makeDatagram(std::uint64_t sender) -> wire::RouterDatagram
+{
+    auto datagram = wire::RouterDatagram();
+    datagram.set_version(datagramVersion);
+    datagram.set_sender(sender);
+    return datagram;
+}
+
+/// Parts from two lists of equal length; nothing where the lengths differ.
+template<typename Message>
+auto readParts(const Message &message) -> std::optional<std::vector<prompt_part>>
+{
+    if (message.parts_size() != message.part_tokens_size()) {
+        return std::nullopt;
+    }
+    auto parts = std::vector<prompt_part>();
+    for (auto index = 0; index < message.parts_size(); ++index) {
+        parts.push_back({ message.parts(index), message.part_tokens(index) });
+    }
+    return parts;
+}
+
+template<typename Message>
+auto writeParts(const std::vector<prompt_part> &parts, Message &message) -> void
+{
+    for (const auto &part : parts) {
+        message.add_parts(part.id);
+        message.add_part_tokens(part.tokens);
+    }
+}
+
+auto toMicroseconds(duration span) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::microseconds>(span).count());
+}
+
+auto toAnswer(const wire::PlacementAnswer &message) -> placement_answer
+{
+    return { .number = message.number(),
+             .sequence = message.sequence(),
+             .server = message.server(),
+             .tokensToRead = message.tokens_to_read(),
+             .wait = std::chrono::microseconds(message.wait_us()),
+             .firstEvent = std::chrono::microseconds(message.first_event_us()),
+             .running = message.running(),
+             .candidates = message.candidates() };
+}
+
+auto fill(const placement_answer &answer, wire::PlacementAnswer &message) -> void
+{
+    message.set_number(answer.number);
+    message.set_sequence(answer.sequence);
+    message.set_server(answer.server);
+    message.set_tokens_to_read(answer.tokensToRead);
+    message.set_wait_us(toMicroseconds(answer.wait));
+    message.set_first_event_us(toMicroseconds(answer.firstEvent));
+    message.set_running(answer.running);
+    message.set_candidates(answer.candidates);
+}
+
 } // namespace
 
 load_exchange::load_exchange(asio::any_io_executor executor, store_client &client, gateway_state &state,
@@ -43,6 +103,10 @@
     , m_socket(executor)
     , m_unreadable(state.counters.at("marjoramloom_load_reports_unreadable_total"))
     , m_received(state.counters.at("marjoramloom_load_reports_received_total"))
+    , m_dispatch(executor, state, incarnation,
+                 [this](std::uint64_t router, std::uint64_t number, const placement_query &query) {
+                     sendQuery(router, number, query);
+                 })
 {
 }
 
@@ -164,11 +228,15 @@
     sendToAll(makeReport(true));
 }
 
+auto load_exchange::dispatch() -> placement_dispatch &
+{
+    return m_dispatch;
+}
+
 auto load_exchange::makeReport(bool leaving) -> std::string
 {
-    auto report = wire::LoadReport();
-    report.set_version(reportVersion);
-    report.set_sender(m_incarnation);
+    auto datagram = makeDatagram(m_incarnation);
+    auto &report = *datagram.mutable_report();
     report.set_sequence(++m_sequence);
     report.set_leaving(leaving);
     for (const auto &[run, load] : m_state.loads.all()) {
@@ -188,63 +256,123 @@
     for (const auto &read : m_state.unreportedReads) {
         auto *prompt = report.add_reads();
         prompt->set_server(read.server);
-        for (const auto &part : read.parts) {
-            prompt->add_parts(part.id);
-            prompt->add_part_tokens(part.tokens);
-        }
+        writeParts(read.parts, *prompt);
         prompt->set_own_tokens(read.ownTokens);
     }
     m_state.unreportedReads.clear();
-    return report.SerializeAsString();
+    for (const auto &[dispatcher, sequence] : m_dispatch.heard()) {
+        auto *heard = report.add_heard();
+        heard->set_dispatcher(dispatcher);
+        heard->set_sequence(sequence);
+    }
+    return datagram.SerializeAsString();
 }
 
-auto load_exchange::sendToAll(const std::string &report) -> void
+auto load_exchange::sendToAll(const std::string &datagram) -> void
 {
     auto error = boost::system::error_code();
     for (const auto &[peer, heardAt] : m_peers) {
         // A datagram that cannot be sent now is as good as a lost one: the next report makes up for it.
-        m_socket.send_to(asio::buffer(report), peer, 0, error);
+        m_socket.send_to(asio::buffer(datagram), peer, 0, error);
     }
 }
 
-auto load_exchange::take(std::string_view datagram, const udp::endpoint &from) -> void
+auto load_exchange::sendQuery(std::uint64_t router, std::uint64_t number, const placement_query &query) -> void
 {
-    auto report = wire::LoadReport();
-    if (!report.ParseFromArray(datagram.data(), static_cast<int>(datagram.size()))
-        || report.version() != reportVersion) {
+    const auto endpoint = m_endpoints.find(router);
+    if (endpoint == m_endpoints.end()) {
+        return;
+    }
+    auto datagram = makeDatagram(m_incarnation);
+    auto &message = *datagram.mutable_query();
+    message.set_number(number);
+    message.set_service(query.service);
+    writeParts(query.prompt.parts, message);
+    message.set_prompt_tokens(query.prompt.promptTokens);
+    message.set_account(query.account);
+    message.set_cost_tokens(query.cost);
+    message.set_objective_ms(
+        static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(query.objective).count()));
+    auto error = boost::system::error_code();
+    m_socket.send_to(asio::buffer(datagram.SerializeAsString()), endpoint->second, 0, error);
+}
+
+auto load_exchange::take(std::string_view bytes, const udp::endpoint &from) -> void
+{
+    auto datagram = wire::RouterDatagram();
+    if (!datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))
+        || datagram.version() != datagramVersion) {
         m_unreadable.add();
         return;
     }
-    if (report.sender() == m_incarnation) {
+    if (datagram.sender() == m_incarnation) {
         return;
     }
     m_received.add();
-    const auto now = system_clock_source().now();
-    m_peers.insert_or_assign(from, now);
+    m_peers.insert_or_assign(from, system_clock_source().now());
+    m_endpoints.insert_or_assign(datagram.sender(), from);
+    if (datagram.has_report()) {
+        takeReport(datagram.sender(), datagram.report());
+    }
+    if (datagram.has_query()) {
+        takeQuery(datagram.sender(), datagram.query(), from);
+    }
+    if (datagram.has_answer()) {
+        m_dispatch.take(datagram.sender(), toAnswer(datagram.answer()));
+    }
+}
+
+auto load_exchange::takeReport(std::uint64_t sender, const wire::LoadReport &report) -> void
+{
     if (report.leaving()) {
-        m_state.fleet.drop(report.sender());
+        m_state.fleet.drop(sender);
+        m_endpoints.erase(sender);
         return;
     }
-    auto snapshot =
-        load_snapshot{ .router = report.sender(), .sequence = report.sequence(), .engines = {}, .accounts = {} };
+    auto snapshot = load_snapshot{ .router = sender, .sequence = report.sequence(), .engines = {}, .accounts = {} };
     for (const auto &engine : report.engines()) {
         snapshot.engines.push_back({ engine.server(), engine.running(), engine.unread_tokens() });
     }
     for (const auto &account : report.accounts()) {
         snapshot.accounts.push_back({ account.account(), account.asked_tokens(), account.started_tokens() });
     }
-    m_state.fleet.take(std::move(snapshot), now);
+    if (m_state.fleet.take(std::move(snapshot), system_clock_source().now())) {
+        for (const auto &heard : report.heard()) {
+            if (heard.dispatcher() == m_incarnation) {
+                m_state.placements.settle(sender, heard.sequence());
+            }
+        }
+    }
     for (const auto &read : report.reads()) {
         auto *load = m_state.loads.find(read.server());
-        if (load == nullptr || read.parts_size() != read.part_tokens_size()) {
-            continue;
-        }
-        auto parts = std::vector<prompt_part>();
-        for (auto index = 0; index < read.parts_size(); ++index) {
-            parts.push_back({ read.parts(index), read.part_tokens(index) });
+        const auto parts = readParts(read);
+        if (load != nullptr && parts) {
+            load->parts.noteRead(*parts, read.own_tokens());
         }
-        load->parts.noteRead(parts, read.own_tokens());
     }
 }
 
+auto load_exchange::takeQuery(std::uint64_t sender, const wire::PlacementQuery &query, const udp::endpoint &from)
+    -> void
+{
+    auto parts = readParts(query);
+    if (!parts) {
+        m_unreadable.add();
+        return;
+    }
+    auto asked = placement_query{ .service = query.service(), .prompt = {}, .account = query.account() };
+    asked.prompt.parts = std::move(*parts);
+    asked.prompt.promptTokens = query.prompt_tokens();
+    asked.cost = query.cost_tokens();
+    asked.objective = std::chrono::milliseconds(query.objective_ms());
+    const auto answer = m_dispatch.answer(sender, query.number(), asked);
+    if (!answer) {
+        return;
+    }
+    auto datagram = makeDatagram(m_incarnation);
+    fill(*answer, *datagram.mutable_answer());
+    auto error = boost::system::error_code();
+    m_socket.send_to(asio::buffer(datagram.SerializeAsString()), from, 0, error);
+}
+
 } // namespace marjoramloom
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -23,20 +23,65 @@
     return prompt.parts.size() == 1 ? prompt.parts.front().id : prompt.parts[prompt.parts.size() - 2].id;
 }
 
-auto chooseEngine(gateway_state &state, const engine_profile &profile, const prompt_outline &prompt,
-                  const server_list &servers, time_point now, last_reason &why) -> std::optional<chosen_server>
+/// The servers of \p service that take new requests and are not among \p tried.
+auto openServers(const gateway_state &state, const routed_service &service, const std::set<std::string> &tried,
+                 last_reason &why) -> std::optional<server_list>
 {
+    auto servers = server_list();
+    for (const auto &server : state.servers.usable(service.name)) {
+        if (!tried.contains(server->id)) {
+            servers.push_back(server);
+        }
+    }
+    if (servers.empty()) {
+        return why.fail(failure_kind::notFound, "choose server", service.name, "no server takes new requests");
+    }
+    return servers;
+}
+
+} // namespace
+
+auto chooseService(const route_rule &route, boost::random::mt19937_64 &random) -> const std::string &
+{
+    assert(!route.targets.empty());
+    auto total = std::uint64_t(0);
+    for (const auto &target : route.targets) {
+        total += target.weight;
+    }
+    auto draw = boost::random::uniform_int_distribution<std::uint64_t>(1, total)(random);
+    for (const auto &target : route.targets) {
+        if (draw <= target.weight) {
+            return target.service;
+        }
+        draw -= target.weight;
+    }
+    return route.targets.back().service;
+}
+
+auto chooseEngine(gateway_state &state, const routed_service &service, const prompt_outline &prompt,
+                  const std::set<std::string> &tried, time_point now, last_reason &why) -> std::optional<chosen_server>
+{
+    assert(service.engine);
+    const auto servers = openServers(state, service, tried, why);
+    if (!servers) {
+        return std::nullopt;
+    }
     const auto shared = sharedPart(prompt);
+    const auto keptCapacity = static_cast<std::uint64_t>(static_cast<double>(service.engine->memoryTokens) * keptShare);
     state.fleet.expire(now);
+    state.placements.expire(now);
     auto candidates = std::vector<engine_candidate>();
-    for (const auto &server : servers) {
+    candidates.reserve(servers->size());
+    for (const auto &server : *servers) {
         auto &load = state.loads.at(*server);
-        load.parts.setCapacity(static_cast<std::uint64_t>(static_cast<double>(profile.memoryTokens) * keptShare));
-        const auto others = state.fleet.onEngine(server_loads::runId(*server));
+        load.parts.setCapacity(keptCapacity);
+        const auto run = server_loads::runId(*server);
+        const auto others = state.fleet.onEngine(run);
+        const auto placed = state.placements.onEngine(run);
         candidates.push_back({ .home = prompt_placement::homeScore(server->id, shared),
-                               .running = load.running + others.running,
+                               .running = load.running + others.running + placed.running,
                                .slots = server->slots,
-                               .unreadTokens = load.unreadTokens + others.unreadTokens,
+                               .unreadTokens = load.unreadTokens + others.unreadTokens + placed.unreadTokens,
                                .keptTokens = load.parts.keptTokens(prompt),
                                .avoided = load.isAvoided(now) });
     }
@@ -44,22 +89,26 @@
     if (!choice) {
         return why.fail(failure_kind::overloaded, "choose engine", "", "every engine is full");
     }
-    return chosen_server{ .server = servers[choice->index],
+    return chosen_server{ .server = (*servers)[choice->index],
                           .tokensToRead = choice->tokensToRead,
                           .wait = choice->wait,
                           .firstEvent = choice->firstEvent,
                           .running = candidates[choice->index].running,
-                          .candidates = servers.size() };
+                          .candidates = servers->size() };
 }
 
-/// The server with the fewest own requests; among equals one of the own data centre, then any.
-auto choosePlain(gateway_state &state, const server_list &servers, time_point now, last_reason &why)
-    -> std::optional<chosen_server>
+/// Takes the server with the fewest own requests; among equals one of the own data centre, then any.
+auto choosePlain(gateway_state &state, const routed_service &service, const std::set<std::string> &tried,
+                 time_point now, last_reason &why) -> std::optional<chosen_server>
 {
+    const auto servers = openServers(state, service, tried, why);
+    if (!servers) {
+        return std::nullopt;
+    }
     using rank = std::tuple<bool, std::uint32_t, bool, std::uint64_t>;
     auto best = server_directory::server_ptr();
     auto bestRank = rank();
-    for (const auto &server : servers) {
+    for (const auto &server : *servers) {
         const auto &load = state.loads.at(*server);
         if (load.running >= server->slots + plainQueue) {
             continue;
@@ -79,45 +128,7 @@
                           .wait = {},
                           .firstEvent = {},
                           .running = std::get<1>(bestRank),
-                          .candidates = servers.size() };
-}
-
-} // namespace
-
-auto chooseService(const route_rule &route, boost::random::mt19937_64 &random) -> const std::string &
-{
-    assert(!route.targets.empty());
-    auto total = std::uint64_t(0);
-    for (const auto &target : route.targets) {
-        total += target.weight;
-    }
-    auto draw = boost::random::uniform_int_distribution<std::uint64_t>(1, total)(random);
-    for (const auto &target : route.targets) {
-        if (draw <= target.weight) {
-            return target.service;
-        }
-        draw -= target.weight;
-    }
-    return route.targets.back().service;
-}
-
-auto chooseServer(gateway_state &state, const routed_service &service, const route_rule &route,
-                  const prompt_outline &prompt, const std::set<std::string> &tried, time_point now, last_reason &why)
-    -> std::optional<chosen_server>
-{
-    auto servers = server_list();
-    for (const auto &server : state.servers.usable(service.name)) {
-        if (!tried.contains(server->id)) {
-            servers.push_back(server);
-        }
-    }
-    if (servers.empty()) {
-        return why.fail(failure_kind::notFound, "choose server", service.name, "no server takes new requests");
-    }
-    if (service.engine && route.carriesPrompt) {
-        return chooseEngine(state, *service.engine, prompt, servers, now, why);
-    }
-    return choosePlain(state, servers, now, why);
+                          .candidates = servers->size() };
 }
 
 } // namespace marjoramloom
