--- /dev/null
+++ b/include/marjoramloom/core/latency_histogram.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "marjoramloom/core/clock.h"
+#include "marjoramloom/core/counters.h"
+
+#include <array>
+#include <string>
+#include <string_view>
+
+namespace marjoramloom {
+
+/// Counts durations by upper bounds, in the Prometheus form: `name_bucket{le="0.1"}`, `name_sum_us` and `name_count`.
+///
+/// Thread safe.
+class latency_histogram
+{
+public:
+    /// Precondition: \p counters outlives the histogram. \p labels is text such as `route="a"`, or empty.
+    latency_histogram(counter_registry &counters, std::string_view name, std::string_view labels);
+
+    auto observe(duration value) -> void;
+
+private:
+    struct bound
+    {
+        duration limit;
+        std::string_view text; ///< In seconds.
+    };
+    static constexpr std::array BOUNDS{
+        bound{ std::chrono::milliseconds(10), "0.01" },   bound{ std::chrono::milliseconds(25), "0.025" },
+        bound{ std::chrono::milliseconds(50), "0.05" },   bound{ std::chrono::milliseconds(100), "0.1" },
+        bound{ std::chrono::milliseconds(250), "0.25" },  bound{ std::chrono::milliseconds(500), "0.5" },
+        bound{ std::chrono::milliseconds(1'000), "1" },   bound{ std::chrono::milliseconds(2'500), "2.5" },
+        bound{ std::chrono::milliseconds(10'000), "10" }, bound{ duration::max(), "+Inf" },
+    };
+
+    std::array<counter *, BOUNDS.size()> m_buckets{};
+    counter &m_sum; ///< In microseconds.
+    counter &m_count;
+};
+
+} // namespace marjoramloom
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -72,6 +72,7 @@
     auto giveUp() -> boost::asio::awaitable<void>;
     auto cost() const -> std::uint64_t;
     auto timeLeft() const -> duration;
+    auto noteAnswered(unsigned status) -> void;
     auto logEnd(std::string_view outcome, unsigned status) const -> void;
 
     gateway_state &m_state;
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/call/connection_pool.h"
 #include "marjoramloom/core/counters.h"
+#include "marjoramloom/core/latency_histogram.h"
 #include "marjoramloom/gateway/account_usage.h"
 #include "marjoramloom/gateway/admission_policy.h"
 #include "marjoramloom/gateway/fleet_loads.h"
@@ -65,6 +66,10 @@
     connection_pool connections;
     boost::random::mt19937_64 random;
     std::map<std::string, repeat_budget> repeats; ///< By service.
+    latency_histogram firstEvents; ///< From the send of a prompt to its first event.
+    latency_histogram answers; ///< From a request's arrival to its final answer.
+    counter &answered; ///< Final answers of backend servers.
+    counter &cut; ///< Answers broken off midway.
 };
 
 } // namespace marjoramloom
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -391,7 +391,7 @@
     auto head = http::response_header<>();
     head.result(status);
     platform::copyAnswerFields(from, head);
-    logEnd("answered", status);
+    noteAnswered(status);
     co_await m_exchange.relayWhole(head, *body);
     co_return send_end::answered;
 }
@@ -424,7 +424,7 @@
         m_streaming = true;
     }
     m_state.loads.noteSuccess(*sending.chosen.server);
-    logEnd("answered", sending.connection->status());
+    noteAnswered(sending.connection->status());
     co_await m_exchange.relayEnd();
     co_return send_end::answered;
 }
@@ -437,6 +437,7 @@
         if (!sending.gotEvent) {
             sending.gotEvent = true;
             m_firstEvent = system_clock_source().now() - sending.sentAt;
+            m_state.firstEvents.observe(m_firstEvent);
             sending.load.noteRead();
         }
         if (event.id && m_lastEvent && *event.id <= *m_lastEvent) {
@@ -466,7 +467,8 @@
 auto gateway_call::giveUp() -> asio::awaitable<void>
 {
     if (m_streaming) {
-        logEnd("cut", 200);
+        m_state.cut.add();
+        logEnd("cut: " + m_why.text(), 200);
         m_exchange.abandonEvents();
         co_return;
     }
@@ -496,6 +498,13 @@
     return std::max<duration>(limit - passed - answerMargin, duration::zero());
 }
 
+auto gateway_call::noteAnswered(unsigned status) -> void
+{
+    m_state.answered.add();
+    m_state.answers.observe(boot_clock::now() - m_request.arrived);
+    logEnd("answered", status);
+}
+
 auto gateway_call::logEnd(std::string_view outcome, unsigned status) const -> void
 {
     const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - m_request.arrived);
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -28,6 +28,10 @@
     , accounts(fleet)
     , placement(reading_pace())
     , random(seed)
+    , firstEvents(registry, "marjoramloom_first_event_seconds", "")
+    , answers(registry, "marjoramloom_answer_seconds", "")
+    , answered(registry.at("marjoramloom_answered_total"))
+    , cut(registry.at("marjoramloom_answers_cut_total"))
 {
 }
 
--- a/tests/process/gateway/gateway_path_test.cpp
+++ b/tests/process/gateway/gateway_path_test.cpp
@@ -229,6 +229,33 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_paused_or_killed_dispatcher_delays_nobody_for_long)
+{
+    auto all = gateway_fleet({ .routers = 3 });
+    sleepMs(600); // Until the routers have heard of each other.
+    for (auto &paused : all.routers()) {
+        paused.process->signal(SIGSTOP);
+        for (const auto &router : all.routers()) {
+            if (router.name == paused.name) {
+                continue;
+            }
+            for (auto call = 0; call < 4; ++call) {
+                const auto began = std::chrono::steady_clock::now();
+                const auto id = paused.name + router.name + std::to_string(call);
+                const auto answer = all.call(router, "/talk/stream", id);
+                const auto took = std::chrono::steady_clock::now() - began;
+                BOOST_TEST(answer.body == wholeStream());
+                BOOST_TEST(all.countRuns(id) == 1);
+                // Twelve events of 5 ms, and a wait for the dispatcher that stays far below an objective.
+                BOOST_TEST((took < std::chrono::milliseconds(500)));
+            }
+        }
+        paused.process->signal(SIGCONT);
+    }
+    all.routers()[0].process->signal(SIGKILL);
+    BOOST_TEST(all.call(all.routers()[1], "/talk/stream", "after-kill").body == wholeStream());
+}
+
 BOOST_AUTO_TEST_CASE(work_ends_where_its_caller_left)
 {
     auto all = gateway_fleet({ .routers = 1, .servers = 1, .eventMs = 200 });
