--- a/include/marjoramloom/gateway/account_usage.h
+++ b/include/marjoramloom/gateway/account_usage.h
@@ -9,7 +9,7 @@
 
 namespace marjoramloom {
 
-/// What the client accounts asked for and got lately: at this router by its own count, elsewhere by the others'
+/// What the client accounts got lately: at this router by its own count, elsewhere by the others'
 /// reports. Not thread safe.
 class account_usage
 {
@@ -20,9 +20,6 @@
     /// Number of an account, equal on every router.
     [[nodiscard]] static auto accountId(std::string_view name) -> std::uint64_t;
 
-    /// A request that would cost \p tokens came in.
-    auto noteAsked(std::uint64_t account, std::uint64_t tokens, time_point now) -> void;
-
     /// A request that costs \p tokens was sent to an engine.
     auto noteStarted(std::uint64_t account, std::uint64_t tokens, time_point now) -> void;
 
@@ -33,15 +30,9 @@
     [[nodiscard]] auto ownShares(time_point now) -> std::vector<account_share>;
 
 private:
-    struct account_windows
-    {
-        rate_window asked;
-        rate_window started;
-    };
-
     const fleet_loads &m_fleet;
-    std::unordered_map<std::uint64_t, account_windows> m_accounts;
-    rate_window m_started;
+    std::unordered_map<std::uint64_t, rate_window> m_accounts; ///< Tokens begun here, by account.
+    rate_window m_started; ///< Of all accounts.
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/fleet_loads.h
+++ b/include/marjoramloom/gateway/fleet_loads.h
@@ -16,11 +16,10 @@
     std::uint32_t unreadTokens = 0;
 };
 
-/// What one router saw of a client account over the accounting window.
+/// Work that one router began for a client account over the accounting window.
 struct account_share
 {
     std::uint64_t account = 0; ///< Hash of the name.
-    std::uint32_t askedTokens = 0;
     std::uint32_t startedTokens = 0;
 };
 
@@ -55,7 +54,7 @@
     /// Load that the others put on a run of an engine.
     [[nodiscard]] auto onEngine(std::uint64_t server) const -> engine_share;
 
-    /// What the others saw of an account.
+    /// Work that the others began for an account.
     [[nodiscard]] auto ofAccount(std::uint64_t account) const -> account_share;
 
     /// Tokens that the others started for all accounts over the accounting window.
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -87,7 +87,6 @@
     std::shared_ptr<call_control> m_control;
     std::set<std::string> m_tried; ///< Servers that got the request.
     std::uint32_t m_sends = 0; ///< Sends that reached a server.
-    std::uint32_t m_attempts = 0; ///< Sends that were tried.
     std::optional<std::int64_t> m_lastEvent; ///< Last event that the caller got of this answer.
     duration m_firstEvent{}; ///< From the last send to its first event; 0 where none came.
     bool m_mayHaveRun = false; ///< A send reached a server; no later refusal may promise that the request was not run.
--- a/include/marjoramloom/gateway/server_directory.h
+++ b/include/marjoramloom/gateway/server_directory.h
@@ -57,6 +57,9 @@
     /// Whether \p server, as found earlier, may still get a request.
     [[nodiscard]] auto isUsable(const listed_server &server) const -> bool;
 
+    /// Whether this run of \p server is in the list, usable or not.
+    [[nodiscard]] auto isListed(const listed_server &server) const -> bool;
+
     [[nodiscard]] auto size() const -> std::size_t;
 
 private:
--- a/src/gateway/account_usage.cpp
+++ b/src/gateway/account_usage.cpp
@@ -14,14 +14,9 @@
     return hash64(name);
 }
 
-auto account_usage::noteAsked(std::uint64_t account, std::uint64_t tokens, time_point now) -> void
-{
-    m_accounts[account].asked.add(tokens, now);
-}
-
 auto account_usage::noteStarted(std::uint64_t account, std::uint64_t tokens, time_point now) -> void
 {
-    m_accounts[account].started.add(tokens, now);
+    m_accounts[account].add(tokens, now);
     m_started.add(tokens, now);
 }
 
@@ -29,7 +24,7 @@
 {
     const auto own = m_accounts.find(account);
     const auto started =
-        (own == m_accounts.end() ? 0 : own->second.started.total(now)) + m_fleet.ofAccount(account).startedTokens;
+        (own == m_accounts.end() ? 0 : own->second.total(now)) + m_fleet.ofAccount(account).startedTokens;
     const auto all = m_started.total(now) + m_fleet.startedTokens();
     return all == 0 ? 0 : static_cast<double>(started) / static_cast<double>(all);
 }
@@ -38,14 +33,12 @@
 {
     auto shares = std::vector<account_share>();
     for (auto entry = m_accounts.begin(); entry != m_accounts.end();) {
-        auto &[account, windows] = *entry;
-        const auto asked = windows.asked.total(now);
-        const auto started = windows.started.total(now);
-        if (asked == 0 && started == 0) {
+        const auto started = entry->second.total(now);
+        if (started == 0) {
             entry = m_accounts.erase(entry);
             continue;
         }
-        shares.push_back({ account, static_cast<std::uint32_t>(asked), static_cast<std::uint32_t>(started) });
+        shares.push_back({ entry->first, static_cast<std::uint32_t>(started) });
         ++entry;
     }
     return shares;
--- a/src/gateway/fleet_loads.cpp
+++ b/src/gateway/fleet_loads.cpp
@@ -56,7 +56,7 @@
 auto fleet_loads::ofAccount(std::uint64_t account) const -> account_share
 {
     const auto found = m_accounts.find(account);
-    return found == m_accounts.end() ? account_share{ account, 0, 0 } : found->second;
+    return found == m_accounts.end() ? account_share{ account, 0 } : found->second;
 }
 
 auto fleet_loads::startedTokens() const -> std::uint64_t
@@ -86,10 +86,9 @@
     }
     for (const auto &account : snapshot.accounts) {
         auto &sum = m_accounts[account.account];
-        change(sum.askedTokens, account.askedTokens, adds);
         change(sum.startedTokens, account.startedTokens, adds);
         m_started = adds ? m_started + account.startedTokens : m_started - account.startedTokens;
-        if (sum.askedTokens == 0 && sum.startedTokens == 0) {
+        if (sum.startedTokens == 0) {
             m_accounts.erase(account.account);
         }
     }
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -118,9 +118,6 @@
         co_await refuse(unavailable, "unknown service");
         co_return;
     }
-    if (m_route.carriesPrompt) {
-        m_state.accounts.noteAsked(m_accountId, cost(), system_clock_source().now());
-    }
     co_await sendUntilDone();
 }
 
@@ -138,7 +135,6 @@
         if (!chosen) {
             break;
         }
-        ++m_attempts;
         end = co_await sendOnce(*chosen);
         log_line(log_level::info, "sent")
             .with("request", m_request.id)
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -24,7 +24,12 @@
     , dataCentre(std::move(ownDataCentre))
     , counters(registry)
     , keys(given.keyLifetime)
-    , servers(logServer)
+    , servers([this](const listed_server &server, std::string_view change) {
+        logServer(server, change);
+        if (!servers.isListed(server)) {
+            loads.forget(server);
+        }
+    })
     , accounts(fleet)
     , placement(reading_pace())
     , random(seed)
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -250,7 +250,6 @@
     for (const auto &share : m_state.accounts.ownShares(system_clock_source().now())) {
         auto *account = report.add_accounts();
         account->set_account(share.account);
-        account->set_asked_tokens(share.askedTokens);
         account->set_started_tokens(share.startedTokens);
     }
     for (const auto &read : m_state.unreportedReads) {
@@ -310,7 +309,11 @@
     }
     m_received.add();
     m_peers.insert_or_assign(from, system_clock_source().now());
-    m_endpoints.insert_or_assign(datagram.sender(), from);
+    if (m_endpoints.insert_or_assign(datagram.sender(), from).second) {
+        // A router that starts again keeps its address and takes another incarnation.
+        std::erase_if(m_endpoints,
+                      [&](const auto &known) { return known.second == from && known.first != datagram.sender(); });
+    }
     if (datagram.has_report()) {
         takeReport(datagram.sender(), datagram.report());
     }
@@ -334,7 +337,7 @@
         snapshot.engines.push_back({ engine.server(), engine.running(), engine.unread_tokens() });
     }
     for (const auto &account : report.accounts()) {
-        snapshot.accounts.push_back({ account.account(), account.asked_tokens(), account.started_tokens() });
+        snapshot.accounts.push_back({ account.account(), account.started_tokens() });
     }
     if (m_state.fleet.take(std::move(snapshot), system_clock_source().now())) {
         for (const auto &heard : report.heard()) {
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -120,6 +120,12 @@
         && !found->second.misdirected && found->second.server->service == server.service;
 }
 
+auto server_directory::isListed(const listed_server &server) const -> bool
+{
+    const auto found = m_entries.find(server.id);
+    return found != m_entries.end() && found->second.server->sameRun(server);
+}
+
 auto server_directory::size() const -> std::size_t
 {
     return m_entries.size();
--- a/src/router/request_head.cpp
+++ b/src/router/request_head.cpp
@@ -1,7 +1,8 @@
 #include "marjoramloom/router/request_head.h"
 
+#include "marjoramloom/core/text.h"
+
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
 
 namespace marjoramloom {
 
@@ -27,18 +28,6 @@
         && std::all_of(text.begin(), text.end(), [](char letter) { return letter >= '0' && letter <= '9'; });
 }
 
-auto sameName(std::string_view left, std::string_view right) -> bool
-{
-    return boost::beast::iequals({ left.data(), left.size() }, { right.data(), right.size() });
-}
-
-auto trimmed(std::string_view text) -> std::string_view
-{
-    const auto first = text.find_first_not_of(" \t");
-    const auto last = text.find_last_not_of(" \t");
-    return first == std::string_view::npos ? std::string_view() : text.substr(first, last - first + 1);
-}
-
 /// Method, target and version, with single spaces between them; the target is a path.
 auto isRequestLine(std::string_view line) -> bool
 {
--- a/tests/unit/gateway/fleet_loads_test.cpp
+++ b/tests/unit/gateway/fleet_loads_test.cpp
@@ -12,9 +12,7 @@
 auto reportOf(std::uint64_t router, std::uint64_t sequence, std::uint32_t unread, std::uint32_t started)
     -> load_snapshot
 {
-    return {
-        .router = router, .sequence = sequence, .engines = { { 1, 2, unread } }, .accounts = { { 7, started, started } }
-    };
+    return { .router = router, .sequence = sequence, .engines = { { 1, 2, unread } }, .accounts = { { 7, started } } };
 }
 
 } // namespace
--- /dev/null
+++ b/tests/unit/platform/object_format_test.cpp
@@ -0,0 +1,65 @@
+#include "platform/object_format.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace marjoramloom;
+
+BOOST_AUTO_TEST_SUITE(object_format_test)
+
+BOOST_AUTO_TEST_CASE(an_object_comes_back_as_it_was_written)
+{
+    for (const auto *value : { R"({"a":1,"b":["c"]})", "plain text", "" }) {
+        const auto body = platform::encodeObject("name", value, 7);
+        auto why = last_reason();
+        const auto object = platform::decodeObject("kind", body, why);
+        BOOST_REQUIRE(object.has_value());
+        BOOST_TEST(object->name == "name");
+        BOOST_TEST(object->revision == 7U);
+        BOOST_TEST(object->value == value);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(pages_and_events_pass_over_what_names_no_object)
+{
+    auto why = last_reason();
+    auto unreadable = std::size_t(0);
+    const auto page = platform::decodePage(
+        "kind", R"({"entries":["...",{"metadata":{"name":"a","revision":3},"spec":{}},{"metadata":{"name":5}}],
+                    "truncated":true,"at":9})",
+        unreadable, why);
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->objects.size() == 1U);
+    BOOST_TEST(page->hasMore);
+    BOOST_TEST(page->revision == 9U);
+    BOOST_TEST(unreadable == 2U);
+    const auto batch = platform::decodeEvents(
+        "kind",
+        R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":10}}},{"object":"..."},7],"at":11})",
+        why);
+    BOOST_REQUIRE(batch.has_value());
+    BOOST_REQUIRE(batch->events.size() == 1U);
+    BOOST_TEST((batch->events[0].kind == watch_event_kind::remove));
+    BOOST_TEST(batch->unreadable == 2U);
+    BOOST_TEST(batch->revision == 11U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_another_form_is_refused_with_a_reason)
+{
+    for (const auto *body : { "", "[]", R"({"entries":5,"at":1})", R"({"entries":[]})", R"({"entries":[],"at":-1})" }) {
+        auto why = last_reason();
+        auto unreadable = std::size_t(0);
+        BOOST_TEST(!platform::decodePage("kind", body, unreadable, why).has_value());
+        BOOST_TEST((why.kind == failure_kind::protocolViolation));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(targets_name_kind_object_and_revision)
+{
+    BOOST_TEST(platform::pageTarget("servers", "") == "/v1/objects/servers");
+    BOOST_TEST(platform::pageTarget("servers", "x") == "/v1/objects/servers?after=x");
+    BOOST_TEST(platform::objectTargetAt("servers", "x", 5) == "/v1/objects/servers/x?revision=5");
+    BOOST_TEST(platform::watchTarget("servers", 5, std::chrono::milliseconds(1'500))
+               == "/v1/objects/servers?subscription=5&wait_ms=1500");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
