--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -42,6 +42,7 @@
     gateway_state &m_state;
     std::function<void()> m_onRoutes;
     std::uint64_t m_configurationRevision = 0;
+    bool m_hasNewest = false; ///< The newest configuration seen could be read and is in force.
     time_point m_lastAnswer;
     bool m_storeLost = true;
 };
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -49,9 +49,9 @@
         const auto onEvent = [this](const watch_event &event) {
             onAnswer();
             if (event.kind == watch_event_kind::put && event.object.name == platform::configurationName) {
-                return applyConfiguration(event.object);
+                applyConfiguration(event.object);
             }
-            if (event.kind == watch_event_kind::bookmark) {
+            if (event.kind == watch_event_kind::bookmark && m_hasNewest) {
                 m_state.keys.noteProof(event.askedAt);
             }
             return true;
@@ -69,13 +69,13 @@
         co_return std::nullopt;
     }
     onAnswer();
+    // Where there is none yet, the watch tells of the first.
     for (const auto &object : listed->objects) {
         if (object.name == platform::configurationName && applyConfiguration(object)) {
             m_state.keys.noteProof(askedAt);
-            co_return listed->revision;
         }
     }
-    co_return why.fail(failure_kind::notFound, "read configuration", "platform", "there is none that can be read");
+    co_return listed->revision;
 }
 
 /// Takes over a configuration; false where it cannot be read.
@@ -83,6 +83,7 @@
 {
     auto why = last_reason();
     auto content = platform::decodeConfiguration(object.value, why);
+    m_hasNewest = content.has_value();
     if (!content) {
         log_line(log_level::error, "configuration_unreadable")
             .with("revision", object.revision)
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -185,6 +185,9 @@
         reader.number("repeat_ratio", gateway.repeats.ratio, 0, 1);
         reader.number("repeat_window_seconds", windowSeconds, 0.1, 3'600);
         reader.number("repeat_reserve", gateway.repeats.reserve, 0, 1e6);
+        if (m_root.contains("gateway") && m_settings.threads != 1) {
+            reader.reject("", "a gateway does all of its work on one thread: instance.threads must be 1");
+        }
         reader.finish();
         gateway.graceTime = std::chrono::duration_cast<std::chrono::milliseconds>(fromSeconds(graceSeconds));
         gateway.repeats.window = fromSeconds(windowSeconds);
--- a/tests/process/gateway/gateway_path_test.cpp
+++ b/tests/process/gateway/gateway_path_test.cpp
@@ -189,6 +189,21 @@
     BOOST_TEST(all.call(all.routers()[0], "/read/x", "back", "GET", "key-new").status == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(an_unreadable_configuration_leaves_the_old_one_until_its_keys_are_no_longer_proved)
+{
+    auto all = gateway_fleet({ .routers = 1, .revocationMs = 2'500 });
+    const auto &router = all.routers().front();
+    all.writeObject("config", "main", boost::json::object{ { "version", "many" } });
+    sleepMs(300);
+    BOOST_TEST(all.call(router, "/read/x", "old").status == 200U);
+    sleepMs(2'600);
+    BOOST_TEST(all.call(router, "/read/x", "unproved").status == 503U);
+    BOOST_TEST(all.call(router, "/open/x", "open", "GET", "").status == 200U);
+    all.writeConfiguration({ "key-alpha" });
+    sleepMs(300);
+    BOOST_TEST(all.call(router, "/read/x", "again").status == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(a_paused_router_proves_its_keys_anew_before_it_serves)
 {
     auto all = gateway_fleet({ .routers = 1, .revocationMs = 2'500 });
