A caller that left does not make its server look failed; failures of servers are logged

Cause: closing the connection for a caller that left ended the exchange with an error, which counted against the server and sent the next requests elsewhere. Each failure that changes what the router believes of a server has a line now.

--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -68,6 +68,7 @@
     auto mayStillSend(const chosen_server &chosen, last_reason &why) const -> bool;
     auto makeUpstreamRequest(const chosen_server &chosen) const -> http_connection::request;
     auto maySendAgain(send_end end) -> bool;
+    auto noteServerFailed(const listed_server &server) -> void;
     auto refuse(unsigned status, std::string_view reason) -> boost::asio::awaitable<void>;
     auto giveUp() -> boost::asio::awaitable<void>;
     auto cost() const -> std::uint64_t;
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -215,8 +215,8 @@
     auto load = load_guard(m_state.loads, chosen);
     auto connection = co_await openConnection(chosen, why);
     if (!connection) {
-        m_state.loads.noteFailure(*chosen.server, system_clock_source().now());
         m_why = why;
+        noteServerFailed(*chosen.server);
         co_return m_control->cancelled() ? send_end::callerLeft : send_end::notSent;
     }
     if (!mayStillSend(chosen, why)) {
@@ -319,7 +319,7 @@
     const auto &server = *sending.chosen.server;
     const auto request = makeUpstreamRequest(sending.chosen);
     if (!co_await sending.connection->send(request, timeLeft(), m_why) || !co_await readOwnHead(sending)) {
-        m_state.loads.noteFailure(server, system_clock_source().now());
+        noteServerFailed(server);
         co_return send_end::broken;
     }
     const auto &head = sending.connection->head();
@@ -329,10 +329,11 @@
         if (head.result() == http::status::misdirected_request) {
             m_state.servers.noteMisdirected(server);
         }
-        m_state.loads.noteFailure(server, system_clock_source().now());
-        const auto rest = co_await sending.connection->readRest(wholeAnswerBytes, timeLeft(), m_why);
+        const auto status = head.result_int();
+        co_await sending.connection->readRest(wholeAnswerBytes, timeLeft(), m_why);
         m_why.fail(failure_kind::overloaded, "read answer", server.id,
-                   "the server did not run it: status " + std::to_string(head.result_int()));
+                   "the server did not run it: status " + std::to_string(status));
+        noteServerFailed(server);
         co_return send_end::notRun;
     }
     if (isSuccess(head) && isEventStream(head)) {
@@ -366,16 +367,16 @@
 {
     const auto body = co_await sending.connection->readRest(wholeAnswerBytes, timeLeft(), m_why);
     if (!body) {
-        m_state.loads.noteFailure(*sending.chosen.server, system_clock_source().now());
+        noteServerFailed(*sending.chosen.server);
         co_return send_end::broken;
     }
     const auto &from = sending.connection->head();
     const auto status = from.result_int();
     const auto isFailure = http::to_status_class(from.result()) == http::status_class::server_error;
     if (isFailure || promisesNotRun(status) || m_streaming) {
-        m_state.loads.noteFailure(*sending.chosen.server, system_clock_source().now());
         m_why.fail(failure_kind::unknownOutcome, "read answer", sending.chosen.server->id,
                    "status " + std::to_string(status));
+        noteServerFailed(*sending.chosen.server);
         const auto goesOn = m_streaming || (m_route.mayRepeat() && m_sends < m_route.serverLimit);
         // A failure that the caller would take for a promise is not passed on: the request has run.
         if (goesOn || promisesNotRun(status)) {
@@ -397,7 +398,7 @@
     while (true) {
         const auto part = co_await sending.connection->readPart(timeLeft(), m_why);
         if (!part) {
-            m_state.loads.noteFailure(*sending.chosen.server, system_clock_source().now());
+            noteServerFailed(*sending.chosen.server);
             co_return send_end::broken;
         }
         if (part->empty()) {
@@ -460,6 +461,21 @@
     co_return co_await m_exchange.relayPiece(piece) ? send_end::answered : send_end::callerLeft;
 }
 
+/// A send failed, for the reason in m_why, in a way that may tell of the server. Where the caller left, it tells
+/// nothing.
+auto gateway_call::noteServerFailed(const listed_server &server) -> void
+{
+    if (m_control->cancelled()) {
+        return;
+    }
+    m_state.loads.noteFailure(server, system_clock_source().now());
+    log_line(log_level::info, "server_failed")
+        .with("request", m_request.id)
+        .with("server", server.id)
+        .with("in_row", m_state.loads.at(server).failuresInRow)
+        .with("reason", m_why.text());
+}
+
 auto gateway_call::giveUp() -> asio::awaitable<void>
 {
     if (m_streaming) {
--- a/tests/process/gateway/gateway_path_test.cpp
+++ b/tests/process/gateway/gateway_path_test.cpp
@@ -282,6 +282,11 @@
     request.timeout = std::chrono::milliseconds(500);
     httpCall(all.routers().front().callers, request);
     BOOST_TEST(waitUntil(1'500, [&] { return all.countRuns("r-1", "cancelled") == 1; }));
+    // That says nothing of the server.
+    sleepMs(300);
+    const auto log = all.logOf(all.routers().front());
+    BOOST_TEST(log.find("end=caller_left") != std::string::npos);
+    BOOST_TEST(log.find("event=server_failed") == std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
