--- a/include/marjoramloom/gateway/placement_dispatch.h
+++ b/include/marjoramloom/gateway/placement_dispatch.h
@@ -2,6 +2,8 @@
 
 #include "marjoramloom/gateway/engine_decision.h"
 
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
