--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -64,6 +64,7 @@
     auto readOwnHead(send_state &sending) -> boost::asio::awaitable<bool>;
     auto relayStream(send_state &sending) -> boost::asio::awaitable<send_end>;
     auto relayEvents(send_state &sending, std::string_view bytes) -> boost::asio::awaitable<send_end>;
+    auto startStreaming(const send_state &sending) -> void;
     auto relayWhole(send_state &sending) -> boost::asio::awaitable<send_end>;
     auto mayStillSend(const chosen_server &chosen, last_reason &why) const -> bool;
     auto makeUpstreamRequest(const chosen_server &chosen) const -> http_connection::request;
--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -31,6 +31,8 @@
     /// Longest time without a sound answer of the store that is no outage: one waiting call and a slow answer.
     static constexpr duration SILENCE_LIMIT = std::chrono::milliseconds(2'600);
 
+    template<typename List>
+    auto follow(std::string_view kind, List list, watch_callback onEvent) -> boost::asio::awaitable<void>;
     auto applyConfiguration(const stored_object &object) -> bool;
     auto applyServer(const watch_event &event) -> void;
     auto listServers(last_reason &why) -> boost::asio::awaitable<std::optional<std::uint64_t>>;
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -413,19 +413,26 @@
         m_why.fail(failure_kind::protocolViolation, "read answer", sending.chosen.server->id, "ends within an event");
         co_return send_end::broken;
     }
-    if (!m_streaming) {
-        auto head = http::response_header<>();
-        head.result(sending.connection->head().result_int());
-        platform::copyAnswerFields(sending.connection->head(), head);
-        m_exchange.relayHead(head);
-        m_streaming = true;
-    }
+    startStreaming(sending);
     m_state.loads.noteSuccess(*sending.chosen.server);
     noteAnswered(sending.connection->status());
     co_await m_exchange.relayEnd();
     co_return send_end::answered;
 }
 
+/// The caller's answer takes the head of the first server that it comes from.
+auto gateway_call::startStreaming(const send_state &sending) -> void
+{
+    if (m_streaming) {
+        return;
+    }
+    auto head = http::response_header<>();
+    head.result(sending.connection->head().result_int());
+    platform::copyAnswerFields(sending.connection->head(), head);
+    m_exchange.relayHead(head);
+    m_streaming = true;
+}
+
 /// Passes whole events on; answered means that the stream goes on.
 auto gateway_call::relayEvents(send_state &sending, std::string_view bytes) -> asio::awaitable<send_end>
 {
@@ -451,13 +458,7 @@
     if (piece.empty()) {
         co_return send_end::answered;
     }
-    if (!m_streaming) {
-        auto head = http::response_header<>();
-        head.result(sending.connection->head().result_int());
-        platform::copyAnswerFields(sending.connection->head(), head);
-        m_exchange.relayHead(head);
-        m_streaming = true;
-    }
+    startStreaming(sending);
     co_return co_await m_exchange.relayPiece(piece) ? send_end::answered : send_end::callerLeft;
 }
 
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -34,33 +34,43 @@
 {
 }
 
-auto platform_feed::followConfiguration() -> asio::awaitable<void>
+/// Lists a kind by \p list and watches it from there on, again and again.
+template<typename List>
+auto platform_feed::follow(std::string_view kind, List list, watch_callback onEvent) -> asio::awaitable<void>
 {
     auto backoff = retry_backoff(listRetryFirst, listRetryLimit, m_state.random());
     while (true) {
         auto why = last_reason();
-        const auto revision = co_await listConfiguration(why);
+        const auto revision = co_await list(why);
         if (!revision) {
             onFailure(why);
             co_await pause(backoff);
             continue;
         }
         backoff.reset();
-        const auto onEvent = [this](const watch_event &event) {
-            onAnswer();
-            if (event.kind == watch_event_kind::put && event.object.name == platform::configurationName) {
-                applyConfiguration(event.object);
-            }
-            if (event.kind == watch_event_kind::bookmark && m_hasNewest) {
-                m_state.keys.noteProof(event.askedAt);
-            }
-            return true;
-        };
-        auto kinds = std::vector<std::string>(1, std::string(platform::configurationKind));
+        auto kinds = std::vector<std::string>(1, std::string(kind));
         co_await m_client.watch(std::move(kinds), *revision, onEvent);
     }
 }
 
+auto platform_feed::followConfiguration() -> asio::awaitable<void>
+{
+    const auto list = [this](last_reason &why) {
+        return listConfiguration(why);
+    };
+    const auto onEvent = watch_callback([this](const watch_event &event) {
+        onAnswer();
+        if (event.kind == watch_event_kind::put && event.object.name == platform::configurationName) {
+            applyConfiguration(event.object);
+        }
+        if (event.kind == watch_event_kind::bookmark && m_hasNewest) {
+            m_state.keys.noteProof(event.askedAt);
+        }
+        return true;
+    });
+    co_await follow(platform::configurationKind, list, onEvent);
+}
+
 auto platform_feed::listConfiguration(last_reason &why) -> asio::awaitable<std::optional<std::uint64_t>>
 {
     const auto askedAt = boot_clock::now();
@@ -108,26 +118,17 @@
 
 auto platform_feed::followServers() -> asio::awaitable<void>
 {
-    auto backoff = retry_backoff(listRetryFirst, listRetryLimit, m_state.random());
-    while (true) {
-        auto why = last_reason();
-        const auto revision = co_await listServers(why);
-        if (!revision) {
-            onFailure(why);
-            co_await pause(backoff);
-            continue;
+    const auto list = [this](last_reason &why) {
+        return listServers(why);
+    };
+    const auto onEvent = watch_callback([this](const watch_event &event) {
+        onAnswer();
+        if (event.kind != watch_event_kind::bookmark) {
+            applyServer(event);
         }
-        backoff.reset();
-        const auto onEvent = [this](const watch_event &event) {
-            onAnswer();
-            if (event.kind != watch_event_kind::bookmark) {
-                applyServer(event);
-            }
-            return true;
-        };
-        auto kinds = std::vector<std::string>(1, std::string(platform::serverKind));
-        co_await m_client.watch(std::move(kinds), *revision, onEvent);
-    }
+        return true;
+    });
+    co_await follow(platform::serverKind, list, onEvent);
 }
 
 auto platform_feed::listServers(last_reason &why) -> asio::awaitable<std::optional<std::uint64_t>>
