--- a/include/marjoramloom/gateway/engine_decision.h
+++ b/include/marjoramloom/gateway/engine_decision.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marjoramloom/gateway/engine_parts.h"
 #include "marjoramloom/gateway/gateway_state.h"
 #include "marjoramloom/gateway/server_choice.h"
 
@@ -11,6 +12,7 @@
 struct placement_query
 {
     std::string service;
+    engine_part part; ///< Engines that may be chosen.
     prompt_outline prompt;
     std::uint64_t account = 0;
     std::uint32_t cost = 0; ///< Tokens that the account is charged.
--- a/include/marjoramloom/gateway/fleet_loads.h
+++ b/include/marjoramloom/gateway/fleet_loads.h
@@ -60,9 +60,6 @@
     /// Tokens that the others started for all accounts over the accounting window.
     [[nodiscard]] auto startedTokens() const -> std::uint64_t;
 
-    /// Incarnations of the routers that are heard of.
-    [[nodiscard]] auto heardRouters() const -> std::vector<std::uint64_t>;
-
 private:
     struct heard_router
     {
--- a/include/marjoramloom/gateway/gateway_settings.h
+++ b/include/marjoramloom/gateway/gateway_settings.h
@@ -14,6 +14,7 @@
 
     std::chrono::milliseconds keyLifetime{ 4'500 }; ///< How long keys are served after a proof that they are in force.
     std::chrono::milliseconds graceTime{ 8'000 }; ///< From the signal to stop until the process is ended.
+    double cores = 1; ///< Share of a processor core that the router may use; large ones dispatch for the others.
     repeat_budget_settings repeats;
 };
 
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include "marjoramloom/gateway/prompt_placement.h"
 #include "marjoramloom/gateway/repeat_budget.h"
 #include "marjoramloom/gateway/route_table.h"
+#include "marjoramloom/gateway/router_roster.h"
 #include "marjoramloom/gateway/server_directory.h"
 #include "marjoramloom/gateway/server_loads.h"
 
@@ -33,8 +34,7 @@
 /// What the requests of a router share. All of it belongs to the router's only thread.
 struct gateway_state
 {
-    gateway_state(const gateway_settings &given, std::string ownDataCentre, counter_registry &registry,
-                  std::uint64_t seed);
+    gateway_state(const gateway_settings &given, router_identity self, counter_registry &registry, std::uint64_t seed);
 
     /// Takes over new settings.
     auto applySettings(const gateway_settings &given) -> void;
@@ -56,6 +56,7 @@
     key_freshness keys;
     server_directory servers;
     server_loads loads;
+    router_roster roster;
     fleet_loads fleet;
     open_placements placements;
     account_usage accounts;
--- a/include/marjoramloom/gateway/load_exchange.h
+++ b/include/marjoramloom/gateway/load_exchange.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "marjoramloom/gateway/placement_dispatch.h"
-#include "marjoramloom/store/store_client.h"
+#include "marjoramloom/gateway/store_news.h"
 
 #include <boost/asio/ip/udp.hpp>
-#include <map>
+#include <functional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace marjoramloom {
@@ -13,61 +14,89 @@
 namespace wire {
 class LoadReport;
 class PlacementQuery;
+class RouterDatagram;
 } // namespace wire
 
-/// Tells the other routers this router's load several times a second, and takes over theirs.
+/// What routers tell and ask each other, by datagrams.
 ///
-/// Datagrams, as each report replaces the one before it. Routers find each other by objects that each writes to the
-/// platform's store when it starts, and by the reports themselves. Belongs to the router's only thread.
+/// In a small fleet every router tells all others its load several times a second, so each of them can place prompts by
+/// its own view. In a larger one it tells only the dispatchers of the engines concerned, which answer with heartbeats:
+/// what a router sends then does not grow with the fleet. Each report replaces the one before it, so a lost one is made
+/// up for by the next. Belongs to the router's only thread.
 class load_exchange
 {
 public:
-    /// Preconditions: \p client and \p state outlive the exchange; \p instance is this router's unique name.
-    load_exchange(boost::asio::any_io_executor executor, store_client &client, gateway_state &state,
-                  std::string instance, std::uint64_t incarnation);
+    /// Takes questions and news about the store from another router.
+    struct store_listeners
+    {
+        std::function<void(std::uint64_t router, const store_question &question)> onQuestion;
+        std::function<void(std::uint64_t router, const store_news &news)> onNews;
+    };
+
+    /// Precondition: \p state outlives the exchange.
+    load_exchange(boost::asio::any_io_executor executor, gateway_state &state, router_identity self,
+                  std::uint64_t incarnation);
 
     /// Opens the socket at \p address, IP:port, which the others can reach; false where it cannot be had.
     auto listen(const std::string &address, last_reason &why) -> bool;
 
-    /// Writes this router's own object and reads those of the others, until both succeeded.
-    auto join() -> boost::asio::awaitable<void>;
+    /// Call before receive().
+    auto setStoreListeners(store_listeners listening) -> void;
+
+    /// Another router is known to exist: this one makes itself known to it where it is new.
+    auto meet(router_identity identity) -> void;
 
     /// Sends reports; ends with its executor.
     auto sendReports() -> boost::asio::awaitable<void>;
 
-    /// Receives reports; ends with its executor.
-    auto receiveReports() -> boost::asio::awaitable<void>;
+    /// Receives datagrams; ends with its executor.
+    auto receive() -> boost::asio::awaitable<void>;
 
     /// Tells the others that this router stops.
     auto leave() -> void;
 
+    auto sendQuestion(std::uint64_t router, const store_question &question) -> void;
+    auto sendNews(std::uint64_t router, const store_news &news) -> void;
+
     /// Asks and answers for the router's placements. Call before run.
     [[nodiscard]] auto dispatch() -> placement_dispatch &;
 
 private:
     using udp = boost::asio::ip::udp;
 
-    auto announce(last_reason &why) -> boost::asio::awaitable<bool>;
-    auto readRouters(last_reason &why) -> boost::asio::awaitable<bool>;
-    auto makeReport(bool leaving) -> std::string;
-    auto sendToAll(const std::string &datagram) -> void;
+    /// Engines that one report is about.
+    struct report_scope
+    {
+        std::vector<engine_part> parts; ///< Empty: all engines.
+
+        [[nodiscard]] auto holds(const std::string &server) const -> bool;
+    };
+
+    auto hasFullView() const -> bool;
+    auto reportTargets(time_point now) -> std::unordered_map<std::uint64_t, report_scope>;
+    auto probeSilentDispatchers(const std::string &service, std::uint32_t part, time_point now) -> void;
+    auto fillReport(const report_scope &scope, wire::LoadReport &report) -> void;
+    auto sendReport(std::uint64_t router, const report_scope &scope, bool leaving) -> void;
     auto sendQuery(std::uint64_t router, std::uint64_t number, const placement_query &query) -> void;
-    auto take(std::string_view bytes, const udp::endpoint &from) -> void;
-    auto takeReport(std::uint64_t sender, const wire::LoadReport &report) -> void;
-    auto takeQuery(std::uint64_t sender, const wire::PlacementQuery &query, const udp::endpoint &from) -> void;
+    auto send(std::uint64_t router, wire::RouterDatagram &datagram) -> void;
+    auto take(std::string_view bytes) -> void;
+    auto takeReport(std::uint64_t router, std::uint64_t incarnation, const wire::LoadReport &report) -> void;
+    auto takeQuery(std::uint64_t router, std::uint64_t incarnation, const wire::PlacementQuery &query) -> void;
+    auto acknowledge(std::uint64_t router, time_point now) -> void;
 
     boost::asio::any_io_executor m_executor;
-    store_client &m_client;
     gateway_state &m_state;
-    std::string m_instance;
+    router_identity m_self;
     std::uint64_t m_incarnation;
-    std::string m_address;
     udp::socket m_socket;
-    std::map<udp::endpoint, time_point> m_peers; ///< Last time that each was heard of.
-    std::map<std::uint64_t, udp::endpoint> m_endpoints; ///< Of the incarnations heard of.
+    std::unordered_map<std::uint64_t, udp::endpoint> m_endpoints; ///< Of the known routers.
+    std::unordered_map<std::uint64_t, time_point> m_lastHeartbeat; ///< To routers that report here.
+    std::unordered_map<std::uint64_t, time_point> m_lastProbe; ///< Of dispatchers that fell silent.
+    store_listeners m_listening;
     std::uint64_t m_sequence = 0;
     counter &m_unreadable;
     counter &m_received;
+    counter &m_sent;
     placement_dispatch m_dispatch;
 };
 
--- a/include/marjoramloom/gateway/placement_dispatch.h
+++ b/include/marjoramloom/gateway/placement_dispatch.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <unordered_map>
 
 namespace marjoramloom {
 
@@ -24,34 +25,37 @@
     std::uint32_t candidates = 0;
 };
 
-/// Lets one router, the dispatcher, place all prompts of a service one after the other.
+/// Lets one router, the dispatcher, place all prompts of a part of a service's engines one after the other.
 ///
 /// The load it answers: prompts that arrive at many routers in the same moment would all find the same engines idle.
-/// Which router dispatches follows from the live routers by rendezvous hashing; it holds nothing that must last, and
-/// two dispatchers at once do no harm. A router that gets no answer within a few tens of milliseconds decides by its
-/// own view, and asks no further for a while. Belongs to the router's only thread.
+/// Which router dispatches follows from the routers that answer, in the order of the roster; it holds nothing that must
+/// last, and two dispatchers at once do no harm. A router that gets no answer within a few tens of milliseconds decides
+/// by its own view, and asks no further for a while. Belongs to the router's only thread.
 class placement_dispatch
 {
 public:
     using send_query = std::function<void(std::uint64_t router, std::uint64_t number, const placement_query &query)>;
 
     /// Preconditions: \p state outlives the dispatch. \p send delivers a query to another router, or loses it.
-    placement_dispatch(boost::asio::any_io_executor executor, gateway_state &state, std::uint64_t incarnation,
-                       send_query send);
+    placement_dispatch(boost::asio::any_io_executor executor, gateway_state &state, send_query send);
+
+    /// The router that dispatches for \p part of \p service, as far as this one can tell.
+    auto dispatcherOf(const std::string &service, std::uint32_t part, time_point now) -> std::uint64_t;
 
     /// The dispatcher's decision, or this router's own where the dispatcher gives none in time. Nothing where no engine
     /// can be used.
     auto decide(const placement_query &query, last_reason &why)
         -> boost::asio::awaitable<std::optional<engine_decision>>;
 
-    /// Decides for another router. Nothing where this router cannot tell: the other one then decides itself.
-    auto answer(std::uint64_t router, std::uint64_t number, const placement_query &query)
+    /// Decides for another router, of the incarnation \p asking. Nothing where this router cannot tell: the other one
+    /// then decides itself.
+    auto answer(std::uint64_t asking, std::uint64_t number, const placement_query &query)
         -> std::optional<placement_answer>;
 
-    /// Takes an answer from \p dispatcher.
+    /// Takes an answer from the dispatcher of the incarnation \p dispatcher.
     auto take(std::uint64_t dispatcher, const placement_answer &answer) -> void;
 
-    /// The last placement heard from each dispatcher.
+    /// The last placement heard from each dispatcher's incarnation.
     [[nodiscard]] auto heard() const -> const std::map<std::uint64_t, std::uint64_t> &;
 
 private:
@@ -67,25 +71,30 @@
 
     /// Longest wait for an answer: some round trips between data centres.
     static constexpr duration ANSWER_LIMIT = std::chrono::milliseconds(25);
-    /// A dispatcher that left this many queries in a row unanswered is passed over for PASS_TIME.
+    /// A dispatcher that left this many queries in a row unanswered is passed over for PASS_TIME, in favour of the
+    /// next.
     static constexpr std::uint32_t MISSES_ALLOWED = 2;
     static constexpr duration PASS_TIME = std::chrono::milliseconds(400);
+    /// Dispatchers that are asked before this router decides by its own view.
+    static constexpr std::size_t DISPATCHERS_TRIED = 3;
+
+    struct asked_router
+    {
+        std::uint32_t misses = 0;
+        time_point passedOverUntil{};
+    };
 
-    auto dispatcherOf(const std::string &service, time_point now) -> std::uint64_t;
     auto ask(std::uint64_t dispatcher, const placement_query &query)
         -> boost::asio::awaitable<std::optional<placement_answer>>;
-    auto toDecision(const placement_answer &answer, const placement_query &query, last_reason &why) const
-        -> std::optional<engine_decision>;
+    auto toDecision(const placement_answer &answer, last_reason &why) const -> std::optional<engine_decision>;
 
     boost::asio::any_io_executor m_executor;
     gateway_state &m_state;
-    std::uint64_t m_incarnation;
     send_query m_send;
     std::uint64_t m_nextNumber = 0;
     std::map<std::uint64_t, std::shared_ptr<waiting_query>> m_waiting; ///< By the query's number.
     std::map<std::uint64_t, std::uint64_t> m_heard;
-    std::uint32_t m_misses = 0;
-    time_point m_passedOverUntil{};
+    std::unordered_map<std::uint64_t, asked_router> m_asked;
     counter &m_answered;
     counter &m_missed;
 };
--- a/include/marjoramloom/gateway/route_table.h
+++ b/include/marjoramloom/gateway/route_table.h
@@ -116,6 +116,7 @@
     [[nodiscard]] auto findAccount(const std::string &key) const -> const routed_account *;
 
     [[nodiscard]] auto findService(const std::string &name) const -> const routed_service *;
+    [[nodiscard]] auto services() const -> const std::vector<routed_service> &;
     [[nodiscard]] auto limits() const -> const caller_limits &;
     [[nodiscard]] auto tokensPerSecond() const -> double;
     [[nodiscard]] auto routeCount() const -> std::size_t;
--- a/include/marjoramloom/gateway/server_choice.h
+++ b/include/marjoramloom/gateway/server_choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramloom/core/last_reason.h"
+#include "marjoramloom/gateway/engine_parts.h"
 #include "marjoramloom/gateway/gateway_state.h"
 #include "marjoramloom/gateway/routed_request.h"
 
@@ -22,10 +23,11 @@
 /// One of \p route's services, drawn by their weights.
 auto chooseService(const route_rule &route, boost::random::mt19937_64 &random) -> const std::string &;
 
-/// The engine of \p service for \p prompt that is not among \p tried. Nothing where none is left or all are full: the
-/// reason's kind tells which (notFound, overloaded). Precondition: the service is one of engines.
-auto chooseEngine(gateway_state &state, const routed_service &service, const prompt_outline &prompt,
-                  const std::set<std::string> &tried, time_point now, last_reason &why) -> std::optional<chosen_server>;
+/// The engine in \p part of \p service for \p prompt that is not among \p tried. Nothing where none is left or all are
+/// full: the reason's kind tells which (notFound, overloaded). Precondition: the service is one of engines.
+auto chooseEngine(gateway_state &state, const routed_service &service, const engine_part &part,
+                  const prompt_outline &prompt, const std::set<std::string> &tried, time_point now, last_reason &why)
+    -> std::optional<chosen_server>;
 
 /// The same for a plain service.
 auto choosePlain(gateway_state &state, const routed_service &service, const std::set<std::string> &tried,
--- a/include/marjoramloom/gateway/server_directory.h
+++ b/include/marjoramloom/gateway/server_directory.h
@@ -45,6 +45,12 @@
     /// The store answers again.
     auto onStoreRegained(time_point now) -> void;
 
+    /// Servers may renew lapsed entries until \p until at least.
+    auto expectRenewals(time_point until) -> void;
+
+    /// How much longer lapsed entries may be renewed; 0 while no outage ended lately.
+    [[nodiscard]] auto renewalLeft(time_point now) const -> std::chrono::milliseconds;
+
     /// Drops lapsed entries that were not renewed in time. Call every few hundred milliseconds.
     auto tick(time_point now) -> void;
 
@@ -57,6 +63,9 @@
     /// Whether \p server, as found earlier, may still get a request.
     [[nodiscard]] auto isUsable(const listed_server &server) const -> bool;
 
+    /// The server that takes new requests with the run number \p run (see server_loads); null where there is none.
+    [[nodiscard]] auto findUsable(std::uint64_t run) const -> server_ptr;
+
     /// Whether this run of \p server is in the list, usable or not.
     [[nodiscard]] auto isListed(const listed_server &server) const -> bool;
 
@@ -77,6 +86,7 @@
     listener m_onChange;
     std::map<std::string, entry> m_entries;
     std::unordered_map<std::string, std::vector<server_ptr>> m_usable;
+    std::unordered_map<std::uint64_t, server_ptr> m_usableByRun;
     bool m_storeLost = false;
     std::optional<time_point> m_renewalEnds; ///< Set for RENEWAL_TIME after the store's return.
 };
--- a/include/marjoramloom/store/object_store.h
+++ b/include/marjoramloom/store/object_store.h
@@ -39,6 +39,12 @@
     };
 };
 
+/// How current an answer has to be.
+enum class read_freshness {
+    current,
+    mayBeStale, ///< May be seconds old, and costs a fraction of a current read.
+};
+
 struct write_outcome
 {
     write_result result = write_result::unknown;
--- a/include/marjoramloom/store/store_client.h
+++ b/include/marjoramloom/store/store_client.h
@@ -25,6 +25,9 @@
     std::vector<std::string> addresses; ///< IP:port each; any of them serves.
     std::chrono::milliseconds timeout{ 2'000 }; ///< Of one call, with its retries.
     std::chrono::milliseconds watchWait{ 1'000 }; ///< How long one call of a watch waits for changes.
+    /// Least time between two calls of one watch: changes in quick succession are fetched together, as each call
+    /// counts.
+    std::chrono::milliseconds watchPeriod{ 0 };
     std::chrono::milliseconds watchSilence{ 2'000 }; ///< A watch without an answer for this long is dialled anew.
     std::chrono::milliseconds idleLimit{ 15'000 }; ///< Idle connections are not used again after this long.
     std::chrono::milliseconds retryFirst{ 100 };
@@ -53,7 +56,8 @@
         -> boost::asio::awaitable<std::optional<stored_object>>;
 
     /// All objects of a kind.
-    auto list(std::string kind, last_reason &why) -> boost::asio::awaitable<std::optional<object_list>>;
+    auto list(std::string kind, last_reason &why, read_freshness freshness = read_freshness::current)
+        -> boost::asio::awaitable<std::optional<object_list>>;
 
     /// Creates an object where none of that name stands.
     auto create(std::string kind, std::string name, std::string value, last_reason &why)
--- /dev/null
+++ b/src/gateway/datagram_codec.cpp
@@ -0,0 +1,172 @@
+#include "datagram_codec.h"
+
+namespace marjoramloom {
+
+namespace {
+
+/// Parts from two lists of equal length; nothing where the lengths differ.
+template<typename Message>
+auto readParts(const Message &message) -> std::optional<std::vector<prompt_part>>
+{
+    if (message.parts_size() != message.part_tokens_size()) {
+        return std::nullopt;
+    }
+    auto parts = std::vector<prompt_part>();
+    for (auto index = 0; index < message.parts_size(); ++index) {
+        parts.push_back({ message.parts(index), message.part_tokens(index) });
+    }
+    return parts;
+}
+
+template<typename Message>
+auto writeParts(const std::vector<prompt_part> &parts, Message &message) -> void
+{
+    for (const auto &part : parts) {
+        message.add_parts(part.id);
+        message.add_part_tokens(part.tokens);
+    }
+}
+
+auto toMicroseconds(duration span) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::microseconds>(span).count());
+}
+
+} // namespace
+
+auto readIdentity(const wire::RouterIdentity &message) -> router_identity
+{
+    return { .address = message.address(), .dataCentre = message.data_centre(), .cores = message.cores() };
+}
+
+auto write(const router_identity &identity, wire::RouterIdentity &message) -> void
+{
+    message.set_address(identity.address);
+    message.set_data_centre(identity.dataCentre);
+    message.set_cores(static_cast<float>(identity.cores));
+}
+
+auto readReport(std::uint64_t incarnation, const wire::LoadReport &message) -> load_snapshot
+{
+    auto snapshot =
+        load_snapshot{ .router = incarnation, .sequence = message.sequence(), .engines = {}, .accounts = {} };
+    for (const auto &engine : message.engines()) {
+        snapshot.engines.push_back({ engine.server(), engine.running(), engine.unread_tokens() });
+    }
+    for (const auto &account : message.accounts()) {
+        snapshot.accounts.push_back({ account.account(), account.started_tokens() });
+    }
+    return snapshot;
+}
+
+auto readPrompt(const wire::PromptRead &message) -> std::optional<prompt_read>
+{
+    auto parts = readParts(message);
+    if (!parts) {
+        return std::nullopt;
+    }
+    return prompt_read{ .server = message.server(), .parts = std::move(*parts), .ownTokens = message.own_tokens() };
+}
+
+auto write(const prompt_read &read, wire::PromptRead &message) -> void
+{
+    message.set_server(read.server);
+    writeParts(read.parts, message);
+    message.set_own_tokens(read.ownTokens);
+}
+
+auto readQuery(const wire::PlacementQuery &message) -> std::optional<placement_query>
+{
+    auto parts = readParts(message);
+    const auto count = std::max(message.engine_parts(), std::uint32_t(1));
+    if (!parts || message.engine_part() >= count) {
+        return std::nullopt;
+    }
+    auto query = placement_query{ .service = message.service(),
+                                  .part = { .index = message.engine_part(), .count = count },
+                                  .prompt = {},
+                                  .account = message.account() };
+    query.prompt.parts = std::move(*parts);
+    query.prompt.promptTokens = message.prompt_tokens();
+    query.cost = message.cost_tokens();
+    query.objective = std::chrono::milliseconds(message.objective_ms());
+    return query;
+}
+
+auto write(const placement_query &query, wire::PlacementQuery &message) -> void
+{
+    message.set_service(query.service);
+    writeParts(query.prompt.parts, message);
+    message.set_prompt_tokens(query.prompt.promptTokens);
+    message.set_account(query.account);
+    message.set_cost_tokens(query.cost);
+    message.set_objective_ms(
+        static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(query.objective).count()));
+    message.set_engine_part(query.part.index);
+    message.set_engine_parts(query.part.count);
+}
+
+auto readAnswer(const wire::PlacementAnswer &message) -> placement_answer
+{
+    return { .number = message.number(),
+             .sequence = message.sequence(),
+             .server = message.server(),
+             .tokensToRead = message.tokens_to_read(),
+             .wait = std::chrono::microseconds(message.wait_us()),
+             .firstEvent = std::chrono::microseconds(message.first_event_us()),
+             .running = message.running(),
+             .candidates = message.candidates() };
+}
+
+auto write(const placement_answer &answer, wire::PlacementAnswer &message) -> void
+{
+    message.set_number(answer.number);
+    message.set_sequence(answer.sequence);
+    message.set_server(answer.server);
+    message.set_tokens_to_read(answer.tokensToRead);
+    message.set_wait_us(toMicroseconds(answer.wait));
+    message.set_first_event_us(toMicroseconds(answer.firstEvent));
+    message.set_running(answer.running);
+    message.set_candidates(answer.candidates);
+}
+
+auto readNews(const wire::StoreNews &message) -> store_news
+{
+    auto news = store_news{ .number = message.number(),
+                            .proofAge = std::nullopt,
+                            .configurationRevision = message.configuration_revision(),
+                            .serversAfter = message.servers_after(),
+                            .serversRevision = message.servers_revision(),
+                            .changes = {},
+                            .storeLost = message.store_lost(),
+                            .renewalLeft = std::chrono::milliseconds(message.renewal_left_ms()) };
+    if (message.proved()) {
+        news.proofAge = std::chrono::milliseconds(message.proof_age_ms());
+    }
+    for (const auto &row : message.changes()) {
+        auto object = stored_object{ .kind = {}, .name = row.id(), .revision = row.revision(), .value = row.entry() };
+        news.changes.push_back({ .object = std::move(object), .removed = row.removed() });
+    }
+    return news;
+}
+
+auto write(const store_news &news, wire::StoreNews &message) -> void
+{
+    message.set_number(news.number);
+    message.set_proved(news.proofAge.has_value());
+    message.set_proof_age_ms(static_cast<std::uint32_t>(news.proofAge.value_or(std::chrono::milliseconds(0)).count()));
+    message.set_configuration_revision(news.configurationRevision);
+    message.set_servers_after(news.serversAfter);
+    message.set_servers_revision(news.serversRevision);
+    for (const auto &change : news.changes) {
+        auto *row = message.add_changes();
+        row->set_id(change.object.name);
+        row->set_revision(change.object.revision);
+        row->set_removed(change.removed);
+        row->set_entry(change.object.value);
+    }
+    message.set_store_lost(news.storeLost);
+    message.set_renewal_left_ms(static_cast<std::uint32_t>(news.renewalLeft.count()));
+}
+
+} // namespace marjoramloom
--- /dev/null
+++ b/src/gateway/datagram_codec.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "load.pb.h"
+#include "marjoramloom/gateway/fleet_loads.h"
+#include "marjoramloom/gateway/placement_dispatch.h"
+#include "marjoramloom/gateway/router_roster.h"
+#include "marjoramloom/gateway/store_news.h"
+
+#include <optional>
+#include <vector>
+
+namespace marjoramloom {
+
+/// Conversions between the router's types and the messages of load.proto. All are thread safe; those that read yield
+/// nothing where the message contradicts itself.
+
+auto readIdentity(const wire::RouterIdentity &message) -> router_identity;
+auto write(const router_identity &identity, wire::RouterIdentity &message) -> void;
+
+auto readReport(std::uint64_t incarnation, const wire::LoadReport &message) -> load_snapshot;
+auto readPrompt(const wire::PromptRead &message) -> std::optional<prompt_read>;
+auto write(const prompt_read &read, wire::PromptRead &message) -> void;
+
+auto readQuery(const wire::PlacementQuery &message) -> std::optional<placement_query>;
+auto write(const placement_query &query, wire::PlacementQuery &message) -> void;
+
+auto readAnswer(const wire::PlacementAnswer &message) -> placement_answer;
+auto write(const placement_answer &answer, wire::PlacementAnswer &message) -> void;
+
+auto readNews(const wire::StoreNews &message) -> store_news;
+auto write(const store_news &news, wire::StoreNews &message) -> void;
+
+} // namespace marjoramloom
--- a/src/gateway/engine_decision.cpp
+++ b/src/gateway/engine_decision.cpp
@@ -9,7 +9,7 @@
     if (service == nullptr || !service->engine) {
         return why.fail(failure_kind::notFound, "choose engine", query.service, "no such service of engines");
     }
-    auto chosen = chooseEngine(state, *service, query.prompt, tried, now, why);
+    auto chosen = chooseEngine(state, *service, query.part, query.prompt, tried, now, why);
     if (!chosen) {
         return why.kind == failure_kind::overloaded
             ? std::optional(engine_decision{ .chosen = std::nullopt, .everyoneFull = true })
--- a/src/gateway/fleet_loads.cpp
+++ b/src/gateway/fleet_loads.cpp
@@ -64,16 +64,6 @@
     return m_started;
 }
 
-auto fleet_loads::heardRouters() const -> std::vector<std::uint64_t>
-{
-    auto routers = std::vector<std::uint64_t>();
-    routers.reserve(m_routers.size());
-    for (const auto &[router, heard] : m_routers) {
-        routers.push_back(router);
-    }
-    return routers;
-}
-
 auto fleet_loads::count(const load_snapshot &snapshot, bool adds) -> void
 {
     for (const auto &engine : snapshot.engines) {
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -184,9 +184,10 @@
 {
     if (m_sends > 0) {
         // Work that was begun goes on wherever it can.
-        co_return chooseEngine(m_state, *m_service, m_request.prompt, m_tried, system_clock_source().now(), why);
+        co_return chooseEngine(m_state, *m_service, {}, m_request.prompt, m_tried, system_clock_source().now(), why);
     }
     auto query = placement_query{ .service = m_service->name,
+                                  .part = partOf(m_state.servers.usable(m_service->name), m_request.prompt),
                                   .prompt = m_request.prompt,
                                   .account = m_accountId,
                                   .cost = static_cast<std::uint32_t>(cost()),
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -4,7 +4,9 @@
 #include "marjoramloom/gateway/gateway_handler.h"
 #include "marjoramloom/gateway/load_exchange.h"
 #include "marjoramloom/gateway/platform_feed.h"
+#include "marjoramloom/gateway/router_announcer.h"
 #include "marjoramloom/gateway/status_handler.h"
+#include "marjoramloom/gateway/store_relay.h"
 #include "marjoramloom/peer/member.h"
 #include "marjoramloom/router/http_server.h"
 
@@ -24,23 +26,38 @@
 namespace {
 
 constexpr auto tickPeriod = std::chrono::milliseconds(200);
+/// News of leaving servers and revoked keys may take seconds; a tenth of one joins the changes of a fleet that starts.
+constexpr auto watchPeriod = std::chrono::milliseconds(100);
 /// The balancer asks once a second and takes a router out after two misses; new connections come until then.
 constexpr auto acceptAfterStop = std::chrono::milliseconds(2'600);
 constexpr auto drainPoll = std::chrono::milliseconds(50);
 /// The process ends this long before it would be killed.
 constexpr auto graceMargin = std::chrono::milliseconds(300);
 
+/// A waiting call of the store that shows no change proves that keys are in force; one may be lost.
+constexpr auto proofsPerLifetime = 3;
+/// Time that the store may take beyond the wait that it was asked for.
+constexpr auto slowestAnswer = std::chrono::milliseconds(700);
+
 auto storeOptions(const settings &config) -> store_options
 {
     auto options = store_options();
     options.addresses = config.platform;
     options.timeout = config.platformTimeout;
-    options.watchWait = std::chrono::milliseconds(1'500);
-    options.watchSilence = std::chrono::milliseconds(2'200);
+    options.watchWait = config.gateway->keyLifetime / proofsPerLifetime;
+    options.watchPeriod = watchPeriod;
+    options.watchSilence = options.watchWait + slowestAnswer;
     options.retryLimit = std::chrono::milliseconds(800);
     return options;
 }
 
+auto identityOf(const settings &config) -> router_identity
+{
+    return { .address = config.peersAddress.empty() ? config.peersListen : config.peersAddress,
+             .dataCentre = config.dataCentre,
+             .cores = config.gateway->cores };
+}
+
 auto httpLimits(const caller_limits &limits) -> http_limits
 {
     return { .bodyBytes = limits.bodyBytes,
@@ -56,6 +73,7 @@
 {
     explicit parts(settings given);
 
+    auto join() -> asio::awaitable<void>;
     auto tickLoop() -> asio::awaitable<void>;
     auto waitForStop() -> asio::awaitable<void>;
     auto waitForReload() -> asio::awaitable<void>;
@@ -70,24 +88,45 @@
     gateway_state state;
     store_client store;
     load_exchange exchange;
+    router_announcer announcer;
     gateway_handler callers;
     status_handler status;
     std::shared_ptr<http_server<gateway_handler>> callerServer;
     std::shared_ptr<http_server<status_handler>> statusServer;
     platform_feed feed;
+    store_relay relay;
 };
 
 gateway_process::parts::parts(settings given)
     : config(std::move(given))
-    , state(*config.gateway, config.dataCentre, counters, std::random_device()())
+    , state(*config.gateway, identityOf(config), counters, std::random_device()())
     , store(context.get_executor(), storeOptions(config), counters)
-    , exchange(context.get_executor(), store, state, config.instance, makeIncarnation())
+    , exchange(context.get_executor(), state, identityOf(config), makeIncarnation())
+    , announcer(context.get_executor(), store, config.instance, identityOf(config),
+                [this](router_identity found) { exchange.meet(std::move(found)); })
     , callers(state, exchange.dispatch())
     , status(ready, counters)
     , callerServer(std::make_shared<http_server<gateway_handler>>(context, callers, counters, "callers", http_limits()))
     , statusServer(std::make_shared<http_server<status_handler>>(context, status, counters, "operators", http_limits()))
-    , feed(store, state, [this] { callerServer->setLimits(httpLimits(state.routes->limits())); })
+    , feed(context.get_executor(), store, state,
+           { .onRoutes = [this] { callerServer->setLimits(httpLimits(state.routes->limits())); },
+             .onNews =
+                 [this] {
+                     relay.tellFollowers();
+                 } })
+    , relay(context.get_executor(), feed, state,
+            { .question = [this](auto router, const auto &question) { exchange.sendQuestion(router, question); },
+              .news =
+                  [this](auto router, const auto &news) {
+                      exchange.sendNews(router, news);
+                  } })
 {
+    exchange.setStoreListeners(
+        { .onQuestion = [this](auto router, const auto &question) { relay.answer(router, question); },
+          .onNews =
+              [this](auto router, const auto &news) {
+                  relay.take(router, news);
+              } });
     counters.setGauge("marjoramloom_log_lines_dropped", "", [] { return static_cast<double>(droppedLogLines()); });
 }
 
@@ -100,6 +139,14 @@
     ready = now;
 }
 
+auto gateway_process::parts::join() -> asio::awaitable<void>
+{
+    co_await announcer.join();
+    relay.noteJoined();
+    log_line(log_level::info, "joined").with("routers", state.roster.size());
+    co_await announcer.lookForOthers();
+}
+
 auto gateway_process::parts::tickLoop() -> asio::awaitable<void>
 {
     auto timer = asio::steady_timer(context);
@@ -152,6 +199,8 @@
     log_line(log_level::info, "stop_begins").with("running", state.running);
     state.stopping = true;
     refreshReadiness();
+    asio::co_spawn(
+        context, [this] { return announcer.withdraw(); }, asio::detached);
     auto timer = asio::steady_timer(context, acceptAfterStop);
     co_await timer.async_wait(asio::use_awaitable);
     // What comes later might not be done before the process is ended.
@@ -199,11 +248,13 @@
     asio::co_spawn(
         all.context, [&all] { return all.feed.followServers(); }, asio::detached);
     asio::co_spawn(
-        all.context, [&all] { return all.exchange.join(); }, asio::detached);
+        all.context, [&all] { return all.join(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.relay.run(); }, asio::detached);
     asio::co_spawn(
         all.context, [&all] { return all.exchange.sendReports(); }, asio::detached);
     asio::co_spawn(
-        all.context, [&all] { return all.exchange.receiveReports(); }, asio::detached);
+        all.context, [&all] { return all.exchange.receive(); }, asio::detached);
     asio::co_spawn(
         all.context, [&all] { return all.tickLoop(); }, asio::detached);
     asio::co_spawn(
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-gateway_state::gateway_state(const gateway_settings &given, std::string ownDataCentre, counter_registry &registry,
+gateway_state::gateway_state(const gateway_settings &given, router_identity self, counter_registry &registry,
                              std::uint64_t seed)
     : settings(given)
-    , dataCentre(std::move(ownDataCentre))
+    , dataCentre(self.dataCentre)
     , counters(registry)
     , keys(given.keyLifetime)
     , servers([this](const listed_server &server, std::string_view change) {
@@ -30,6 +30,7 @@
             loads.forget(server);
         }
     })
+    , roster(std::move(self))
     , accounts(fleet)
     , placement(reading_pace())
     , random(seed)
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -1,112 +1,53 @@
 #include "marjoramloom/gateway/load_exchange.h"
 
-#include "load.pb.h"
+#include "datagram_codec.h"
 #include "marjoramloom/core/endpoint.h"
+#include "marjoramloom/core/hash.h"
 #include "marjoramloom/core/log.h"
-#include "marjoramloom/store/retry_backoff.h"
 
-#include <array>
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 
 namespace marjoramloom {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
-constexpr std::uint32_t datagramVersion = 1;
-/// Kind of the objects by which routers find each other.
-constexpr std::string_view routerKind = "routers";
+constexpr std::uint32_t datagramVersion = 2;
+/// Up to this many routers, each tells all others its load.
+constexpr std::size_t fullViewRouters = 12;
 /// Time between two reports. Engines read about 50 tokens a millisecond, so this is a few prompts of staleness.
-constexpr auto reportPeriod = std::chrono::milliseconds(60);
+constexpr auto fullViewPeriod = std::chrono::milliseconds(60);
+/// The same where only dispatchers get reports; these know what they placed themselves.
+constexpr auto dispatchPeriod = std::chrono::milliseconds(120);
 /// A report goes out at least this often, so that the others know that this router lives.
 constexpr auto quietPeriod = std::chrono::milliseconds(240);
-/// Reports are sent for this long to a router that was never heard of or fell silent.
-constexpr auto peerMemory = std::chrono::minutes(5);
-constexpr auto joinRetryFirst = std::chrono::milliseconds(200);
-constexpr auto joinRetryLimit = std::chrono::milliseconds(3'000);
+/// A report is answered by a heartbeat where none went to that router for this long.
+constexpr auto heartbeatPeriod = std::chrono::milliseconds(200);
+/// A dispatcher that fell silent is sent a report this often, to hear whether it is back.
+constexpr auto probePeriod = std::chrono::milliseconds(1'000);
+/// Silent dispatchers of a part that are looked after.
+constexpr std::size_t probedDispatchers = 3;
 constexpr auto datagramBytes = std::size_t(64) << 10U;
 
-auto makeDatagram(std::uint64_t sender) -> wire::RouterDatagram
-{
-    auto datagram = wire::RouterDatagram();
-    datagram.set_version(datagramVersion);
-    datagram.set_sender(sender);
-    return datagram;
-}
-
-/// Parts from two lists of equal length; nothing where the lengths differ.
-template<typename Message>
-auto readParts(const Message &message) -> std::optional<std::vector<prompt_part>>
-{
-    if (message.parts_size() != message.part_tokens_size()) {
-        return std::nullopt;
-    }
-    auto parts = std::vector<prompt_part>();
-    for (auto index = 0; index < message.parts_size(); ++index) {
-        parts.push_back({ message.parts(index), message.part_tokens(index) });
-    }
-    return parts;
-}
-
-template<typename Message>
-auto writeParts(const std::vector<prompt_part> &parts, Message &message) -> void
-{
-    for (const auto &part : parts) {
-        message.add_parts(part.id);
-        message.add_part_tokens(part.tokens);
-    }
-}
-
-auto toMicroseconds(duration span) -> std::uint32_t
-{
-    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::microseconds>(span).count());
-}
-
-auto toAnswer(const wire::PlacementAnswer &message) -> placement_answer
-{
-    return { .number = message.number(),
-             .sequence = message.sequence(),
-             .server = message.server(),
-             .tokensToRead = message.tokens_to_read(),
-             .wait = std::chrono::microseconds(message.wait_us()),
-             .firstEvent = std::chrono::microseconds(message.first_event_us()),
-             .running = message.running(),
-             .candidates = message.candidates() };
-}
-
-auto fill(const placement_answer &answer, wire::PlacementAnswer &message) -> void
-{
-    message.set_number(answer.number);
-    message.set_sequence(answer.sequence);
-    message.set_server(answer.server);
-    message.set_tokens_to_read(answer.tokensToRead);
-    message.set_wait_us(toMicroseconds(answer.wait));
-    message.set_first_event_us(toMicroseconds(answer.firstEvent));
-    message.set_running(answer.running);
-    message.set_candidates(answer.candidates);
-}
-
 } // namespace
 
-load_exchange::load_exchange(asio::any_io_executor executor, store_client &client, gateway_state &state,
-                             std::string instance, std::uint64_t incarnation)
+load_exchange::load_exchange(asio::any_io_executor executor, gateway_state &state, router_identity self,
+                             std::uint64_t incarnation)
     : m_executor(executor)
-    , m_client(client)
     , m_state(state)
-    , m_instance(std::move(instance))
+    , m_self(std::move(self))
     , m_incarnation(incarnation)
     , m_socket(executor)
     , m_unreadable(state.counters.at("marjoramloom_load_reports_unreadable_total"))
-    , m_received(state.counters.at("marjoramloom_load_reports_received_total"))
-    , m_dispatch(executor, state, incarnation,
-                 [this](std::uint64_t router, std::uint64_t number, const placement_query &query) {
-                     sendQuery(router, number, query);
-                 })
+    , m_received(state.counters.at("marjoramloom_datagrams_received_total"))
+    , m_sent(state.counters.at("marjoramloom_datagrams_sent_total"))
+    , m_dispatch(executor, state, [this](std::uint64_t router, std::uint64_t number, const placement_query &query) {
+        sendQuery(router, number, query);
+    })
 {
 }
 
@@ -116,7 +57,6 @@
     if (!endpoint) {
         return false;
     }
-    m_address = address;
     auto error = boost::system::error_code();
     const auto local = udp::endpoint(endpoint->address(), endpoint->port());
     m_socket.open(local.protocol(), error);
@@ -132,57 +72,38 @@
     return !error;
 }
 
-auto load_exchange::join() -> asio::awaitable<void>
+auto load_exchange::setStoreListeners(store_listeners listening) -> void
 {
-    auto backoff = retry_backoff(joinRetryFirst, joinRetryLimit, m_incarnation);
-    auto timer = asio::steady_timer(m_executor);
-    // Written before the others are read: of two routers that start together, one finds the other at least.
-    while (true) {
-        auto why = last_reason();
-        if (co_await announce(why) && co_await readRouters(why)) {
-            break;
-        }
-        log_line(log_level::warning, "join_failed").with("reason", why.text());
-        timer.expires_after(backoff.next());
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-    log_line(log_level::info, "joined").with("routers", m_peers.size());
+    m_listening = std::move(listening);
 }
 
-auto load_exchange::announce(last_reason &why) -> asio::awaitable<bool>
+auto load_exchange::dispatch() -> placement_dispatch &
 {
-    const auto value = json::serialize(json::object{ { "address", m_address } });
-    auto outcome = co_await m_client.create(std::string(routerKind), m_instance, value, why);
-    if (outcome.result == write_result::conflict && outcome.current.revision != 0 && outcome.current.value != value) {
-        outcome = co_await m_client.update(std::string(routerKind), m_instance, value, outcome.current.revision, why);
-    } else if (outcome.result == write_result::conflict && outcome.current.value == value) {
-        co_return true;
-    }
-    co_return outcome.result == write_result::written;
+    return m_dispatch;
 }
 
-auto load_exchange::readRouters(last_reason &why) -> asio::awaitable<bool>
+auto load_exchange::meet(router_identity identity) -> void
 {
-    const auto listed = co_await m_client.list(std::string(routerKind), why);
-    if (!listed) {
-        co_return false;
+    auto why = last_reason();
+    const auto endpoint = parseEndpoint(identity.address, why);
+    if (!endpoint) {
+        m_unreadable.add();
+        return;
     }
-    const auto now = system_clock_source().now();
-    for (const auto &object : listed->objects) {
-        auto error = boost::system::error_code();
-        const auto parsed = json::parse(object.value, error);
-        const auto *address = error || !parsed.is_object() ? nullptr : parsed.get_object().if_contains("address");
-        auto reason = last_reason();
-        const auto endpoint = address != nullptr && address->is_string()
-            ? parseEndpoint(std::string_view(address->get_string()), reason)
-            : std::nullopt;
-        if (!endpoint) {
-            log_line(log_level::warning, "router_unreadable").with("name", object.name);
-        } else if (object.name != m_instance) {
-            m_peers.emplace(udp::endpoint(endpoint->address(), endpoint->port()), now);
-        }
+    const auto id = router_roster::idOf(identity.address);
+    m_endpoints.insert_or_assign(id, udp::endpoint(endpoint->address(), endpoint->port()));
+    const auto address = identity.address;
+    if (m_state.roster.put(std::move(identity))) {
+        log_line(log_level::info, "router_met").with("address", address).with("routers", m_state.roster.size());
+        auto greeting = wire::RouterDatagram();
+        write(m_self, *greeting.mutable_identity());
+        send(id, greeting);
     }
-    co_return true;
+}
+
+auto load_exchange::hasFullView() const -> bool
+{
+    return m_state.roster.size() <= fullViewRouters;
 }
 
 auto load_exchange::sendReports() -> asio::awaitable<void>
@@ -191,56 +112,83 @@
     auto lastSent = time_point();
     auto wasBusy = false;
     while (true) {
-        timer.expires_after(reportPeriod);
+        timer.expires_after(hasFullView() ? fullViewPeriod : dispatchPeriod);
         co_await timer.async_wait(asio::use_awaitable);
         const auto now = system_clock_source().now();
         const auto isBusy = m_state.running > 0 || !m_state.unreportedReads.empty();
-        if (m_peers.empty() || (!isBusy && !wasBusy && now - lastSent < quietPeriod)) {
+        if (!isBusy && !wasBusy && now - lastSent < quietPeriod) {
             continue;
         }
         wasBusy = isBusy;
         lastSent = now;
-        std::erase_if(m_peers, [&](const auto &peer) { return now - peer.second > peerMemory; });
-        sendToAll(makeReport(false));
+        for (const auto &[router, scope] : reportTargets(now)) {
+            m_state.roster.noteAsked(router, now);
+            sendReport(router, scope, false);
+        }
+        m_state.unreportedReads.clear();
     }
 }
 
-auto load_exchange::receiveReports() -> asio::awaitable<void>
+auto load_exchange::report_scope::holds(const std::string &server) const -> bool
 {
-    auto buffer = std::vector<char>(datagramBytes);
-    auto from = udp::endpoint();
-    auto error = boost::system::error_code();
-    while (true) {
-        const auto count = co_await m_socket.async_receive_from(asio::buffer(buffer), from,
-                                                                asio::redirect_error(asio::use_awaitable, error));
-        if (error == asio::error::operation_aborted) {
-            co_return;
-        }
-        // Other errors are news of earlier datagrams that did not arrive.
-        if (!error) {
-            take({ buffer.data(), count }, from);
-        }
-    }
+    return parts.empty()
+        || std::any_of(parts.begin(), parts.end(), [&](const auto &part) { return part.holds(server); });
 }
 
-auto load_exchange::leave() -> void
+/// Who is told of which engines.
+auto load_exchange::reportTargets(time_point now) -> std::unordered_map<std::uint64_t, report_scope>
 {
-    sendToAll(makeReport(true));
+    auto targets = std::unordered_map<std::uint64_t, report_scope>();
+    if (hasFullView()) {
+        for (const auto router : m_state.roster.others()) {
+            targets.try_emplace(router);
+        }
+        return targets;
+    }
+    if (!m_state.routes) {
+        return targets;
+    }
+    for (const auto &service : m_state.routes->services()) {
+        if (!service.engine) {
+            continue;
+        }
+        const auto count = partCount(m_state.servers.usable(service.name).size());
+        for (auto part = std::uint32_t(0); part < count; ++part) {
+            probeSilentDispatchers(service.name, part, now);
+            const auto dispatcher = m_dispatch.dispatcherOf(service.name, part, now);
+            if (dispatcher != m_state.roster.self()) {
+                targets[dispatcher].parts.push_back({ .index = part, .count = count });
+            }
+        }
+    }
+    return targets;
 }
 
-auto load_exchange::dispatch() -> placement_dispatch &
+auto load_exchange::probeSilentDispatchers(const std::string &service, std::uint32_t part, time_point now) -> void
 {
-    return m_dispatch;
+    const auto &order = m_state.roster.dispatchOrder(hash64(service), part);
+    for (auto index = std::size_t(0); index < std::min(order.size(), probedDispatchers); ++index) {
+        const auto router = order[index];
+        if (m_state.roster.answers(router, now)) {
+            break;
+        }
+        auto &last = m_lastProbe[router];
+        if (now - last >= probePeriod) {
+            last = now;
+            sendReport(router, { .parts = { { .index = part, .count = part + 1 } } }, false);
+        }
+    }
 }
 
-auto load_exchange::makeReport(bool leaving) -> std::string
+auto load_exchange::fillReport(const report_scope &scope, wire::LoadReport &report) -> void
 {
-    auto datagram = makeDatagram(m_incarnation);
-    auto &report = *datagram.mutable_report();
     report.set_sequence(++m_sequence);
-    report.set_leaving(leaving);
     for (const auto &[run, load] : m_state.loads.all()) {
-        if (load.running > 0) {
+        if (load.running == 0) {
+            continue;
+        }
+        const auto server = scope.parts.empty() ? nullptr : m_state.servers.findUsable(run);
+        if (scope.parts.empty() || (server && scope.holds(server->id))) {
             auto *engine = report.add_engines();
             engine->set_server(run);
             engine->set_running(load.running);
@@ -252,51 +200,87 @@
         account->set_account(share.account);
         account->set_started_tokens(share.startedTokens);
     }
-    for (const auto &read : m_state.unreportedReads) {
-        auto *prompt = report.add_reads();
-        prompt->set_server(read.server);
-        writeParts(read.parts, *prompt);
-        prompt->set_own_tokens(read.ownTokens);
+    if (scope.parts.empty()) {
+        for (const auto &read : m_state.unreportedReads) {
+            write(read, *report.add_reads());
+        }
     }
-    m_state.unreportedReads.clear();
     for (const auto &[dispatcher, sequence] : m_dispatch.heard()) {
         auto *heard = report.add_heard();
         heard->set_dispatcher(dispatcher);
         heard->set_sequence(sequence);
     }
-    return datagram.SerializeAsString();
 }
 
-auto load_exchange::sendToAll(const std::string &datagram) -> void
+auto load_exchange::sendReport(std::uint64_t router, const report_scope &scope, bool leaving) -> void
 {
-    auto error = boost::system::error_code();
-    for (const auto &[peer, heardAt] : m_peers) {
-        // A datagram that cannot be sent now is as good as a lost one: the next report makes up for it.
-        m_socket.send_to(asio::buffer(datagram), peer, 0, error);
+    auto datagram = wire::RouterDatagram();
+    write(m_self, *datagram.mutable_identity());
+    fillReport(scope, *datagram.mutable_report());
+    datagram.mutable_report()->set_leaving(leaving);
+    send(router, datagram);
+}
+
+auto load_exchange::leave() -> void
+{
+    for (const auto router : m_state.roster.others()) {
+        sendReport(router, {}, true);
     }
 }
 
 auto load_exchange::sendQuery(std::uint64_t router, std::uint64_t number, const placement_query &query) -> void
+{
+    auto datagram = wire::RouterDatagram();
+    write(query, *datagram.mutable_query());
+    datagram.mutable_query()->set_number(number);
+    send(router, datagram);
+}
+
+auto load_exchange::sendQuestion(std::uint64_t router, const store_question &question) -> void
+{
+    auto datagram = wire::RouterDatagram();
+    datagram.mutable_question()->set_number(question.number);
+    datagram.mutable_question()->set_servers_revision(question.serversRevision);
+    send(router, datagram);
+}
+
+auto load_exchange::sendNews(std::uint64_t router, const store_news &news) -> void
+{
+    auto datagram = wire::RouterDatagram();
+    write(news, *datagram.mutable_news());
+    send(router, datagram);
+}
+
+auto load_exchange::send(std::uint64_t router, wire::RouterDatagram &datagram) -> void
 {
     const auto endpoint = m_endpoints.find(router);
     if (endpoint == m_endpoints.end()) {
         return;
     }
-    auto datagram = makeDatagram(m_incarnation);
-    auto &message = *datagram.mutable_query();
-    message.set_number(number);
-    message.set_service(query.service);
-    writeParts(query.prompt.parts, message);
-    message.set_prompt_tokens(query.prompt.promptTokens);
-    message.set_account(query.account);
-    message.set_cost_tokens(query.cost);
-    message.set_objective_ms(
-        static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(query.objective).count()));
+    datagram.set_version(datagramVersion);
+    datagram.set_sender(m_incarnation);
+    datagram.set_router(m_state.roster.self());
+    m_sent.add();
     auto error = boost::system::error_code();
+    // A datagram that cannot be sent now is as good as a lost one.
     m_socket.send_to(asio::buffer(datagram.SerializeAsString()), endpoint->second, 0, error);
 }
 
-auto load_exchange::take(std::string_view bytes, const udp::endpoint &from) -> void
+auto load_exchange::receive() -> asio::awaitable<void>
+{
+    auto buffer = std::vector<char>(datagramBytes);
+    auto from = udp::endpoint();
+    while (true) {
+        auto error = boost::system::error_code();
+        const auto bytes = co_await m_socket.async_receive_from(asio::buffer(buffer), from,
+                                                                asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            take({ buffer.data(), bytes });
+        }
+    }
+}
+
+auto load_exchange::take(std::string_view bytes) -> void
 {
     auto datagram = wire::RouterDatagram();
     if (!datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))
@@ -304,78 +288,87 @@
         m_unreadable.add();
         return;
     }
-    if (datagram.sender() == m_incarnation) {
+    const auto router = datagram.router();
+    if (router == m_state.roster.self()) {
         return;
     }
     m_received.add();
-    m_peers.insert_or_assign(from, system_clock_source().now());
-    if (m_endpoints.insert_or_assign(datagram.sender(), from).second) {
-        // A router that starts again keeps its address and takes another incarnation.
-        std::erase_if(m_endpoints,
-                      [&](const auto &known) { return known.second == from && known.first != datagram.sender(); });
+    if (datagram.has_identity() && !m_state.roster.knows(router)) {
+        meet(readIdentity(datagram.identity()));
     }
+    m_state.roster.noteHeard(router);
     if (datagram.has_report()) {
-        takeReport(datagram.sender(), datagram.report());
+        takeReport(router, datagram.sender(), datagram.report());
     }
     if (datagram.has_query()) {
-        takeQuery(datagram.sender(), datagram.query(), from);
+        takeQuery(router, datagram.sender(), datagram.query());
     }
     if (datagram.has_answer()) {
-        m_dispatch.take(datagram.sender(), toAnswer(datagram.answer()));
+        m_dispatch.take(datagram.sender(), readAnswer(datagram.answer()));
+    }
+    if (datagram.has_question() && m_listening.onQuestion) {
+        m_listening.onQuestion(
+            router,
+            { .number = datagram.question().number(), .serversRevision = datagram.question().servers_revision() });
+    }
+    if (datagram.has_news() && m_listening.onNews) {
+        m_listening.onNews(router, readNews(datagram.news()));
     }
 }
 
-auto load_exchange::takeReport(std::uint64_t sender, const wire::LoadReport &report) -> void
+auto load_exchange::takeReport(std::uint64_t router, std::uint64_t incarnation, const wire::LoadReport &report) -> void
 {
+    const auto now = system_clock_source().now();
     if (report.leaving()) {
-        m_state.fleet.drop(sender);
-        m_endpoints.erase(sender);
+        m_state.fleet.drop(incarnation);
+        m_state.roster.noteLeft(router, now);
         return;
     }
-    auto snapshot = load_snapshot{ .router = sender, .sequence = report.sequence(), .engines = {}, .accounts = {} };
-    for (const auto &engine : report.engines()) {
-        snapshot.engines.push_back({ engine.server(), engine.running(), engine.unread_tokens() });
-    }
-    for (const auto &account : report.accounts()) {
-        snapshot.accounts.push_back({ account.account(), account.started_tokens() });
-    }
-    if (m_state.fleet.take(std::move(snapshot), system_clock_source().now())) {
+    if (m_state.fleet.take(readReport(incarnation, report), now)) {
         for (const auto &heard : report.heard()) {
             if (heard.dispatcher() == m_incarnation) {
-                m_state.placements.settle(sender, heard.sequence());
+                m_state.placements.settle(incarnation, heard.sequence());
             }
         }
     }
-    for (const auto &read : report.reads()) {
-        auto *load = m_state.loads.find(read.server());
-        const auto parts = readParts(read);
-        if (load != nullptr && parts) {
-            load->parts.noteRead(*parts, read.own_tokens());
+    for (const auto &message : report.reads()) {
+        const auto read = readPrompt(message);
+        auto *load = read ? m_state.loads.find(read->server) : nullptr;
+        if (load != nullptr) {
+            load->parts.noteRead(read->parts, read->ownTokens);
         }
     }
+    if (!hasFullView()) {
+        acknowledge(router, now);
+    }
 }
 
-auto load_exchange::takeQuery(std::uint64_t sender, const wire::PlacementQuery &query, const udp::endpoint &from)
+/// Shows a router that reports here that this one lives.
+auto load_exchange::acknowledge(std::uint64_t router, time_point now) -> void
+{
+    auto &last = m_lastHeartbeat[router];
+    if (now - last >= heartbeatPeriod) {
+        last = now;
+        auto heartbeat = wire::RouterDatagram();
+        send(router, heartbeat);
+    }
+}
+
+auto load_exchange::takeQuery(std::uint64_t router, std::uint64_t incarnation, const wire::PlacementQuery &message)
     -> void
 {
-    auto parts = readParts(query);
-    if (!parts) {
+    const auto query = readQuery(message);
+    if (!query) {
         m_unreadable.add();
         return;
     }
-    auto asked = placement_query{ .service = query.service(), .prompt = {}, .account = query.account() };
-    asked.prompt.parts = std::move(*parts);
-    asked.prompt.promptTokens = query.prompt_tokens();
-    asked.cost = query.cost_tokens();
-    asked.objective = std::chrono::milliseconds(query.objective_ms());
-    const auto answer = m_dispatch.answer(sender, query.number(), asked);
+    const auto answer = m_dispatch.answer(incarnation, message.number(), *query);
     if (!answer) {
         return;
     }
-    auto datagram = makeDatagram(m_incarnation);
-    fill(*answer, *datagram.mutable_answer());
-    auto error = boost::system::error_code();
-    m_socket.send_to(asio::buffer(datagram.SerializeAsString()), from, 0, error);
+    auto datagram = wire::RouterDatagram();
+    write(*answer, *datagram.mutable_answer());
+    send(router, datagram);
 }
 
 } // namespace marjoramloom
--- a/src/gateway/placement_dispatch.cpp
+++ b/src/gateway/placement_dispatch.cpp
@@ -10,11 +10,9 @@
 
 namespace asio = boost::asio;
 
-placement_dispatch::placement_dispatch(asio::any_io_executor executor, gateway_state &state, std::uint64_t incarnation,
-                                       send_query send)
+placement_dispatch::placement_dispatch(asio::any_io_executor executor, gateway_state &state, send_query send)
     : m_executor(std::move(executor))
     , m_state(state)
-    , m_incarnation(incarnation)
     , m_send(std::move(send))
     , m_answered(state.counters.at("marjoramloom_placements_total", "by=\"dispatcher\""))
     , m_missed(state.counters.at("marjoramloom_placements_total", "by=\"own_view\""))
@@ -24,10 +22,10 @@
 auto placement_dispatch::decide(const placement_query &query, last_reason &why)
     -> asio::awaitable<std::optional<engine_decision>>
 {
-    const auto dispatcher = dispatcherOf(query.service, system_clock_source().now());
-    if (dispatcher != m_incarnation) {
+    const auto dispatcher = dispatcherOf(query.service, query.part.index, system_clock_source().now());
+    if (dispatcher != m_state.roster.self()) {
         const auto answer = co_await ask(dispatcher, query);
-        auto decision = answer ? toDecision(*answer, query, why) : std::nullopt;
+        auto decision = answer ? toDecision(*answer, why) : std::nullopt;
         if (decision) {
             m_answered.add();
             co_return decision;
@@ -37,25 +35,23 @@
     co_return decideEngine(m_state, query, {}, system_clock_source().now(), why);
 }
 
-auto placement_dispatch::dispatcherOf(const std::string &service, time_point now) -> std::uint64_t
+auto placement_dispatch::dispatcherOf(const std::string &service, std::uint32_t part, time_point now) -> std::uint64_t
 {
-    if (now < m_passedOverUntil) {
-        return m_incarnation;
-    }
-    m_state.fleet.expire(now);
-    const auto seed = hash64(service);
-    const auto scoreOf = [&](std::uint64_t router) {
-        return hash64(std::to_string(router), seed);
-    };
-    auto best = m_incarnation;
-    auto bestScore = scoreOf(best);
-    for (const auto router : m_state.fleet.heardRouters()) {
-        if (const auto score = scoreOf(router); score > bestScore) {
-            best = router;
-            bestScore = score;
+    const auto &order = m_state.roster.dispatchOrder(hash64(service), part);
+    auto passedOver = std::size_t(0);
+    for (const auto router : order) {
+        if (!m_state.roster.answers(router, now)) {
+            continue;
+        }
+        const auto asked = m_asked.find(router);
+        if (asked == m_asked.end() || now >= asked->second.passedOverUntil) {
+            return router;
+        }
+        if (++passedOver == DISPATCHERS_TRIED) {
+            break;
         }
     }
-    return best;
+    return m_state.roster.self();
 }
 
 auto placement_dispatch::ask(std::uint64_t dispatcher, const placement_query &query)
@@ -69,38 +65,38 @@
     auto error = boost::system::error_code();
     co_await waiting->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     m_waiting.erase(number);
+    auto &asked = m_asked[dispatcher];
     if (waiting->answer) {
-        m_misses = 0;
-    } else if (++m_misses >= MISSES_ALLOWED) {
-        m_misses = 0;
-        m_passedOverUntil = system_clock_source().now() + PASS_TIME;
+        asked.misses = 0;
+    } else if (++asked.misses >= MISSES_ALLOWED) {
+        asked.misses = 0;
+        asked.passedOverUntil = system_clock_source().now() + PASS_TIME;
         log_line(log_level::warning, "dispatcher_silent").with("dispatcher", dispatcher).with("service", query.service);
     }
     co_return waiting->answer;
 }
 
-auto placement_dispatch::toDecision(const placement_answer &answer, const placement_query &query,
-                                    last_reason &why) const -> std::optional<engine_decision>
+auto placement_dispatch::toDecision(const placement_answer &answer, last_reason &why) const
+    -> std::optional<engine_decision>
 {
     if (answer.server == 0) {
         why.fail(failure_kind::overloaded, "choose engine", "dispatcher", "the first event would be late");
         return engine_decision{};
     }
-    for (const auto &server : m_state.servers.usable(query.service)) {
-        if (server_loads::runId(*server) == answer.server) {
-            auto chosen = chosen_server{ .server = server,
-                                         .tokensToRead = answer.tokensToRead,
-                                         .wait = answer.wait,
-                                         .firstEvent = answer.firstEvent,
-                                         .running = answer.running,
-                                         .candidates = answer.candidates };
-            return engine_decision{ .chosen = std::move(chosen), .everyoneFull = false };
-        }
+    auto server = m_state.servers.findUsable(answer.server);
+    if (!server) {
+        return std::nullopt; // This router knows more of that server, or less.
     }
-    return std::nullopt; // This router knows more of that server, or less.
+    return engine_decision{ .chosen = chosen_server{ .server = std::move(server),
+                                                     .tokensToRead = answer.tokensToRead,
+                                                     .wait = answer.wait,
+                                                     .firstEvent = answer.firstEvent,
+                                                     .running = answer.running,
+                                                     .candidates = answer.candidates },
+                            .everyoneFull = false };
 }
 
-auto placement_dispatch::answer(std::uint64_t router, std::uint64_t number, const placement_query &query)
+auto placement_dispatch::answer(std::uint64_t asking, std::uint64_t number, const placement_query &query)
     -> std::optional<placement_answer>
 {
     const auto now = system_clock_source().now();
@@ -115,7 +111,7 @@
     }
     const auto &chosen = *decision->chosen;
     answer.server = server_loads::runId(*chosen.server);
-    answer.sequence = m_state.placements.add(router, answer.server, chosen.tokensToRead, now);
+    answer.sequence = m_state.placements.add(asking, answer.server, chosen.tokensToRead, now);
     answer.tokensToRead = chosen.tokensToRead;
     answer.wait = chosen.wait;
     answer.firstEvent = chosen.firstEvent;
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -5,7 +5,9 @@
 #include "platform/configuration_format.h"
 #include "platform/server_format.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace marjoramloom {
@@ -26,30 +28,61 @@
 
 } // namespace
 
-platform_feed::platform_feed(store_client &client, gateway_state &state, std::function<void()> onRoutes)
-    : m_client(client)
+platform_feed::platform_feed(asio::any_io_executor executor, store_client &client, gateway_state &state,
+                             listeners listening)
+    : m_executor(executor)
+    , m_client(client)
     , m_state(state)
-    , m_onRoutes(std::move(onRoutes))
+    , m_listening(std::move(listening))
+    , m_gate(executor, time_point::max())
     , m_lastAnswer(system_clock_source().now())
 {
 }
 
-/// Lists a kind by \p list and watches it from there on, again and again.
+/// Watches a kind from the revision \p known on, and lists it by \p list where that is 0 or no longer kept.
 template<typename List>
-auto platform_feed::follow(std::string_view kind, List list, watch_callback onEvent) -> asio::awaitable<void>
+auto platform_feed::follow(std::string_view kind, List list, watch_callback onEvent, std::uint64_t &known)
+    -> asio::awaitable<void>
 {
     auto backoff = retry_backoff(listRetryFirst, listRetryLimit, m_state.random());
     while (true) {
-        auto why = last_reason();
-        const auto revision = co_await list(why);
-        if (!revision) {
-            onFailure(why);
-            co_await pause(backoff);
-            continue;
+        co_await waitUntilWatching();
+        if (known == 0) {
+            auto why = last_reason();
+            if (!co_await list(why)) {
+                onFailure(why);
+                co_await pause(backoff);
+                continue;
+            }
         }
         backoff.reset();
         auto kinds = std::vector<std::string>(1, std::string(kind));
-        co_await m_client.watch(std::move(kinds), *revision, onEvent);
+        if (co_await m_client.watch(std::move(kinds), known, onEvent) == watch_end::expired) {
+            known = 0;
+        }
+    }
+}
+
+auto platform_feed::waitUntilWatching() -> asio::awaitable<void>
+{
+    while (!m_watching) {
+        auto error = boost::system::error_code();
+        co_await m_gate.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+auto platform_feed::setWatching(bool watching, time_point now) -> void
+{
+    if (watching == m_watching) {
+        return;
+    }
+    m_watching = watching;
+    log_line(log_level::info, "store_watch").with("watches", watching ? "yes" : "no");
+    if (watching) {
+        m_lastAnswer = now;
+        // Read at once: a watch proves that the keys are in force only when its first wait is over.
+        m_configurationSeen = 0;
+        m_gate.cancel();
     }
 }
 
@@ -59,16 +92,23 @@
         return listConfiguration(why);
     };
     const auto onEvent = watch_callback([this](const watch_event &event) {
-        onAnswer();
-        if (event.kind == watch_event_kind::put && event.object.name == platform::configurationName) {
-            applyConfiguration(event.object);
-        }
-        if (event.kind == watch_event_kind::bookmark && m_hasNewest) {
-            m_state.keys.noteProof(event.askedAt);
-        }
-        return true;
+        onConfigurationEvent(event);
+        return m_watching;
     });
-    co_await follow(platform::configurationKind, list, onEvent);
+    co_await follow(platform::configurationKind, list, onEvent, m_configurationSeen);
+}
+
+auto platform_feed::onConfigurationEvent(const watch_event &event) -> void
+{
+    onAnswer();
+    m_configurationSeen = std::max(m_configurationSeen, event.revision);
+    if (event.kind == watch_event_kind::put && event.object.name == platform::configurationName) {
+        applyConfiguration(event.object);
+        m_listening.onNews();
+    }
+    if (event.kind == watch_event_kind::bookmark && m_hasNewest) {
+        m_state.keys.noteProof(event.askedAt);
+    }
 }
 
 auto platform_feed::listConfiguration(last_reason &why) -> asio::awaitable<std::optional<std::uint64_t>>
@@ -85,6 +125,7 @@
             m_state.keys.noteProof(askedAt);
         }
     }
+    m_configurationSeen = std::max(m_configurationSeen, listed->revision);
     co_return listed->revision;
 }
 
@@ -112,7 +153,7 @@
         .with("revision", object.revision)
         .with("routes", m_state.routes->routeCount())
         .with("keys", m_state.routes->keyCount());
-    m_onRoutes();
+    m_listening.onRoutes();
     return true;
 }
 
@@ -122,13 +163,25 @@
         return listServers(why);
     };
     const auto onEvent = watch_callback([this](const watch_event &event) {
-        onAnswer();
-        if (event.kind != watch_event_kind::bookmark) {
-            applyServer(event);
-        }
-        return true;
+        onServerEvent(event);
+        return m_watching;
     });
-    co_await follow(platform::serverKind, list, onEvent);
+    co_await follow(platform::serverKind, list, onEvent, m_serversSeen);
+}
+
+auto platform_feed::onServerEvent(const watch_event &event) -> void
+{
+    onAnswer();
+    m_serversSeen = std::max(m_serversSeen, event.revision);
+    if (event.kind != watch_event_kind::bookmark) {
+        applyServer({ .object = event.object, .removed = event.kind == watch_event_kind::remove });
+        m_serversChanged = true;
+        return;
+    }
+    m_servers.reach(event.revision);
+    if (std::exchange(m_serversChanged, false)) {
+        m_listening.onNews();
+    }
 }
 
 auto platform_feed::listServers(last_reason &why) -> asio::awaitable<std::optional<std::uint64_t>>
@@ -149,28 +202,113 @@
     }
     m_state.servers.replaceAll(std::move(servers), system_clock_source().now());
     m_state.hasServers = true;
+    m_servers.restart(listed->revision);
+    m_serversSeen = listed->revision;
+    m_listening.onNews();
     co_return listed->revision;
 }
 
-auto platform_feed::applyServer(const watch_event &event) -> void
+auto platform_feed::applyServer(const server_change &change) -> void
 {
+    if (change.object.revision <= m_servers.revision()) {
+        return; // Known by another way.
+    }
     const auto now = system_clock_source().now();
-    if (event.kind == watch_event_kind::remove) {
-        m_state.servers.remove(event.object.name, now);
+    m_servers.add(change);
+    if (change.removed) {
+        m_state.servers.remove(change.object.name, now);
         return;
     }
     auto why = last_reason();
-    if (auto server = platform::decodeServer(event.object, why)) {
+    if (auto server = platform::decodeServer(change.object, why)) {
         m_state.servers.put(std::move(*server), now);
     } else {
-        log_line(log_level::warning, "server_unreadable").with("server", event.object.name).with("reason", why.text());
-        m_state.servers.remove(event.object.name, now);
+        log_line(log_level::warning, "server_unreadable").with("server", change.object.name).with("reason", why.text());
+        m_state.servers.remove(change.object.name, now);
+    }
+}
+
+auto platform_feed::serversRevision() const -> std::uint64_t
+{
+    return m_servers.revision();
+}
+
+auto platform_feed::newsSince(std::uint64_t serversRevision) const -> store_news
+{
+    auto news = store_news();
+    const auto age = m_state.keys.age(boot_clock::now());
+    if (m_hasNewest && m_state.keys.holds(boot_clock::now())) {
+        // Rounded up, so that the proof never looks newer than it is.
+        news.proofAge = std::chrono::ceil<std::chrono::milliseconds>(age);
+    }
+    news.configurationRevision = m_configurationRevision;
+    auto changes = m_servers.since(serversRevision, CHANGES_PER_NEWS);
+    news.serversAfter = changes ? serversRevision : m_servers.revision();
+    news.serversRevision = m_servers.revision();
+    if (changes && changes->size() == CHANGES_PER_NEWS) {
+        news.serversRevision = changes->back().object.revision;
+    }
+    if (changes) {
+        news.changes = std::move(*changes);
+    }
+    news.storeLost = m_storeLost;
+    news.renewalLeft = m_state.servers.renewalLeft(system_clock_source().now());
+    return news;
+}
+
+auto platform_feed::take(const store_news &news, std::optional<boot_time> askedAt) -> bool
+{
+    if (m_watching) {
+        // The store itself is asked; the news only show whether it has to be.
+        return !news.storeLost && news.configurationRevision >= m_configurationRevision;
+    }
+    const auto now = system_clock_source().now();
+    if (news.storeLost) {
+        m_storeLost = true;
+        m_state.servers.onStoreLost();
+        return false;
+    }
+    m_storeLost = false;
+    m_state.servers.onStoreRegained(now);
+    m_state.servers.expectRenewals(now + news.renewalLeft);
+    const auto knowsServers = m_state.hasServers && news.serversAfter <= m_servers.revision();
+    if (knowsServers) {
+        for (const auto &change : news.changes) {
+            applyServer(change);
+        }
+        m_servers.reach(news.serversRevision);
+        m_serversSeen = std::max(m_serversSeen, news.serversRevision);
+    }
+    const auto isNewest = news.configurationRevision <= m_configurationRevision;
+    if (isNewest && m_hasNewest && news.proofAge && askedAt) {
+        m_state.keys.noteProof(*askedAt - *news.proofAge);
+    }
+    m_wantsServers = m_wantsServers || (!knowsServers && news.serversRevision > 0);
+    m_wantsConfiguration = m_wantsConfiguration || !isNewest;
+    if ((m_wantsServers || m_wantsConfiguration) && !m_refreshing) {
+        asio::co_spawn(
+            m_executor, [this] { return refresh(); }, asio::detached);
+    }
+    return knowsServers && isNewest;
+}
+
+/// Reads once from the store what the news of others do not carry; the next news begin another try.
+auto platform_feed::refresh() -> asio::awaitable<void>
+{
+    m_refreshing = true;
+    auto why = last_reason();
+    if (std::exchange(m_wantsConfiguration, false) && !co_await listConfiguration(why)) {
+        log_line(log_level::warning, "refresh_failed").with("reason", why.text());
+    }
+    if (std::exchange(m_wantsServers, false) && !co_await listServers(why)) {
+        log_line(log_level::warning, "refresh_failed").with("reason", why.text());
     }
+    m_refreshing = false;
 }
 
 auto platform_feed::tick(time_point now) -> void
 {
-    if (!m_storeLost && now - m_lastAnswer > SILENCE_LIMIT) {
+    if (m_watching && !m_storeLost && now - m_lastAnswer > SILENCE_LIMIT) {
         auto why = last_reason();
         why.fail(failure_kind::unavailable, "watch", "platform", "no answer");
         onFailure(why);
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -62,6 +62,11 @@
     return found == m_services.end() ? nullptr : &m_content.services[found->second];
 }
 
+auto route_table::services() const -> const std::vector<routed_service> &
+{
+    return m_content.services;
+}
+
 auto route_table::limits() const -> const caller_limits &
 {
     return m_content.limits;
--- /dev/null
+++ b/src/gateway/router_roster.cpp
@@ -0,0 +1,159 @@
+#include "marjoramloom/gateway/router_roster.h"
+
+#include "marjoramloom/core/hash.h"
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+namespace marjoramloom {
+
+namespace {
+
+/// Seed of the order of watchers.
+constexpr std::uint64_t watchSeed = 1;
+
+} // namespace
+
+router_roster::router_roster(router_identity self)
+    : m_self(idOf(self.address))
+{
+    put(std::move(self));
+}
+
+auto router_roster::idOf(const std::string &address) -> std::uint64_t
+{
+    return hash64(address);
+}
+
+auto router_roster::self() const -> std::uint64_t
+{
+    return m_self;
+}
+
+auto router_roster::size() const -> std::size_t
+{
+    return m_routers.size();
+}
+
+auto router_roster::knows(std::uint64_t id) const -> bool
+{
+    return m_routers.contains(id);
+}
+
+auto router_roster::others() const -> std::vector<std::uint64_t>
+{
+    auto ids = std::vector<std::uint64_t>();
+    ids.reserve(m_routers.size());
+    for (const auto &[id, router] : m_routers) {
+        if (id != m_self) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+auto router_roster::put(router_identity identity) -> bool
+{
+    const auto id = idOf(identity.address);
+    const auto [entry, added] = m_routers.try_emplace(id);
+    auto &known = entry->second.identity;
+    const auto changed = added || known.dataCentre != identity.dataCentre || known.cores != identity.cores;
+    known = std::move(identity);
+    if (changed) {
+        m_dispatchOrders.clear();
+        m_watchOrder.clear();
+    }
+    return added;
+}
+
+auto router_roster::noteAsked(std::uint64_t id, time_point now) -> void
+{
+    const auto found = m_routers.find(id);
+    if (found != m_routers.end() && !found->second.unansweredSince) {
+        found->second.unansweredSince = now;
+    }
+}
+
+auto router_roster::noteHeard(std::uint64_t id) -> void
+{
+    const auto found = m_routers.find(id);
+    if (found != m_routers.end()) {
+        found->second.unansweredSince.reset();
+        found->second.left = false;
+    }
+}
+
+auto router_roster::noteLeft(std::uint64_t id, time_point now) -> void
+{
+    noteAsked(id, now);
+    const auto found = m_routers.find(id);
+    if (found != m_routers.end()) {
+        found->second.left = true;
+    }
+}
+
+auto router_roster::answers(std::uint64_t id, time_point now) const -> bool
+{
+    if (id == m_self) {
+        return true;
+    }
+    const auto found = m_routers.find(id);
+    if (found == m_routers.end() || found->second.left) {
+        return false;
+    }
+    return !found->second.unansweredSince || now - *found->second.unansweredSince <= SILENCE_LIMIT;
+}
+
+auto router_roster::dispatchOrder(std::uint64_t service, std::uint32_t part) -> const std::vector<std::uint64_t> &
+{
+    auto &order = m_dispatchOrders[service + part];
+    if (!order.empty()) {
+        return order;
+    }
+    auto most = 0.0;
+    for (const auto &[id, router] : m_routers) {
+        most = std::max(most, router.identity.cores);
+    }
+    auto ranked = std::vector<std::tuple<bool, std::uint64_t, std::uint64_t>>();
+    auto large = std::size_t(0);
+    for (const auto &[id, router] : m_routers) {
+        const auto isSmall = router.identity.cores < LARGE_PART * most;
+        ranked.emplace_back(isSmall, hash64(router.identity.address, service), id);
+        large += isSmall ? 0 : 1;
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::rotate(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(part % large),
+                ranked.begin() + static_cast<std::ptrdiff_t>(large));
+    for (const auto &[isSmall, score, id] : ranked) {
+        order.push_back(id);
+    }
+    return order;
+}
+
+auto router_roster::watchOrder() -> const std::vector<std::uint64_t> &
+{
+    if (m_watchOrder.empty()) {
+        const auto &here = m_routers.at(m_self).identity.dataCentre;
+        auto ranked = std::vector<std::pair<std::uint64_t, std::uint64_t>>();
+        for (const auto &[id, router] : m_routers) {
+            if (router.identity.dataCentre == here) {
+                ranked.emplace_back(hash64(router.identity.address, watchSeed), id);
+            }
+        }
+        std::sort(ranked.begin(), ranked.end());
+        for (const auto &[score, id] : ranked) {
+            m_watchOrder.push_back(id);
+        }
+    }
+    return m_watchOrder;
+}
+
+auto router_roster::firstAnswering(const std::vector<std::uint64_t> &order, time_point now) const -> std::uint64_t
+{
+    assert(!order.empty());
+    const auto found = std::find_if(order.begin(), order.end(), [&](auto id) { return answers(id, now); });
+    return found == order.end() ? m_self : *found;
+}
+
+} // namespace marjoramloom
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -14,22 +14,13 @@
 /// The part of an engine's memory that running requests leave to kept parts.
 constexpr double keptShare = 0.85;
 
-/// The id by which prompts that share all but their last part find the same engine.
-auto sharedPart(const prompt_outline &prompt) -> std::uint64_t
-{
-    if (prompt.parts.empty()) {
-        return 0;
-    }
-    return prompt.parts.size() == 1 ? prompt.parts.front().id : prompt.parts[prompt.parts.size() - 2].id;
-}
-
-/// The servers of \p service that take new requests and are not among \p tried.
-auto openServers(const gateway_state &state, const routed_service &service, const std::set<std::string> &tried,
-                 last_reason &why) -> std::optional<server_list>
+/// The servers in \p part of \p service that take new requests and are not among \p tried.
+auto openServers(const gateway_state &state, const routed_service &service, const engine_part &part,
+                 const std::set<std::string> &tried, last_reason &why) -> std::optional<server_list>
 {
     auto servers = server_list();
     for (const auto &server : state.servers.usable(service.name)) {
-        if (!tried.contains(server->id)) {
+        if (part.holds(server->id) && !tried.contains(server->id)) {
             servers.push_back(server);
         }
     }
@@ -58,11 +49,12 @@
     return route.targets.back().service;
 }
 
-auto chooseEngine(gateway_state &state, const routed_service &service, const prompt_outline &prompt,
-                  const std::set<std::string> &tried, time_point now, last_reason &why) -> std::optional<chosen_server>
+auto chooseEngine(gateway_state &state, const routed_service &service, const engine_part &part,
+                  const prompt_outline &prompt, const std::set<std::string> &tried, time_point now, last_reason &why)
+    -> std::optional<chosen_server>
 {
     assert(service.engine);
-    const auto servers = openServers(state, service, tried, why);
+    const auto servers = openServers(state, service, part, tried, why);
     if (!servers) {
         return std::nullopt;
     }
@@ -101,7 +93,7 @@
 auto choosePlain(gateway_state &state, const routed_service &service, const std::set<std::string> &tried,
                  time_point now, last_reason &why) -> std::optional<chosen_server>
 {
-    const auto servers = openServers(state, service, tried, why);
+    const auto servers = openServers(state, service, {}, tried, why);
     if (!servers) {
         return std::nullopt;
     }
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -1,5 +1,8 @@
 #include "marjoramloom/gateway/server_directory.h"
 
+#include "marjoramloom/gateway/server_loads.h"
+
+#include <algorithm>
 #include <cassert>
 #include <set>
 
@@ -83,6 +86,19 @@
     }
 }
 
+auto server_directory::expectRenewals(time_point until) -> void
+{
+    if (!m_renewalEnds || *m_renewalEnds < until) {
+        m_renewalEnds = until;
+    }
+}
+
+auto server_directory::renewalLeft(time_point now) const -> std::chrono::milliseconds
+{
+    const auto left = m_renewalEnds ? *m_renewalEnds - now : duration::zero();
+    return std::chrono::ceil<std::chrono::milliseconds>(std::max<duration>(left, duration::zero()));
+}
+
 auto server_directory::tick(time_point now) -> void
 {
     auto ended = std::vector<std::string>();
@@ -120,6 +136,12 @@
         && !found->second.misdirected && found->second.server->service == server.service;
 }
 
+auto server_directory::findUsable(std::uint64_t run) const -> server_ptr
+{
+    const auto found = m_usableByRun.find(run);
+    return found == m_usableByRun.end() ? nullptr : found->second;
+}
+
 auto server_directory::isListed(const listed_server &server) const -> bool
 {
     const auto found = m_entries.find(server.id);
@@ -148,9 +170,11 @@
 auto server_directory::rebuild() -> void
 {
     m_usable.clear();
+    m_usableByRun.clear();
     for (const auto &[id, held] : m_entries) {
         if (!held.server->leaving && !held.misdirected) {
             m_usable[held.server->service].push_back(held.server);
+            m_usableByRun.emplace(server_loads::runId(*held.server), held.server);
         }
     }
 }
--- /dev/null
+++ b/src/gateway/server_log.cpp
@@ -0,0 +1,48 @@
+#include "marjoramloom/gateway/server_log.h"
+
+#include <algorithm>
+
+namespace marjoramloom {
+
+auto server_log::restart(std::uint64_t revision) -> void
+{
+    m_changes.clear();
+    m_start = revision;
+    m_revision = revision;
+}
+
+auto server_log::add(server_change change) -> void
+{
+    m_revision = std::max(m_revision, change.object.revision);
+    m_changes.push_back(std::move(change));
+    if (m_changes.size() > LENGTH) {
+        m_start = m_changes.front().object.revision;
+        m_changes.pop_front();
+    }
+}
+
+auto server_log::reach(std::uint64_t revision) -> void
+{
+    m_revision = std::max(m_revision, revision);
+}
+
+auto server_log::revision() const -> std::uint64_t
+{
+    return m_revision;
+}
+
+auto server_log::since(std::uint64_t after, std::size_t limit) const -> std::optional<std::vector<server_change>>
+{
+    if (after < m_start) {
+        return std::nullopt;
+    }
+    auto changes = std::vector<server_change>();
+    for (const auto &change : m_changes) {
+        if (change.object.revision > after && changes.size() < limit) {
+            changes.push_back(change);
+        }
+    }
+    return changes;
+}
+
+} // namespace marjoramloom
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -92,7 +92,8 @@
     co_return platform::decodeObject(kind, response->body(), why);
 }
 
-auto store_client::list(std::string kind, last_reason &why) -> asio::awaitable<std::optional<object_list>>
+auto store_client::list(std::string kind, last_reason &why, read_freshness freshness)
+    -> asio::awaitable<std::optional<object_list>>
 {
     auto listed = object_list();
     auto unreadable = std::size_t(0);
@@ -100,7 +101,7 @@
     while (true) {
         auto sent = sent_state::notSent;
         const auto response =
-            co_await call(makeRequest(http::verb::get, platform::pageTarget(kind, after)), true, sent, why);
+            co_await call(makeRequest(http::verb::get, platform::pageTarget(kind, after, freshness)), true, sent, why);
         if (!response) {
             co_return std::nullopt;
         }
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -48,9 +48,14 @@
     auto connection = std::shared_ptr<store_connection>();
     while (true) {
         auto why = last_reason();
+        const auto nextCall = system_clock_source().now() + m_options.watchPeriod;
         const auto end = co_await watchOnce(connection, kind, revision, callback, why);
         if (end == watch_end::idle) {
             backoff.reset();
+            if (system_clock_source().now() < nextCall) {
+                timer.expires_at(nextCall);
+                co_await timer.async_wait(asio::use_awaitable);
+            }
             continue;
         }
         if (end != watch_end::broken) {
--- a/tests/process/gateway/gateway_fleet.cpp
+++ b/tests/process/gateway/gateway_fleet.cpp
@@ -35,6 +35,11 @@
 
 } // namespace
 
+auto sleepMs(int milliseconds) -> void
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
+}
+
 gateway_fleet::gateway_fleet(gateway_plan plan)
     : m_plan(plan)
     , m_folder(makeTestFolder())
--- a/tests/process/gateway/gateway_fleet.h
+++ b/tests/process/gateway/gateway_fleet.h
@@ -9,6 +9,8 @@
 
 namespace marjoramloom::test {
 
+auto sleepMs(int milliseconds) -> void;
+
 /// What a gateway_fleet consists of.
 struct gateway_plan
 {
--- a/tests/process/gateway/gateway_path_test.cpp
+++ b/tests/process/gateway/gateway_path_test.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-auto sleepMs(int milliseconds) -> void
-{
-    std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
-}
-
 auto fieldOf(const http_answer &answer, const char *name) -> std::string
 {
     auto error = boost::system::error_code();
@@ -189,6 +184,15 @@
     BOOST_TEST(all.call(all.routers()[0], "/read/x", "back", "GET", "key-new").status == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(short_lived_keys_are_proved_often_enough)
+{
+    auto all = gateway_fleet({ .routers = 1, .revocationMs = 2'500 });
+    for (auto look = 0; look < 40; ++look) {
+        BOOST_TEST(all.isReady(all.routers().front()));
+        sleepMs(100);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_unreadable_configuration_leaves_the_old_one_until_its_keys_are_no_longer_proved)
 {
     auto all = gateway_fleet({ .routers = 1, .revocationMs = 2'500 });
--- a/tests/unit/gateway/placement_dispatch_test.cpp
+++ b/tests/unit/gateway/placement_dispatch_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace marjoramloom;
 using namespace std::chrono_literals;
@@ -55,9 +56,9 @@
     /// Makes other routers known, so that one of them dispatches.
     auto hearOfOthers() -> void
     {
-        for (auto router = std::uint64_t(2); router < 40; ++router) {
-            state.fleet.take({ .router = router, .sequence = ++sequence, .engines = {}, .accounts = {} },
-                             system_clock_source().now());
+        // The others have more processor, so one of them dispatches.
+        for (auto router = 2; router < 40; ++router) {
+            state.roster.put({ "10.0.0." + std::to_string(router) + ":7400", "north", 2 });
         }
     }
 
@@ -72,13 +73,14 @@
 
     boost::asio::io_context context{ 1 };
     counter_registry counters;
-    gateway_state state{ gateway_settings(), "north", counters, 1 };
+    gateway_state state{ gateway_settings(), { "10.0.0.1:7400", "north", 1 }, counters, 1 };
     std::vector<std::uint64_t> asked; ///< Numbers of the queries that were sent.
     std::optional<placement_answer> reply; ///< Given at once to each query.
-    std::uint64_t sequence = 0;
-    placement_dispatch dispatch{ context.get_executor(), state, 1,
+    std::set<std::uint64_t> routersAsked;
+    placement_dispatch dispatch{ context.get_executor(), state,
                                  [this](std::uint64_t router, std::uint64_t number, const placement_query &) {
                                      asked.push_back(number);
+                                     routersAsked.insert(router);
                                      if (reply) {
                                          reply->number = number;
                                          boost::asio::post(context, [this, router] { dispatch.take(router, *reply); });
@@ -114,7 +116,7 @@
     BOOST_TEST(!refused->chosen.has_value());
 }
 
-BOOST_AUTO_TEST_CASE(a_silent_dispatcher_delays_two_requests_and_then_none)
+BOOST_AUTO_TEST_CASE(silent_dispatchers_delay_two_requests_each_and_then_none)
 {
     hearOfOthers();
     const auto began = system_clock_source().now();
@@ -123,7 +125,9 @@
         BOOST_REQUIRE(decision.has_value());
         BOOST_TEST(decision->chosen.has_value());
     }
-    BOOST_TEST(asked.size() == 2U);
+    // Two unanswered queries to each of the first three dispatchers.
+    BOOST_TEST(asked.size() == 6U);
+    BOOST_TEST(routersAsked.size() == 3U);
     BOOST_TEST((system_clock_source().now() - began < 400ms));
 }
 
@@ -144,6 +148,31 @@
     BOOST_TEST(dispatch.answer(2, 99, queryOf(500, 600))->server == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(the_next_dispatcher_is_asked_while_the_first_is_passed_over)
+{
+    hearOfOthers();
+    decide(queryOf(1, 100));
+    decide(queryOf(1, 100));
+    BOOST_TEST(routersAsked.size() == 1U);
+    reply = placement_answer{ .sequence = 1, .server = server_loads::runId(*state.servers.usable("pool").front()) };
+    BOOST_TEST(decide(queryOf(1, 100)).has_value());
+    BOOST_TEST(routersAsked.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_dispatcher_places_within_the_part_that_it_is_asked_for)
+{
+    auto query = queryOf(1, 100);
+    const auto &engines = state.servers.usable("pool");
+    for (auto index = std::uint32_t(0); index < 2; ++index) {
+        query.part = { .index = index, .count = 2 };
+        const auto isEmpty = std::none_of(engines.begin(), engines.end(),
+                                          [&](const auto &engine) { return query.part.holds(engine->id); });
+        const auto answer = dispatch.answer(2, 1, query);
+        BOOST_TEST(answer.has_value() == !isEmpty);
+        BOOST_TEST((!answer || query.part.holds(state.servers.findUsable(answer->server)->id)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(placements_count_until_the_routers_report_shows_them)
 {
     const auto now = time_point(100s);
--- a/tests/unit/store/store_client_test.cpp
+++ b/tests/unit/store/store_client_test.cpp
@@ -4,6 +4,7 @@
 #include "support/run_coroutine.h"
 
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 using namespace marjoramloom;
 
@@ -121,4 +122,29 @@
     BOOST_TEST(counters.at("marjoramloom_platform_watch_redials_total").value() >= 1U);
 }
 
+BOOST_AUTO_TEST_CASE(changes_in_quick_succession_are_fetched_together)
+{
+    auto patient = options();
+    patient.watchPeriod = std::chrono::milliseconds(300);
+    auto watching = store_client(context.get_executor(), patient, counters);
+    constexpr auto changes = 10;
+    auto writer = std::thread([this] {
+        for (auto number = 0; number < changes; ++number) {
+            const auto name = std::to_string(number);
+            const auto body = R"({"metadata":{"name":")" + name + R"("},"spec":"v"})";
+            test::httpCall(platform.address(), { "POST", "/v1/objects/kind", {}, body });
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+    });
+    auto seen = 0;
+    const auto end = run(watching.watch({ "kind" }, 0, [&](const watch_event &event) {
+        seen += event.kind == watch_event_kind::put ? 1 : 0;
+        return seen < changes;
+    }));
+    writer.join();
+    BOOST_TEST((end == watch_end::stopped));
+    // Changes of 200 ms: one call when the first comes, one 300 ms later for the others, one to spare.
+    BOOST_TEST(counters.at("marjoramloom_platform_calls_total").value() <= 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
