A router that is behind with its work refuses new requests at once, and rests from new connections

It took none of 1,147 new connections in 9 s, as it accepted one a turn of its loop, and read the others seconds late. Ruled out: file descriptors (2,621 open), the dispatchers (its own late reading made their answers look missing).

It now accepts up to 64 connections and reads up to 64 datagrams a turn, measures how late its timer fires, answers 503 and closes while that is over 120 ms twice in a row, and is not ready after 0.4 s of it.

--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include "marjoramloom/gateway/fleet_loads.h"
 #include "marjoramloom/gateway/gateway_settings.h"
 #include "marjoramloom/gateway/key_freshness.h"
+#include "marjoramloom/gateway/loop_lag.h"
 #include "marjoramloom/gateway/open_placements.h"
 #include "marjoramloom/gateway/prompt_placement.h"
 #include "marjoramloom/gateway/repeat_budget.h"
@@ -53,6 +54,7 @@
     bool hasServers = false; ///< Whether the list of backend servers was read.
     bool stopping = false; ///< Connections close after their answers.
     bool refusing = false; ///< Too late in a stop for further requests.
+    loop_lag lag;
     key_freshness keys;
     server_directory servers;
     server_loads loads;
--- a/include/marjoramloom/router/http_server.h
+++ b/include/marjoramloom/router/http_server.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
 #include <concepts>
 #include <memory>
 #include <optional>
@@ -59,7 +60,10 @@
 private:
     using tcp = boost::asio::ip::tcp;
 
+    using strand_type = boost::asio::strand<boost::asio::io_context::executor_type>;
+
     auto acceptLoop() -> boost::asio::awaitable<void>;
+    auto spawnConnection(tcp::socket socket, const strand_type &strand) -> void;
     auto serve(tcp::socket socket) -> boost::asio::awaitable<void>;
     auto serveRequests(boost::beast::tcp_stream &stream, std::string peer) -> boost::asio::awaitable<void>;
     auto waitForRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer)
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -17,6 +17,8 @@
 
 /// How long an idle connection stays open once its server stops.
 constexpr auto idleCloseDelay = std::chrono::seconds(2);
+/// Connections that are accepted in one go, so that a server that is behind with its work still takes new ones.
+constexpr std::size_t acceptBatch = 64;
 /// Pause after an accept that failed, as when no file descriptor is free.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -84,22 +86,37 @@
 {
     auto error = boost::system::error_code();
     auto pause = boost::asio::steady_timer(m_acceptor.get_executor());
+    m_acceptor.non_blocking(true, error);
     while (!m_stopping) {
         auto strand = boost::asio::make_strand(m_context);
-        auto socket =
-            co_await m_acceptor.async_accept(strand, boost::asio::redirect_error(boost::asio::use_awaitable, error));
-        if (error) {
+        auto socket = tcp::socket(strand);
+        co_await m_acceptor.async_accept(socket, boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        for (auto accepted = std::size_t(1); !error; ++accepted) {
+            spawnConnection(std::move(socket), strand);
+            if (accepted == acceptBatch) {
+                break;
+            }
+            strand = boost::asio::make_strand(m_context);
+            socket = tcp::socket(strand);
+            m_acceptor.accept(socket, error);
+        }
+        if (error && error != boost::asio::error::would_block) {
+            log_line(log_level::warning, "accept_failed").with("listener", m_name).with("reason", error.message());
             pause.expires_after(acceptRetryDelay);
             co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
-            continue;
         }
-        auto connection = std::make_shared<tcp::socket>(std::move(socket));
-        boost::asio::co_spawn(
-            strand, [self = this->shared_from_this(), connection] { return self->serve(std::move(*connection)); },
-            boost::asio::detached);
     }
 }
 
+template<http_handler Handler>
+auto http_server<Handler>::spawnConnection(tcp::socket socket, const strand_type &strand) -> void
+{
+    auto connection = std::make_shared<tcp::socket>(std::move(socket));
+    boost::asio::co_spawn(
+        strand, [self = this->shared_from_this(), connection] { return self->serve(std::move(*connection)); },
+        boost::asio::detached);
+}
+
 template<http_handler Handler>
 auto http_server<Handler>::serve(tcp::socket socket) -> boost::asio::awaitable<void>
 {
--- a/src/gateway/gateway_handler.cpp
+++ b/src/gateway/gateway_handler.cpp
@@ -47,6 +47,11 @@
     if (m_state.stopping) {
         exchange.closeAfterwards();
     }
+    if (m_state.lag.isOverloaded(system_clock_source().now())) {
+        exchange.closeAfterwards();
+        co_await refuse(exchange, *request, unavailable, "this router is behind with its work");
+        co_return;
+    }
     if (m_state.refusing) {
         co_await refuse(exchange, *request, unavailable, "this router is stopping");
         co_return;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -75,6 +75,7 @@
 
     auto join() -> asio::awaitable<void>;
     auto tickLoop() -> asio::awaitable<void>;
+    auto measureLag() -> asio::awaitable<void>;
     auto waitForStop() -> asio::awaitable<void>;
     auto waitForReload() -> asio::awaitable<void>;
     auto reload() -> void;
@@ -132,9 +133,16 @@
 
 auto gateway_process::parts::refreshReadiness() -> void
 {
-    const auto now = state.routes && state.hasServers && !state.stopping && state.keys.holds(boot_clock::now());
+    const auto holdsKeys = state.keys.holds(boot_clock::now());
+    const auto isBehind = state.lag.shouldRest(system_clock_source().now());
+    const auto now = state.routes && state.hasServers && !state.stopping && holdsKeys && !isBehind;
     if (now != ready) {
-        log_line(log_level::info, "readiness").with("ready", now ? "yes" : "no");
+        log_line(log_level::info, "readiness")
+            .with("ready", now ? "yes" : "no")
+            .with("configured", state.routes && state.hasServers ? "yes" : "no")
+            .with("keys", holdsKeys ? "proved" : "not proved")
+            .with("behind", isBehind ? "yes" : "no")
+            .with("stopping", state.stopping ? "yes" : "no");
     }
     ready = now;
 }
@@ -159,6 +167,18 @@
     }
 }
 
+auto gateway_process::parts::measureLag() -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(context);
+    while (true) {
+        const auto due = system_clock_source().now() + loop_lag::PERIOD;
+        state.lag.expect(due);
+        timer.expires_at(due);
+        co_await timer.async_wait(asio::use_awaitable);
+        state.lag.noteFired(system_clock_source().now());
+    }
+}
+
 auto gateway_process::parts::waitForStop() -> asio::awaitable<void>
 {
     auto signals = asio::signal_set(context, SIGTERM, SIGINT);
@@ -257,6 +277,8 @@
         all.context, [&all] { return all.exchange.receive(); }, asio::detached);
     asio::co_spawn(
         all.context, [&all] { return all.tickLoop(); }, asio::detached);
+    asio::co_spawn(
+        all.context, [&all] { return all.measureLag(); }, asio::detached);
     asio::co_spawn(
         all.context, [&all] { return all.waitForStop(); }, asio::detached);
     asio::co_spawn(
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -31,6 +31,8 @@
 constexpr auto probePeriod = std::chrono::milliseconds(1'000);
 /// Silent dispatchers of a part that are looked after.
 constexpr std::size_t probedDispatchers = 3;
+/// Datagrams that are read in one go.
+constexpr std::size_t receiveBatch = 64;
 constexpr auto datagramBytes = std::size_t(64) << 10U;
 
 } // namespace
@@ -274,8 +276,17 @@
         auto error = boost::system::error_code();
         const auto bytes = co_await m_socket.async_receive_from(asio::buffer(buffer), from,
                                                                 asio::redirect_error(asio::use_awaitable, error));
-        if (!error) {
-            take({ buffer.data(), bytes });
+        if (error) {
+            continue;
+        }
+        take({ buffer.data(), bytes });
+        // What else has come is read at once: a router that is behind would find the answers to its queries too late.
+        for (auto taken = std::size_t(1); taken < receiveBatch; ++taken) {
+            const auto more = m_socket.receive_from(asio::buffer(buffer), from, 0, error);
+            if (error) {
+                break;
+            }
+            take({ buffer.data(), more });
         }
     }
 }
--- a/tests/process/gateway/gateway_path_test.cpp
+++ b/tests/process/gateway/gateway_path_test.cpp
@@ -306,6 +306,35 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_router_that_was_held_up_takes_all_connections_and_tells_the_truth_of_each_request)
+{
+    auto all = gateway_fleet({ .routers = 1 });
+    auto &router = all.routers().front();
+    // Held up for longer than a caller's patience with a router, while callers keep coming.
+    router.process->signal(SIGSTOP);
+    constexpr auto callers = 12;
+    auto statuses = std::vector<unsigned>(callers);
+    auto calls = std::vector<std::thread>();
+    for (auto caller = 0; caller < callers; ++caller) {
+        calls.emplace_back([&, caller] {
+            const auto index = static_cast<std::size_t>(caller);
+            statuses[index] = all.call(router, "/read/x", "behind-" + std::to_string(caller)).status;
+        });
+    }
+    sleepMs(400);
+    router.process->signal(SIGCONT);
+    for (auto &call : calls) {
+        call.join();
+    }
+    for (auto caller = 0; caller < callers; ++caller) {
+        const auto status = statuses[static_cast<std::size_t>(caller)];
+        BOOST_TEST((status == 200 || status == 503));
+        // "Not run" is true.
+        BOOST_TEST(all.countRuns("behind-" + std::to_string(caller)) == (status == 200 ? 1 : 0));
+    }
+    BOOST_TEST(waitUntil(3'000, [&] { return all.call(router, "/read/x", "afterwards").status == 200; }));
+}
+
 BOOST_AUTO_TEST_CASE(work_ends_where_its_caller_left)
 {
     auto all = gateway_fleet({ .routers = 1, .servers = 1, .eventMs = 200 });
