--- a/include/marjoramloom/gateway/loop_lag.h
+++ b/include/marjoramloom/gateway/loop_lag.h
@@ -20,27 +20,23 @@
     /// being overloaded.
     static constexpr duration LIMIT = std::chrono::milliseconds(120);
 
-    /// The timer is to fire at \p due.
-    auto expect(time_point due) -> void
-    {
-        m_due = due;
-    }
-
     /// A router that was overloaded for this long takes no new connections until it was not for RECOVERY_TIME.
     static constexpr duration PATIENCE = std::chrono::milliseconds(400);
     static constexpr duration RECOVERY_TIME = std::chrono::milliseconds(1'000);
 
-    /// The timer fired.
-    auto noteFired(time_point now) -> void
+    /// The timer fired, or starts. Returns when it is to fire next.
+    auto fire(time_point now) -> time_point
     {
         m_before = m_lateness;
-        m_lateness = std::max<duration>(now - m_due, duration::zero());
+        m_lateness = m_due == time_point() ? duration::zero() : std::max<duration>(now - m_due, duration::zero());
+        m_due = now + PERIOD;
         if (m_lateness > LIMIT) {
             m_lastOverload = now;
             m_overloadedSince = std::min(m_overloadedSince, now - m_lateness);
         } else if (now - m_lastOverload > RECOVERY_TIME) {
             m_overloadedSince = time_point::max();
         }
+        return m_due;
     }
 
     /// Whether new connections should go to other routers for now.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -171,11 +171,8 @@
 {
     auto timer = asio::steady_timer(context);
     while (true) {
-        const auto due = system_clock_source().now() + loop_lag::PERIOD;
-        state.lag.expect(due);
-        timer.expires_at(due);
+        timer.expires_at(state.lag.fire(system_clock_source().now()));
         co_await timer.async_wait(asio::use_awaitable);
-        state.lag.noteFired(system_clock_source().now());
     }
 }
 
--- a/tests/unit/gateway/loop_lag_test.cpp
+++ b/tests/unit/gateway/loop_lag_test.cpp
@@ -10,45 +10,36 @@
 BOOST_AUTO_TEST_CASE(a_single_pause_is_no_overload_and_lasting_lateness_is)
 {
     auto lag = loop_lag();
-    const auto due = time_point(100s);
-    BOOST_TEST(!lag.isOverloaded(due)); // Nothing measured yet.
-    lag.expect(due);
+    BOOST_TEST(!lag.isOverloaded(time_point(100s))); // Nothing measured yet.
+    auto due = lag.fire(time_point(100s));
     BOOST_TEST(!lag.isOverloaded(due + 2s)); // Woken after a suspension.
-    lag.noteFired(due + 2s);
-    BOOST_TEST(!lag.isOverloaded(due + 2s));
-    lag.expect(due + 2'050ms);
-    BOOST_TEST(!lag.isOverloaded(due + 2'100ms));
-    BOOST_TEST(lag.isOverloaded(due + 2'171ms)); // Late again, before the timer could fire.
-    lag.noteFired(due + 2'200ms);
-    BOOST_TEST(lag.isOverloaded(due + 2'201ms));
-    lag.expect(due + 2'250ms);
-    lag.noteFired(due + 2'251ms);
-    lag.expect(due + 2'301ms);
-    BOOST_TEST(!lag.isOverloaded(due + 2'252ms));
+    due = lag.fire(due + 2s);
+    BOOST_TEST(!lag.isOverloaded(due));
+    BOOST_TEST(lag.isOverloaded(due + 121ms)); // Late again, before the timer could fire.
+    due = lag.fire(due + 150ms);
+    BOOST_TEST(lag.isOverloaded(due));
+    due = lag.fire(due + 1ms);
+    BOOST_TEST(!lag.isOverloaded(due));
 }
 
 BOOST_AUTO_TEST_CASE(a_router_rests_when_it_stays_overloaded_and_until_it_has_recovered)
 {
     auto lag = loop_lag();
-    auto now = time_point(100s);
-    const auto fire = [&](duration lateness) {
-        lag.expect(now);
-        now += lateness;
-        lag.noteFired(now);
-    };
-    fire(200ms);
-    BOOST_TEST(!lag.shouldRest(now)); // Once is no reason.
-    fire(150ms);
-    fire(150ms);
-    BOOST_TEST(lag.shouldRest(now));
-    for (auto step = 0; step < 10; ++step) {
-        now += 100ms;
-        fire(0ms);
-        BOOST_TEST(lag.shouldRest(now));
+    auto due = lag.fire(time_point(100s));
+    due = lag.fire(due + 200ms);
+    BOOST_TEST(!lag.shouldRest(due)); // Once is no reason.
+    due = lag.fire(due + 150ms);
+    due = lag.fire(due + 150ms);
+    BOOST_TEST(lag.shouldRest(due));
+    const auto recovering = due + loop_lag::RECOVERY_TIME;
+    while (due < recovering - loop_lag::PERIOD) {
+        due = lag.fire(due);
+        BOOST_TEST(lag.shouldRest(due));
     }
-    now += 100ms;
-    fire(0ms);
-    BOOST_TEST(!lag.shouldRest(now));
+    for (auto firing = 0; firing < 3; ++firing) {
+        due = lag.fire(due);
+    }
+    BOOST_TEST(!lag.shouldRest(due));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
