Soak of real processes under randomized faults; fewer turns of the loop for each piece that is passed on

tests/soak plays seeded runs: routers, the store's and servers' stand-ins as processes, relays between them, callers that keep their connections; pauses, kills, stops, reloads, outages, silent and reset connections, leaving servers, revoked keys, alone, overlapping and in series. It checks from what callers and servers saw: whole own answers, at most once, 'not run', revoked keys, leaving servers, planned stops, recovery.

A gateway's connections have no strands (one thread), and what the caller's socket takes at once is written without a timer and a turn of the loop.

--- a/include/marjoramloom/router/http_server.h
+++ b/include/marjoramloom/router/http_server.h
@@ -5,9 +5,9 @@
 #include "marjoramloom/router/http_exchange.h"
 
 #include <atomic>
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/strand.hpp>
 #include <concepts>
 #include <memory>
 #include <optional>
@@ -33,7 +33,13 @@
     duration idleTimeout = std::chrono::seconds(60); ///< Between requests, and for one write.
 };
 
-/// Listens on one address and serves HTTP/1.1 connections, each on its own strand.
+/// How a server's connections share its context.
+enum class session_concurrency {
+    strands, ///< The context has several threads; each connection has a strand.
+    oneThread, ///< The context has one thread, so that strands would only cost time.
+};
+
+/// Listens on one address and serves HTTP/1.1 connections.
 ///
 /// Thread safe. At a stop, connections with a request finish it; idle ones answer one more request or close after a
 /// short while, so that no request that is on its way is lost.
@@ -43,7 +49,7 @@
 public:
     /// Preconditions: \p handler, \p counters and \p context outlive the server. \p name labels its counters.
     http_server(boost::asio::io_context &context, Handler &handler, counter_registry &counters, std::string name,
-                http_limits limits);
+                http_limits limits, session_concurrency concurrency = session_concurrency::strands);
 
     /// Replaces the limits for requests that are still to come. Call on the only thread of the context.
     auto setLimits(http_limits limits) -> void;
@@ -60,10 +66,9 @@
 private:
     using tcp = boost::asio::ip::tcp;
 
-    using strand_type = boost::asio::strand<boost::asio::io_context::executor_type>;
-
     auto acceptLoop() -> boost::asio::awaitable<void>;
-    auto spawnConnection(tcp::socket socket, const strand_type &strand) -> void;
+    auto spawnConnection(tcp::socket socket) -> void;
+    auto makeExecutor() const -> boost::asio::any_io_executor;
     auto serve(tcp::socket socket) -> boost::asio::awaitable<void>;
     auto serveRequests(boost::beast::tcp_stream &stream, std::string peer) -> boost::asio::awaitable<void>;
     auto waitForRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer)
@@ -81,6 +86,7 @@
     counter_registry &m_counters;
     std::string m_name;
     http_limits m_limits;
+    session_concurrency m_concurrency;
     tcp::acceptor m_acceptor;
     std::atomic<bool> m_stopping = false;
     std::atomic<std::size_t> m_connections = 0;
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -24,13 +24,14 @@
 
 template<http_handler Handler>
 http_server<Handler>::http_server(boost::asio::io_context &context, Handler &handler, counter_registry &counters,
-                                  std::string name, http_limits limits)
+                                  std::string name, http_limits limits, session_concurrency concurrency)
     : m_context(context)
     , m_handler(handler)
     , m_counters(counters)
     , m_name(std::move(name))
     , m_limits(limits)
-    , m_acceptor(boost::asio::make_strand(context))
+    , m_concurrency(concurrency)
+    , m_acceptor(makeExecutor())
 {
 }
 
@@ -88,16 +89,14 @@
     auto pause = boost::asio::steady_timer(m_acceptor.get_executor());
     m_acceptor.non_blocking(true, error);
     while (!m_stopping) {
-        auto strand = boost::asio::make_strand(m_context);
-        auto socket = tcp::socket(strand);
+        auto socket = tcp::socket(makeExecutor());
         co_await m_acceptor.async_accept(socket, boost::asio::redirect_error(boost::asio::use_awaitable, error));
         for (auto accepted = std::size_t(1); !error; ++accepted) {
-            spawnConnection(std::move(socket), strand);
+            spawnConnection(std::move(socket));
             if (accepted == acceptBatch) {
                 break;
             }
-            strand = boost::asio::make_strand(m_context);
-            socket = tcp::socket(strand);
+            socket = tcp::socket(makeExecutor());
             m_acceptor.accept(socket, error);
         }
         if (error && error != boost::asio::error::would_block) {
@@ -109,11 +108,21 @@
 }
 
 template<http_handler Handler>
-auto http_server<Handler>::spawnConnection(tcp::socket socket, const strand_type &strand) -> void
+auto http_server<Handler>::makeExecutor() const -> boost::asio::any_io_executor
 {
+    if (m_concurrency == session_concurrency::oneThread) {
+        return m_context.get_executor();
+    }
+    return boost::asio::make_strand(m_context);
+}
+
+template<http_handler Handler>
+auto http_server<Handler>::spawnConnection(tcp::socket socket) -> void
+{
+    auto executor = socket.get_executor();
     auto connection = std::make_shared<tcp::socket>(std::move(socket));
     boost::asio::co_spawn(
-        strand, [self = this->shared_from_this(), connection] { return self->serve(std::move(*connection)); },
+        executor, [self = this->shared_from_this(), connection] { return self->serve(std::move(*connection)); },
         boost::asio::detached);
 }
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -107,8 +107,8 @@
                 [this](router_identity found) { exchange.meet(std::move(found)); })
     , callers(state, exchange.dispatch())
     , status(ready, counters)
-    , callerServer(std::make_shared<http_server<gateway_handler>>(context, callers, counters, "callers", http_limits()))
-    , statusServer(std::make_shared<http_server<status_handler>>(context, status, counters, "operators", http_limits()))
+    , callerServer(std::make_shared<http_server<gateway_handler>>(context, callers, counters, "callers", http_limits(), session_concurrency::oneThread))
+    , statusServer(std::make_shared<http_server<status_handler>>(context, status, counters, "operators", http_limits(), session_concurrency::oneThread))
     , feed(context.get_executor(), store, state,
            { .onRoutes = [this] { callerServer->setLimits(httpLimits(state.routes->limits())); },
              .onNews =
--- a/src/router/http_exchange.cpp
+++ b/src/router/http_exchange.cpp
@@ -259,8 +259,19 @@
 auto http_exchange::write(std::string text) -> asio::awaitable<bool>
 {
     auto error = boost::system::error_code();
+    auto &socket = m_stream.socket();
+    // What the socket takes at once needs no timer and no turn of the loop.
+    socket.non_blocking(true, error);
+    const auto written = error ? std::size_t(0) : socket.write_some(asio::buffer(text), error);
+    if (!error && written == text.size()) {
+        co_return true;
+    }
+    if (error && error != asio::error::would_block) {
+        m_reusable = false;
+        co_return false;
+    }
     m_stream.expires_after(m_writeTimeout);
-    const auto buffer = asio::buffer(text);
+    const auto buffer = asio::buffer(text) + written;
     co_await asio::async_write(m_stream, buffer, asio::redirect_error(asio::use_awaitable, error));
     m_reusable = m_reusable && !error;
     co_return !error;
--- a/tests/process/gateway/gateway_path_test.cpp
+++ b/tests/process/gateway/gateway_path_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway_fleet.h"
+#include "support/gateway_fleet.h"
 
 #include "marjoramloom/core/hash.h"
 
--- a/tests/process/gateway/store_relay_test.cpp
+++ b/tests/process/gateway/store_relay_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway_fleet.h"
+#include "support/gateway_fleet.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/process/peer/peer_relays.h
+++ b/tests/process/peer/peer_relays.h
@@ -62,6 +62,24 @@
         });
     }
 
+    /// What comes back on connections open now is lost; new ones work.
+    auto cutAnswers(const std::string &target) -> void
+    {
+        onThread([this, target] {
+            m_relays.at(target)->freezeAnswers();
+            return 0;
+        });
+    }
+
+    /// Ends connections open now; new ones work.
+    auto reset(const std::string &target) -> void
+    {
+        onThread([this, target] {
+            m_relays.at(target)->closeConnections();
+            return 0;
+        });
+    }
+
     /// New connections work again; old ones stay silent.
     auto resume(const std::string &target) -> void
     {
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,309 @@
+#include "soak_run.h"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <csignal>
+#include <queue>
+
+namespace marjoramloom::soak {
+
+namespace {
+
+/// How long a caller waits for an answer.
+constexpr auto callTimeout = milliseconds(4'000);
+constexpr auto pauseBetweenCalls = milliseconds(25);
+/// After the last fault the run goes on for the recovery limit of the checks and this long, to see the fleet serve.
+constexpr auto observedRecovery = milliseconds(14'500);
+/// A process that was asked to stop is given its grace time and a little more.
+constexpr auto stopLimitMs = 9'000;
+constexpr double graceSeconds = 4;
+
+constexpr std::array paths{ "/read/", "/post/", "/talk/stream", "/once/stream" };
+
+auto makeRequest(const outcome &call, bool posts) -> test::http_request
+{
+    auto request = test::http_request();
+    request.method = posts ? "POST" : "GET";
+    request.target = call.path;
+    request.headers = { { "Host", "desk.example" },
+                        { "X-Attempt-Id", call.id },
+                        { "X-Deadline-Ms", std::to_string(callTimeout.count()) },
+                        { "Authorization", "Bearer " + call.key } };
+    request.body = posts ? "order " + call.id : "";
+    request.timeout = callTimeout;
+    return request;
+}
+
+auto isPlanned(fault_kind kind) -> bool
+{
+    return kind == fault_kind::stopRouter || kind == fault_kind::reloadRouter || kind == fault_kind::serverLeaves
+        || kind == fault_kind::keyRevoked || kind == fault_kind::configurationChange;
+}
+
+} // namespace
+
+soak_run::soak_run(soak_options options)
+    : m_options(options)
+{
+    for (auto router = 0; router < m_options.routers; ++router) {
+        m_routerStores.push_back(std::make_unique<test::peer_relays>());
+    }
+    auto plan = test::gateway_plan();
+    plan.routers = m_options.routers;
+    plan.servers = m_options.servers;
+    plan.callMs = 5;
+    plan.graceSeconds = graceSeconds;
+    plan.storeAddressSeen = [this](int router, const std::string &address) {
+        m_storeAddress = address;
+        return m_routerStores[static_cast<std::size_t>(router)]->addressFor(address);
+    };
+    plan.serverAddressSeen = [this](const std::string &address) { return m_relays.addressFor(address); };
+    m_fleet = std::make_unique<test::gateway_fleet>(std::move(plan));
+    m_serverRuns.resize(static_cast<std::size_t>(m_options.servers));
+    m_start = std::chrono::steady_clock::now();
+}
+
+auto soak_run::folder() const -> const std::string &
+{
+    return m_fleet->folder();
+}
+
+auto soak_run::history() const -> const run_history &
+{
+    return m_history;
+}
+
+auto soak_run::now() const -> milliseconds
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_start);
+}
+
+auto soak_run::play() -> std::vector<std::string>
+{
+    auto callers = std::vector<std::thread>();
+    for (auto caller = 0; caller < m_options.callers; ++caller) {
+        callers.emplace_back([this, caller] { callLoop(caller); });
+    }
+    playFaults(drawFaults(m_options.seed, m_options.faultTime));
+    healAll();
+    m_history.faultsEnd = now();
+    std::this_thread::sleep_for(observedRecovery);
+    m_over = true;
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    m_history.runEnd = now();
+    for (const auto &server : m_fleet->servers()) {
+        m_history.records[server->name()] = server->record();
+    }
+    return findViolations(m_history);
+}
+
+/// Sends one request after the other through one router, by turns of every kind.
+auto soak_run::callLoop(int caller) -> void
+{
+    auto random = boost::random::mt19937_64(m_options.seed * 1'000 + static_cast<std::uint64_t>(caller));
+    const auto draw = [&](std::size_t count) {
+        return boost::random::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+    };
+    const auto router = static_cast<std::size_t>(caller) % m_fleet->routers().size();
+    const auto address = m_fleet->routers()[router].callers;
+    auto connection = kept_caller(address);
+    for (auto number = 0; !m_over; ++number) {
+        auto call = outcome();
+        call.id = "c" + std::to_string(caller) + "-" + std::to_string(number);
+        call.path = paths[draw(paths.size())];
+        call.path += call.path.ends_with("/") ? call.id : "";
+        call.router = router;
+        {
+            const auto lock = std::lock_guard(m_mutex);
+            // Some callers go on with the first key, which may be revoked by then.
+            call.key = caller % 4 == 0 ? "key-alpha" : (caller % 4 == 1 ? "key-beta" : m_alphaKey);
+        }
+        call.begun = now();
+        const auto answer = connection.call(makeRequest(call, call.path.starts_with("/post/")));
+        call.ended = now();
+        call.status = answer.status;
+        call.whole = answer.whole;
+        call.connected = !answer.error.starts_with("connect");
+        call.body = answer.body;
+        const auto lock = std::lock_guard(m_mutex);
+        m_history.outcomes.push_back(std::move(call));
+        std::this_thread::sleep_for(pauseBetweenCalls);
+    }
+}
+
+auto soak_run::playFaults(const std::vector<planned_fault> &faults) -> void
+{
+    const auto endsLater = [](const planned_fault &left, const planned_fault &right) {
+        return left.at + left.lasts > right.at + right.lasts;
+    };
+    auto running = std::priority_queue<planned_fault, std::vector<planned_fault>, decltype(endsLater)>(endsLater);
+    auto next = faults.begin();
+    while (next != faults.end() || !running.empty()) {
+        const auto endsFirst = next == faults.end()
+            || (!running.empty() && running.top().at + running.top().lasts < next->at);
+        const auto at = endsFirst ? running.top().at + running.top().lasts : next->at;
+        std::this_thread::sleep_until(m_start + at);
+        if (endsFirst) {
+            end(running.top());
+            running.pop();
+        } else {
+            begin(*next);
+            running.push(*next++);
+        }
+    }
+}
+
+auto soak_run::begin(const planned_fault &fault) -> void
+{
+    if (!isPlanned(fault.kind)) {
+        m_history.disturbances.push_back({ now(), now() + fault.lasts });
+    }
+    const auto router = fault.target % m_fleet->routers().size();
+    const auto server = fault.target % m_fleet->servers().size();
+    switch (fault.kind) {
+    case fault_kind::pauseRouter:
+    case fault_kind::killRouter:
+    case fault_kind::stopRouter:
+    case fault_kind::reloadRouter:
+        beginAtRouter(fault, router);
+        break;
+    case fault_kind::storeOutage:
+        m_fleet->store().setFaults(R"([{"kind":"outage","match":"/v1/"},{"kind":"outage"}])");
+        break;
+    case fault_kind::storeSilent:
+        m_routerStores[router]->cut(m_storeAddress);
+        break;
+    case fault_kind::storeReset:
+        m_routerStores[router]->reset(m_storeAddress);
+        break;
+    case fault_kind::serverPaused:
+    case fault_kind::serverSilent:
+    case fault_kind::serverAnswersLost:
+    case fault_kind::serverReset:
+    case fault_kind::serverLeaves:
+        beginAtServer(fault, server);
+        break;
+    case fault_kind::keyRevoked:
+        replaceKey();
+        break;
+    case fault_kind::configurationChange:
+        m_fleet->writeConfiguration({ m_alphaKey });
+        break;
+    }
+}
+
+auto soak_run::beginAtRouter(const planned_fault &fault, std::size_t index) -> void
+{
+    auto &process = *m_fleet->routers()[index].process;
+    switch (fault.kind) {
+    case fault_kind::pauseRouter:
+        if (m_pauses[index]++ == 0) {
+            process.signal(SIGSTOP);
+        }
+        break;
+    case fault_kind::killRouter:
+        process.signal(SIGKILL);
+        break;
+    case fault_kind::stopRouter:
+        m_history.stops.emplace(index, span{ now(), now() + milliseconds(stopLimitMs) });
+        process.signal(SIGTERM);
+        break;
+    default:
+        process.signal(SIGHUP);
+        break;
+    }
+}
+
+auto soak_run::beginAtServer(const planned_fault &fault, std::size_t index) -> void
+{
+    auto &server = *m_fleet->servers()[index];
+    switch (fault.kind) {
+    case fault_kind::serverPaused:
+        if (m_serverPauses[index]++ == 0) {
+            server.process().signal(SIGSTOP);
+        }
+        break;
+    case fault_kind::serverSilent:
+        m_relays.cut(server.address());
+        m_relays.resume(server.address());
+        break;
+    case fault_kind::serverAnswersLost:
+        m_relays.cutAnswers(server.address());
+        break;
+    case fault_kind::serverReset:
+        m_relays.reset(server.address());
+        break;
+    default:
+        m_fleet->writeServer(index, "draining", m_serverRuns[index]);
+        m_history.leaving.emplace(server.name(), span{ now(), now() + fault.lasts });
+        break;
+    }
+}
+
+auto soak_run::end(const planned_fault &fault) -> void
+{
+    const auto index = fault.target % m_fleet->routers().size();
+    auto &router = m_fleet->routers()[index];
+    const auto server = fault.target % m_fleet->servers().size();
+    switch (fault.kind) {
+    case fault_kind::pauseRouter:
+        if (--m_pauses[index] == 0) {
+            router.process->signal(SIGCONT);
+        }
+        break;
+    case fault_kind::stopRouter:
+        router.process->signal(SIGCONT);
+        m_pauses[index] = 0;
+        if (!router.process->waitForExit(stopLimitMs)) {
+            router.process->signal(SIGKILL);
+        }
+        m_fleet->start(router, false);
+        break;
+    case fault_kind::killRouter:
+        m_pauses[index] = 0;
+        m_fleet->start(router, false);
+        break;
+    case fault_kind::storeOutage:
+        m_fleet->store().setFaults("[]");
+        break;
+    case fault_kind::storeSilent:
+        m_routerStores[index]->resume(m_storeAddress);
+        break;
+    case fault_kind::serverPaused:
+        if (--m_serverPauses[server] == 0) {
+            m_fleet->servers()[server]->process().signal(SIGCONT);
+        }
+        break;
+    case fault_kind::serverLeaves:
+        m_fleet->writeServer(server, "ready", ++m_serverRuns[server]);
+        break;
+    default:
+        break;
+    }
+}
+
+auto soak_run::healAll() -> void
+{
+    m_fleet->store().setFaults("[]");
+    for (auto &router : m_fleet->routers()) {
+        if (!router.process->running()) {
+            m_fleet->start(router, false);
+        }
+    }
+}
+
+/// Replaces the key of an account: the one before is revoked when the store acknowledges the new version.
+auto soak_run::replaceKey() -> void
+{
+    const auto fresh = "key-alpha-" + std::to_string(++m_keys);
+    if (!m_fleet->writeConfiguration({ fresh })) {
+        return;
+    }
+    const auto lock = std::lock_guard(m_mutex);
+    m_history.revokedAt.emplace(m_alphaKey, now());
+    m_alphaKey = fresh;
+}
+
+} // namespace marjoramloom::soak
--- a/tests/process/gateway/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -1,4 +1,4 @@
-#include "gateway_fleet.h"
+#include "support/gateway_fleet.h"
 
 #include <filesystem>
 #include <fstream>
@@ -62,7 +62,7 @@
         router.peers = freeAddress();
         router.settingsFile = m_folder + "/" + router.name + ".toml";
         router.logFile = m_folder + "/" + router.name + ".log";
-        writeSettings(router);
+        writeSettings(router, index);
         start(router);
         m_routers.push_back(std::move(router));
     }
@@ -94,30 +94,36 @@
     return m_routers;
 }
 
-auto gateway_fleet::writeSettings(const router_handle &router) -> void
+auto gateway_fleet::writeSettings(const router_handle &router, int number) -> void
 {
+    const auto store = m_plan.storeAddressSeen ? m_plan.storeAddressSeen(number, m_store->address()) : m_store->address();
     auto text = std::ofstream(router.settingsFile);
     text << "[instance]\nname = \"" << router.name << "\"\ndata_centre = \"north\"\nthreads = 1\n"
          << "[listen]\ncallers = \"" << router.callers << "\"\noperators = \"" << router.operators << "\"\npeers = \""
          << router.peers << "\"\n[operators]\nkey_hash = \"" << std::string(64, '0') << "\"\n"
-         << "[platform]\naddresses = [\"" << m_store->address() << "\"]\ntimeout_ms = 1000\n"
+         << "[platform]\naddresses = [\"" << store << "\"]\ntimeout_ms = 1000\n"
          << "[gateway]\nkey_revocation_ms = " << m_plan.revocationMs << "\ngrace_seconds = " << m_plan.graceSeconds
          << "\n";
 }
 
-auto gateway_fleet::start(router_handle &router) -> void
+auto gateway_fleet::start(router_handle &router, bool untilReady) -> void
 {
     const auto arguments =
         std::vector<std::string>{ fromEnvironment("MARJORAMLOOM"), "serve", "--settings", router.settingsFile };
     router.process = std::make_unique<child_process>(arguments, router.logFile, std::map<std::string, std::string>(),
                                                      child_output::logFile);
     constexpr auto startTimeoutMs = 15'000;
-    if (!waitUntil(startTimeoutMs, [&] { return isReady(router); })) {
+    if (untilReady && !waitUntil(startTimeoutMs, [&] { return isReady(router); })) {
         throw std::runtime_error(router.name + " is not ready: " + logOf(router));
     }
 }
 
-auto gateway_fleet::writeConfiguration(const std::vector<std::string> &alphaKeys) -> void
+auto gateway_fleet::folder() const -> const std::string &
+{
+    return m_folder;
+}
+
+auto gateway_fleet::writeConfiguration(const std::vector<std::string> &alphaKeys) -> bool
 {
     auto keys = json::array(alphaKeys.begin(), alphaKeys.end());
     const auto spec = json::object{
@@ -140,32 +146,33 @@
           json::array{ json::object{ { "name", "alpha" }, { "api_keys", std::move(keys) } },
                        json::object{ { "name", "beta" }, { "api_keys", json::array{ "key-beta" } } } } },
     };
-    writeObject("config", "main", spec);
+    return writeObject("config", "main", spec);
 }
 
-auto gateway_fleet::writeServer(std::size_t index, const std::string &state) -> void
+auto gateway_fleet::writeServer(std::size_t index, const std::string &state, int run) -> void
 {
     const auto &server = *m_servers[index];
     const auto spec = json::object{
         { "service", serviceName },
-        { "address", server.address() },
+        { "address", m_plan.serverAddressSeen ? m_plan.serverAddressSeen(server.address()) : server.address() },
         { "zone", "north" },
         { "version", "v1" },
         { "slots", 8 },
         { "state", state },
-        { "born", 1'700'000'000'000 + index },
+        { "born", 1'700'000'000'000 + index + static_cast<std::size_t>(run) * 1'000 },
     };
     writeObject("servers", server.name(), spec);
 }
 
-auto gateway_fleet::writeObject(const std::string &kind, const std::string &name, const json::value &spec) -> void
+auto gateway_fleet::writeObject(const std::string &kind, const std::string &name, const json::value &spec) -> bool
 {
     const auto body =
         json::serialize(json::object{ { "metadata", json::object{ { "name", name } } }, { "spec", spec } });
     const auto updated = httpCall(m_store->address(), { "PUT", "/v1/objects/" + kind + "/" + name, {}, body });
     if (updated.status == 404) {
-        httpCall(m_store->address(), { "POST", "/v1/objects/" + kind, {}, body });
+        return httpCall(m_store->address(), { "POST", "/v1/objects/" + kind, {}, body }).status < 300;
     }
+    return updated.status >= 200 && updated.status < 300;
 }
 
 auto gateway_fleet::call(const router_handle &router, const std::string &path, const std::string &id,
--- a/tests/process/gateway/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -20,6 +20,9 @@
     int eventMs = 5;
     int revocationMs = 5'000;
     double graceSeconds = 8;
+    /// Where a router (by its number) reaches the store, and all routers a server, that listens at the address given.
+    std::function<std::string(int router, const std::string &address)> storeAddressSeen;
+    std::function<std::string(const std::string &address)> serverAddressSeen;
 };
 
 /// Routers that take their routes from the platform's store, with stand-ins of the store and of backend servers.
@@ -39,13 +42,13 @@
     [[nodiscard]] auto routers() -> std::vector<router_handle> &;
 
     /// Writes the configuration with the given keys of account alpha, under the next version.
-    auto writeConfiguration(const std::vector<std::string> &alphaKeys) -> void;
+    auto writeConfiguration(const std::vector<std::string> &alphaKeys) -> bool;
 
-    /// Writes the entry of a server anew.
-    auto writeServer(std::size_t index, const std::string &state) -> void;
+    /// Writes the entry of a server anew, as of its run number \p run.
+    auto writeServer(std::size_t index, const std::string &state, int run = 0) -> void;
 
-    /// Writes any object.
-    auto writeObject(const std::string &kind, const std::string &name, const boost::json::value &spec) -> void;
+    /// Writes any object; false where the store did not acknowledge it.
+    auto writeObject(const std::string &kind, const std::string &name, const boost::json::value &spec) -> bool;
 
     /// A request through \p router, with the id \p id.
     auto call(const router_handle &router, const std::string &path, const std::string &id,
@@ -61,10 +64,14 @@
     /// The log of a router up to now.
     auto logOf(const router_handle &router) -> std::string;
 
-    auto start(router_handle &router) -> void;
+    /// Starts a router that does not run, and waits until it is ready where \p untilReady.
+    auto start(router_handle &router, bool untilReady = true) -> void;
+
+    /// The folder of settings and logs.
+    [[nodiscard]] auto folder() const -> const std::string &;
 
 private:
-    auto writeSettings(const router_handle &router) -> void;
+    auto writeSettings(const router_handle &router, int number) -> void;
 
     gateway_plan m_plan;
     std::string m_folder;
--- a/tests/unit/peer/tcp_relay.h
+++ b/tests/unit/peer/tcp_relay.h
@@ -41,6 +41,25 @@
         }
     }
 
+    /// Only what comes back on connections open now is read and dropped.
+    auto freezeAnswers() -> void
+    {
+        for (const auto &one : m_connections) {
+            one->answersFrozen = true;
+        }
+    }
+
+    /// Ends the connections open now; with a reset where bytes are under way.
+    auto closeConnections() -> void
+    {
+        auto ignored = boost::system::error_code();
+        for (const auto &one : m_connections) {
+            one->near.close(ignored);
+            one->far.close(ignored);
+        }
+        m_connections.clear();
+    }
+
     /// New connections are silent too until resumed.
     auto setFreezeNew(bool freeze) -> void
     {
@@ -66,6 +85,7 @@
         std::array<char, 4096> up{};
         std::array<char, 4096> down{};
         bool frozen = false;
+        bool answersFrozen = false;
     };
 
     auto acceptNext() -> void
@@ -95,7 +115,8 @@
                                      to.close(ignored);
                                      return;
                                  }
-                                 if (!held->frozen) {
+                                 const auto isAnswer = &from == &held->far;
+                                 if (!held->frozen && !(isAnswer && held->answersFrozen)) {
                                      boost::asio::write(to, boost::asio::buffer(buffer, count), ignored);
                                  }
                                  pump(held, from, to, buffer);
