An overloaded router closes new connections unread; routers that stand in for watchers try the store less often

Ruled out: engines (few refusals while it lasted), file descriptors.

While two measurements in a row are late, new connections are accepted and closed unread, which costs two system calls and lets the caller turn to another router; overload is logged with its counts when it begins and ends. A router that watches in place of others waits 2 to 4 s after a failed call.

--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -36,8 +36,8 @@
     /// Follows the list of backend servers; ends with its executor.
     auto followServers() -> boost::asio::awaitable<void>;
 
-    /// Whether this router watches the store.
-    auto setWatching(bool watching, time_point now) -> void;
+    /// Whether this router watches the store, and whether that is its duty.
+    auto setWatching(bool watching, bool onDuty, time_point now) -> void;
 
     /// Looks whether the store fell silent, and drops servers that were not renewed. Call every few hundred
     /// milliseconds.
--- a/include/marjoramloom/router/http_server.h
+++ b/include/marjoramloom/router/http_server.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <concepts>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -54,6 +55,10 @@
     /// Replaces the limits for requests that are still to come. Call on the only thread of the context.
     auto setLimits(http_limits limits) -> void;
 
+    /// Connections that come while \p takesMore says no are closed unread, so that their callers turn to another router
+    /// at the least cost. Call before listen().
+    auto setGate(std::function<bool()> takesMore) -> void;
+
     /// Starts listening. Returns the port, or nothing where the address cannot be had.
     auto listen(const std::string &address, last_reason &why) -> std::optional<std::uint16_t>;
 
@@ -87,6 +92,8 @@
     std::string m_name;
     http_limits m_limits;
     session_concurrency m_concurrency;
+    std::function<bool()> m_takesMore;
+    counter &m_turnedAway;
     tcp::acceptor m_acceptor;
     std::atomic<bool> m_stopping = false;
     std::atomic<std::size_t> m_connections = 0;
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -18,7 +18,7 @@
 /// How long an idle connection stays open once its server stops.
 constexpr auto idleCloseDelay = std::chrono::seconds(2);
 /// Connections that are accepted in one go, so that a server that is behind with its work still takes new ones.
-constexpr std::size_t acceptBatch = 64;
+constexpr std::size_t acceptBatch = 128;
 /// Pause after an accept that failed, as when no file descriptor is free.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -31,6 +31,7 @@
     , m_name(std::move(name))
     , m_limits(limits)
     , m_concurrency(concurrency)
+    , m_turnedAway(counters.at("marjoramloom_connections_turned_away_total", "listener=\"" + m_name + "\""))
     , m_acceptor(makeExecutor())
 {
 }
@@ -66,6 +67,12 @@
     m_limits = limits;
 }
 
+template<http_handler Handler>
+auto http_server<Handler>::setGate(std::function<bool()> takesMore) -> void
+{
+    m_takesMore = std::move(takesMore);
+}
+
 template<http_handler Handler>
 auto http_server<Handler>::stopAccepting() -> void
 {
@@ -92,7 +99,12 @@
         auto socket = tcp::socket(makeExecutor());
         co_await m_acceptor.async_accept(socket, boost::asio::redirect_error(boost::asio::use_awaitable, error));
         for (auto accepted = std::size_t(1); !error; ++accepted) {
-            spawnConnection(std::move(socket));
+            if (m_takesMore && !m_takesMore()) {
+                m_turnedAway.add();
+                socket.close(error);
+            } else {
+                spawnConnection(std::move(socket));
+            }
             if (accepted == acceptBatch) {
                 break;
             }
--- a/include/marjoramloom/store/retry_backoff.h
+++ b/include/marjoramloom/store/retry_backoff.h
@@ -20,10 +20,11 @@
     {
     }
 
-    /// The next wait, between nothing and a ceiling that doubles with each call.
-    auto next() -> std::chrono::milliseconds
+    /// The next wait, between \p least and a ceiling that doubles with each call and is twice \p least at least.
+    auto next(std::chrono::milliseconds least = std::chrono::milliseconds(0)) -> std::chrono::milliseconds
     {
-        auto spread = std::uniform_int_distribution<std::int64_t>(0, m_ceiling.count());
+        const auto most = std::max(m_ceiling, 2 * least);
+        auto spread = std::uniform_int_distribution<std::int64_t>(least.count(), most.count());
         m_ceiling = std::min(m_ceiling * 2, m_limit);
         return std::chrono::milliseconds(spread(m_random));
     }
--- a/include/marjoramloom/store/store_client.h
+++ b/include/marjoramloom/store/store_client.h
@@ -32,6 +32,7 @@
     std::chrono::milliseconds idleLimit{ 15'000 }; ///< Idle connections are not used again after this long.
     std::chrono::milliseconds retryFirst{ 100 };
     std::chrono::milliseconds retryLimit{ 3'000 };
+    std::chrono::milliseconds leastRetryWait{ 0 }; ///< Of a watch.
 };
 
 /// The instance list at one revision.
@@ -51,6 +52,12 @@
     /// Precondition: at least one address; \p executor and \p counters outlive the client.
     store_client(boost::asio::any_io_executor executor, store_options options, counter_registry &counters);
 
+    /// Least wait of a watch after a failed call; waits are spread up to twice of it. Call on the only thread of the
+    /// executor.
+    auto setLeastRetryWait(std::chrono::milliseconds wait) -> void;
+
+    [[nodiscard]] auto leastRetryWait() const -> std::chrono::milliseconds;
+
     /// The object; revision 0 where none stands. Nothing where the platform gave no clear answer.
     auto get(std::string kind, std::string name, last_reason &why)
         -> boost::asio::awaitable<std::optional<stored_object>>;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -107,8 +107,10 @@
                 [this](router_identity found) { exchange.meet(std::move(found)); })
     , callers(state, exchange.dispatch())
     , status(ready, counters)
-    , callerServer(std::make_shared<http_server<gateway_handler>>(context, callers, counters, "callers", http_limits(), session_concurrency::oneThread))
-    , statusServer(std::make_shared<http_server<status_handler>>(context, status, counters, "operators", http_limits(), session_concurrency::oneThread))
+    , callerServer(std::make_shared<http_server<gateway_handler>>(context, callers, counters, "callers", http_limits(),
+                                                                  session_concurrency::oneThread))
+    , statusServer(std::make_shared<http_server<status_handler>>(context, status, counters, "operators", http_limits(),
+                                                                 session_concurrency::oneThread))
     , feed(context.get_executor(), store, state,
            { .onRoutes = [this] { callerServer->setLimits(httpLimits(state.routes->limits())); },
              .onNews =
@@ -128,6 +130,7 @@
               [this](auto router, const auto &news) {
                   relay.take(router, news);
               } });
+    callerServer->setGate([this] { return !state.lag.isOverloaded(system_clock_source().now()); });
     counters.setGauge("marjoramloom_log_lines_dropped", "", [] { return static_cast<double>(droppedLogLines()); });
 }
 
@@ -170,7 +173,18 @@
 auto gateway_process::parts::measureLag() -> asio::awaitable<void>
 {
     auto timer = asio::steady_timer(context);
+    auto wasOverloaded = false;
+    const auto &turnedAway = counters.at("marjoramloom_connections_turned_away_total", "listener=\"callers\"");
     while (true) {
+        const auto isOverloaded = state.lag.isOverloaded(system_clock_source().now());
+        if (isOverloaded != wasOverloaded) {
+            wasOverloaded = isOverloaded;
+            log_line(log_level::warning, "overload")
+                .with("overloaded", isOverloaded ? "yes" : "no")
+                .with("running", state.running)
+                .with("connections", callerServer->connections())
+                .with("turned_away", turnedAway.value());
+        }
         timer.expires_at(state.lag.fire(system_clock_source().now()));
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -18,11 +18,14 @@
 
 /// Waits between reads of a list that fail.
 constexpr auto listRetryFirst = std::chrono::milliseconds(100);
+/// A router that watches in place of others tries less often while the store is away: the fleet's calls would add up,
+/// and the routers on duty tell it of the store's return.
+constexpr auto standInRetryWait = std::chrono::milliseconds(2'000);
 constexpr auto listRetryLimit = std::chrono::milliseconds(800);
 
-auto pause(retry_backoff &backoff) -> asio::awaitable<void>
+auto pause(duration wait) -> asio::awaitable<void>
 {
-    auto timer = asio::steady_timer(co_await asio::this_coro::executor, backoff.next());
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor, wait);
     co_await timer.async_wait(asio::use_awaitable);
 }
 
@@ -51,7 +54,7 @@
             auto why = last_reason();
             if (!co_await list(why)) {
                 onFailure(why);
-                co_await pause(backoff);
+                co_await pause(backoff.next(m_client.leastRetryWait()));
                 continue;
             }
         }
@@ -71,8 +74,9 @@
     }
 }
 
-auto platform_feed::setWatching(bool watching, time_point now) -> void
+auto platform_feed::setWatching(bool watching, bool onDuty, time_point now) -> void
 {
+    m_client.setLeastRetryWait(onDuty ? std::chrono::milliseconds(0) : standInRetryWait);
     if (watching == m_watching) {
         return;
     }
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -22,8 +22,9 @@
 {
     while (true) {
         const auto now = system_clock_source().now();
-        m_feed.setWatching(m_duty.watches(m_state.roster, now), now);
-        if (!m_duty.isOnDuty(m_state.roster, now)) {
+        const auto isOnDuty = m_duty.isOnDuty(m_state.roster, now);
+        m_feed.setWatching(m_duty.watches(m_state.roster, now), isOnDuty, now);
+        if (!isOnDuty) {
             ask(now); // Also while it watches in place of a router that does not answer, to hear when one does.
         }
         auto error = boost::system::error_code();
--- a/src/router/http_exchange.cpp
+++ b/src/router/http_exchange.cpp
@@ -261,7 +261,9 @@
     auto error = boost::system::error_code();
     auto &socket = m_stream.socket();
     // What the socket takes at once needs no timer and no turn of the loop.
-    socket.non_blocking(true, error);
+    if (!socket.non_blocking()) {
+        socket.non_blocking(true, error);
+    }
     const auto written = error ? std::size_t(0) : socket.write_some(asio::buffer(text), error);
     if (!error && written == text.size()) {
         co_return true;
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -74,6 +74,16 @@
     assert(!m_options.addresses.empty());
 }
 
+auto store_client::setLeastRetryWait(std::chrono::milliseconds wait) -> void
+{
+    m_options.leastRetryWait = wait;
+}
+
+auto store_client::leastRetryWait() const -> std::chrono::milliseconds
+{
+    return m_options.leastRetryWait;
+}
+
 auto store_client::get(std::string kind, std::string name, last_reason &why)
     -> asio::awaitable<std::optional<stored_object>>
 {
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -67,7 +67,7 @@
             .with("kind", kind)
             .with("reason", why.text())
             .with("revision", revision);
-        timer.expires_after(backoff.next());
+        timer.expires_after(backoff.next(m_options.leastRetryWait));
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -29,10 +29,11 @@
     auto faults = std::vector<planned_fault>();
     auto at = milliseconds(500);
     while (at < length) {
-        auto fault = planned_fault{ .kind = enum_names<fault_kind>::table[static_cast<std::size_t>(draw(0, kinds - 1))].value,
-                                    .at = at,
-                                    .lasts = milliseconds(draw(shortestMs, longestMs)),
-                                    .target = static_cast<std::uint32_t>(draw(0, 99)) };
+        auto fault =
+            planned_fault{ .kind = enum_names<fault_kind>::table[static_cast<std::size_t>(draw(0, kinds - 1))].value,
+                           .at = at,
+                           .lasts = milliseconds(draw(shortestMs, longestMs)),
+                           .target = static_cast<std::uint32_t>(draw(0, 99)) };
         faults.push_back(fault);
         if (draw(1, seriesOneIn) == 1) {
             fault.at += fault.lasts + milliseconds(draw(0, shortestMs));
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -46,19 +46,12 @@
     using kind = marjoramloom::soak::fault_kind;
     using row = enum_name<kind>;
     static constexpr std::array table{
-        row{ kind::pauseRouter, "pause_router" },
-        row{ kind::killRouter, "kill_router" },
-        row{ kind::stopRouter, "stop_router" },
-        row{ kind::reloadRouter, "reload_router" },
-        row{ kind::storeOutage, "store_outage" },
-        row{ kind::storeSilent, "store_silent" },
-        row{ kind::storeReset, "store_reset" },
-        row{ kind::serverPaused, "server_paused" },
-        row{ kind::serverSilent, "server_silent" },
-        row{ kind::serverAnswersLost, "server_answers_lost" },
-        row{ kind::serverReset, "server_reset" },
-        row{ kind::serverLeaves, "server_leaves" },
-        row{ kind::keyRevoked, "key_revoked" },
-        row{ kind::configurationChange, "configuration_change" },
+        row{ kind::pauseRouter, "pause_router" },   row{ kind::killRouter, "kill_router" },
+        row{ kind::stopRouter, "stop_router" },     row{ kind::reloadRouter, "reload_router" },
+        row{ kind::storeOutage, "store_outage" },   row{ kind::storeSilent, "store_silent" },
+        row{ kind::storeReset, "store_reset" },     row{ kind::serverPaused, "server_paused" },
+        row{ kind::serverSilent, "server_silent" }, row{ kind::serverAnswersLost, "server_answers_lost" },
+        row{ kind::serverReset, "server_reset" },   row{ kind::serverLeaves, "server_leaves" },
+        row{ kind::keyRevoked, "key_revoked" },     row{ kind::configurationChange, "configuration_change" },
     };
 };
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -57,7 +57,9 @@
         m_storeAddress = address;
         return m_routerStores[static_cast<std::size_t>(router)]->addressFor(address);
     };
-    plan.serverAddressSeen = [this](const std::string &address) { return m_relays.addressFor(address); };
+    plan.serverAddressSeen = [this](const std::string &address) {
+        return m_relays.addressFor(address);
+    };
     m_fleet = std::make_unique<test::gateway_fleet>(std::move(plan));
     m_serverRuns.resize(static_cast<std::size_t>(m_options.servers));
     m_start = std::chrono::steady_clock::now();
@@ -141,8 +143,8 @@
     auto running = std::priority_queue<planned_fault, std::vector<planned_fault>, decltype(endsLater)>(endsLater);
     auto next = faults.begin();
     while (next != faults.end() || !running.empty()) {
-        const auto endsFirst = next == faults.end()
-            || (!running.empty() && running.top().at + running.top().lasts < next->at);
+        const auto endsFirst =
+            next == faults.end() || (!running.empty() && running.top().at + running.top().lasts < next->at);
         const auto at = endsFirst ? running.top().at + running.top().lasts : next->at;
         std::this_thread::sleep_until(m_start + at);
         if (endsFirst) {
--- a/tests/unit/store/retry_backoff_test.cpp
+++ b/tests/unit/store/retry_backoff_test.cpp
@@ -1,6 +1,7 @@
 #include "marjoramloom/store/retry_backoff.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace marjoramloom;
 
@@ -18,4 +19,17 @@
     BOOST_TEST(backoff.next().count() <= 100);
 }
 
+BOOST_AUTO_TEST_CASE(a_least_wait_is_kept_and_waits_are_still_spread)
+{
+    auto backoff = retry_backoff(std::chrono::milliseconds(100), std::chrono::milliseconds(400), 1);
+    auto waits = std::set<std::int64_t>();
+    for (auto call = 0; call < 20; ++call) {
+        const auto wait = backoff.next(std::chrono::milliseconds(2'000)).count();
+        BOOST_TEST(wait >= 2'000);
+        BOOST_TEST(wait <= 4'000);
+        waits.insert(wait);
+    }
+    BOOST_TEST(waits.size() > 10U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
