Routers share what a backend server accepts: idle connections are bounded by their part of it

Ruled out: lost answers (answer_lost was over by then), leaving servers.

The second parser of addresses is gone; it hid the one in core where both were declared.

--- a/include/marjoramloom/call/connection_pool.h
+++ b/include/marjoramloom/call/connection_pool.h
@@ -21,8 +21,12 @@
     [[nodiscard]] auto take(const std::string &peer, const boost::asio::any_io_executor &executor)
         -> std::shared_ptr<http_connection>;
 
-    /// Takes a connection back; one whose answer did not end cleanly is closed instead.
-    auto giveBack(std::shared_ptr<http_connection> connection) -> void;
+    /// Idle connections that are kept to one peer where nothing else is said.
+    static constexpr std::size_t IDLE_PER_PEER = 32;
+
+    /// Takes a connection back and keeps at most \p idleLimit to its peer; one whose answer did not end cleanly is
+    /// closed instead.
+    auto giveBack(std::shared_ptr<http_connection> connection, std::size_t idleLimit = IDLE_PER_PEER) -> void;
 
 private:
     struct idle_connection
@@ -33,7 +37,6 @@
 
     /// An older one may have been forgotten by something between the two ends, without a sign to either.
     static constexpr duration IDLE_LIMIT = std::chrono::seconds(5);
-    static constexpr std::size_t IDLE_PER_PEER = 32;
 
     std::mutex m_mutex;
     std::unordered_map<std::string, std::deque<idle_connection>> m_idle;
--- a/include/marjoramloom/call/http_connection.h
+++ b/include/marjoramloom/call/http_connection.h
@@ -100,7 +100,4 @@
     std::array<char, PART_BYTES> m_part;
 };
 
-/// Splits "IP:port"; nothing where it is malformed. Thread safe.
-auto parseEndpoint(const std::string &address, last_reason &why) -> std::optional<boost::asio::ip::tcp::endpoint>;
-
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -47,6 +47,10 @@
     /// The budget of repeats to the servers of \p service.
     auto repeatsOf(const std::string &service) -> repeat_budget &;
 
+    /// Idle connections that this router may keep to one server of \p service: its part of half of what the server
+    /// accepts from all routers. The other half is for requests that open new ones.
+    [[nodiscard]] auto idleLimit(const routed_service &service) const -> std::size_t;
+
     gateway_settings settings;
     std::string dataCentre;
     counter_registry &counters;
--- a/src/call/connection_pool.cpp
+++ b/src/call/connection_pool.cpp
@@ -26,17 +26,18 @@
     return nullptr;
 }
 
-auto connection_pool::giveBack(std::shared_ptr<http_connection> connection) -> void
+auto connection_pool::giveBack(std::shared_ptr<http_connection> connection, std::size_t idleLimit) -> void
 {
     if (!connection->endedCleanly()) {
         connection->interrupt();
         return;
     }
     connection->release();
+    const auto now = std::chrono::steady_clock::now();
     const auto lock = std::lock_guard(m_mutex);
     auto &idle = m_idle[connection->peer()];
-    idle.push_back({ std::move(connection), std::chrono::steady_clock::now() });
-    if (idle.size() > IDLE_PER_PEER) {
+    idle.push_back({ std::move(connection), now });
+    while (!idle.empty() && (idle.size() > idleLimit || idle.front().since < now - IDLE_LIMIT)) {
         idle.pop_front();
     }
 }
--- a/src/call/http_connection.cpp
+++ b/src/call/http_connection.cpp
@@ -1,9 +1,10 @@
 #include "marjoramloom/call/http_connection.h"
 
+#include "marjoramloom/core/endpoint.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cassert>
-#include <charconv>
 #include <netinet/tcp.h>
 
 namespace marjoramloom {
@@ -38,6 +39,7 @@
 {
     const auto endpoint = parseEndpoint(m_peer, why);
     if (!endpoint) {
+        why.kind = failure_kind::notSent;
         co_return false;
     }
     auto error = error_code();
@@ -203,20 +205,4 @@
     interrupt();
 }
 
-auto parseEndpoint(const std::string &address, last_reason &why) -> std::optional<asio::ip::tcp::endpoint>
-{
-    const auto colon = address.rfind(':');
-    auto error = error_code();
-    auto port = std::uint16_t();
-    if (colon != std::string::npos) {
-        const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-        const auto *end = address.data() + address.size();
-        const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-        if (!error && parsed.ec == std::errc() && parsed.ptr == end && port != 0) {
-            return asio::ip::tcp::endpoint(ip, port);
-        }
-    }
-    return why.fail(failure_kind::notSent, "parse address", address, "not IP:port");
-}
-
 } // namespace marjoramloom
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -226,7 +226,7 @@
         co_return m_control->cancelled() ? send_end::callerLeft : send_end::notSent;
     }
     if (!mayStillSend(chosen, why)) {
-        m_state.connections.giveBack(std::move(connection));
+        m_state.connections.giveBack(std::move(connection), m_state.idleLimit(*m_service));
         m_why = why;
         co_return why.kind == failure_kind::cancelled ? send_end::callerLeft : send_end::notSent;
     }
@@ -254,7 +254,7 @@
         co_return send_end::callerLeft;
     }
     if (end == send_end::answered || end == send_end::notRun || end == send_end::failed) {
-        m_state.connections.giveBack(std::move(connection));
+        m_state.connections.giveBack(std::move(connection), m_state.idleLimit(*m_service));
     } else {
         connection->interrupt();
     }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -2,6 +2,8 @@
 
 #include "marjoramloom/core/log.h"
 
+#include <algorithm>
+
 namespace marjoramloom {
 
 namespace {
@@ -64,6 +66,15 @@
     return read;
 }
 
+auto gateway_state::idleLimit(const routed_service &service) const -> std::size_t
+{
+    if (service.connectionLimit == 0) {
+        return connection_pool::IDLE_PER_PEER;
+    }
+    const auto part = service.connectionLimit / (2 * roster.size());
+    return std::clamp<std::size_t>(part, 1, connection_pool::IDLE_PER_PEER);
+}
+
 auto gateway_state::repeatsOf(const std::string &service) -> repeat_budget &
 {
     return repeats.try_emplace(service, settings.repeats).first->second;
--- a/tests/unit/gateway/freshness_and_budget_test.cpp
+++ b/tests/unit/gateway/freshness_and_budget_test.cpp
@@ -1,3 +1,4 @@
+#include "marjoramloom/gateway/gateway_state.h"
 #include "marjoramloom/gateway/key_freshness.h"
 #include "marjoramloom/gateway/repeat_budget.h"
 
@@ -40,4 +41,20 @@
     BOOST_TEST(budget.take(now + 10'001ms));
 }
 
+BOOST_AUTO_TEST_CASE(routers_share_what_a_server_accepts)
+{
+    auto counters = counter_registry();
+    auto state = gateway_state(gateway_settings(), { "10.0.0.1:7400", "north", 1 }, counters, 1);
+    auto service = routed_service();
+    BOOST_TEST(state.idleLimit(service) == connection_pool::IDLE_PER_PEER);
+    service.connectionLimit = 470;
+    BOOST_TEST(state.idleLimit(service) == connection_pool::IDLE_PER_PEER);
+    constexpr auto routers = 69U;
+    for (auto number = 2U; number <= routers; ++number) {
+        state.roster.put({ "10.0.0." + std::to_string(number) + ":7400", "north", 1 });
+    }
+    BOOST_TEST(state.idleLimit(service) >= 1U);
+    BOOST_TEST(state.idleLimit(service) * routers * 2 <= service.connectionLimit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
