--- a/tests/unit/call/connection_pool_test.cpp
+++ b/tests/unit/call/connection_pool_test.cpp
@@ -17,7 +17,8 @@
 {
     static auto handle(http_exchange &exchange) -> boost::asio::awaitable<void>
     {
-        co_await exchange.reply({});
+        auto answer = http_reply();
+        co_await exchange.reply(std::move(answer));
     }
 };
 
