--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -96,7 +96,8 @@
 
 auto gateway_fleet::writeSettings(const router_handle &router, int number) -> void
 {
-    const auto store = m_plan.storeAddressSeen ? m_plan.storeAddressSeen(number, m_store->address()) : m_store->address();
+    const auto store =
+        m_plan.storeAddressSeen ? m_plan.storeAddressSeen(number, m_store->address()) : m_store->address();
     auto text = std::ofstream(router.settingsFile);
     text << "[instance]\nname = \"" << router.name << "\"\ndata_centre = \"north\"\nthreads = 1\n"
          << "[listen]\ncallers = \"" << router.callers << "\"\noperators = \"" << router.operators << "\"\npeers = \""
