A quiet store is not taken to be away where keys live long; followers log when the store is lost and regained

Found in reading, for deployments with other bounds: a watch waits for a third of the keys' lifetime, and silence of 2.6 s counts as an outage, so with keys that live for more than 5 s every quiet moment looked like one, and servers whose entries were removed stayed in use as lapsed. The wait is at most 1.5 s now. The test fails without it (store_lost in the log, ten requests to a removed server).

--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -18,12 +18,11 @@
 class platform_feed
 {
 public:
-    /// Called after each new configuration, and with true after changes of the list of backend servers or of the
-    /// configuration that others should hear of.
+    /// Who is told of changes.
     struct listeners
     {
-        std::function<void()> onRoutes;
-        std::function<void()> onNews;
+        std::function<void()> onRoutes; ///< A new configuration is in force here.
+        std::function<void()> onNews; ///< The store showed changes that other routers should hear of.
     };
 
     /// Preconditions: \p client and \p state outlive the feed.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -36,6 +36,8 @@
 
 /// A waiting call of the store that shows no change proves that keys are in force; one may be lost.
 constexpr auto proofsPerLifetime = 3;
+/// A store that says nothing for longer than this and a slow answer is taken to be away, see platform_feed.
+constexpr auto longestWatchWait = std::chrono::milliseconds(1'500);
 /// Time that the store may take beyond the wait that it was asked for.
 constexpr auto slowestAnswer = std::chrono::milliseconds(700);
 
@@ -44,7 +46,7 @@
     auto options = store_options();
     options.addresses = config.platform;
     options.timeout = config.platformTimeout;
-    options.watchWait = config.gateway->keyLifetime / proofsPerLifetime;
+    options.watchWait = std::min(longestWatchWait, config.gateway->keyLifetime / proofsPerLifetime);
     options.watchPeriod = watchPeriod;
     options.watchSilence = options.watchWait + slowestAnswer;
     options.retryLimit = std::chrono::milliseconds(800);
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -268,12 +268,12 @@
     }
     const auto now = system_clock_source().now();
     if (news.storeLost) {
-        m_storeLost = true;
-        m_state.servers.onStoreLost();
+        auto why = last_reason();
+        why.fail(failure_kind::unavailable, "ask watcher", "platform", "it gets no answer");
+        onFailure(why);
         return false;
     }
-    m_storeLost = false;
-    m_state.servers.onStoreRegained(now);
+    onAnswer();
     m_state.servers.expectRenewals(now + news.renewalLeft);
     const auto knowsServers = m_state.hasServers && news.serversAfter <= m_servers.revision();
     if (knowsServers) {
--- a/tests/process/gateway/gateway_path_test.cpp
+++ b/tests/process/gateway/gateway_path_test.cpp
@@ -193,6 +193,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(long_lived_keys_do_not_make_a_quiet_store_look_away)
+{
+    auto all = gateway_fleet({ .routers = 1, .revocationMs = 30'000 });
+    const auto &router = all.routers().front();
+    sleepMs(4'000);
+    BOOST_TEST(all.logOf(router).find("event=store_lost") == std::string::npos);
+    // A removed entry is that of a server that left, not one that lapsed in an outage.
+    httpCall(all.store().address(), { "DELETE", "/v1/objects/servers/server-0", {}, "" });
+    sleepMs(500);
+    const auto before = all.servers()[0]->record().size();
+    for (auto call = 0; call < 10; ++call) {
+        BOOST_TEST(all.call(router, "/read/x", "removed-" + std::to_string(call)).status == 200U);
+    }
+    BOOST_TEST(all.servers()[0]->record().size() == before);
+}
+
 BOOST_AUTO_TEST_CASE(an_unreadable_configuration_leaves_the_old_one_until_its_keys_are_no_longer_proved)
 {
     auto all = gateway_fleet({ .routers = 1, .revocationMs = 2'500 });
