--- a/tests/process/gateway/store_relay_test.cpp
+++ b/tests/process/gateway/store_relay_test.cpp
@@ -1,6 +1,8 @@
 #include "support/gateway_fleet.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 
 using namespace marjoramloom::test;
 
--- a/tests/soak/kept_caller.h
+++ b/tests/soak/kept_caller.h
@@ -2,6 +2,7 @@
 
 #include "support/http_call.h"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
