store_relay_test: waits for the two routers that watch instead of counting all that ever did

Cause: routers start one after the other, and their order of watchers follows from their ports, which are drawn anew. Each router that comes to stand among the first two watches, so at some starts all five had watched once; the test then took all for watchers and found nobody running. Ruled out: a router that does not start or does not hear its watcher (all five logs show watches=yes, then watches=no). Now the test pauses the routers that watch at that time and requires that they are two, which is stricter.

--- a/tests/process/gateway/store_relay_test.cpp
+++ b/tests/process/gateway/store_relay_test.cpp
@@ -10,18 +10,30 @@
 
 constexpr auto routerCount = 5;
 
-/// Routers that began to watch the store, by their logs.
+/// Routers that watch the store now, by their logs.
 auto watchersOf(gateway_fleet &all) -> std::vector<router_handle *>
 {
     auto watching = std::vector<router_handle *>();
     for (auto &router : all.routers()) {
-        if (all.logOf(router).find("event=store_watch watches=yes") != std::string::npos) {
+        const auto log = all.logOf(router);
+        const auto began = log.rfind("event=store_watch watches=yes");
+        const auto ended = log.rfind("event=store_watch watches=no");
+        if (began != std::string::npos && (ended == std::string::npos || ended < began)) {
             watching.push_back(&router);
         }
     }
     return watching;
 }
 
+/// Waits until as many routers watch the store as are to. Routers start one after the other and their order follows
+/// from their ports, so any number of them may have watched before the others were there.
+auto settledWatchersOf(gateway_fleet &all) -> std::vector<router_handle *>
+{
+    constexpr auto settleLimitMs = 10'000; // A router that began to watch goes on for 4 s.
+    BOOST_REQUIRE(waitUntil(settleLimitMs, [&] { return watchersOf(all).size() == 2; }));
+    return watchersOf(all);
+}
+
 auto everyRouterAnswers(gateway_fleet &all, const std::string &key, unsigned status) -> bool
 {
     static auto number = 0;
@@ -50,30 +62,22 @@
     BOOST_TEST(everyRouterAnswers(all, "key-new", 200));
     BOOST_TEST(everyRouterAnswers(all, "key-new", 200));
     BOOST_TEST(all.servers()[0]->record().size() == before);
-    // Routers start one after the other, so the first ones may have watched before the others were there.
-    sleepMs(5'000);
-    auto watching = 0;
-    for (auto &router : all.routers()) {
-        const auto log = all.logOf(router);
-        const auto began = log.rfind("event=store_watch watches=yes");
-        const auto ended = log.rfind("event=store_watch watches=no");
-        watching += began != std::string::npos && (ended == std::string::npos || ended < began) ? 1 : 0;
-    }
-    BOOST_TEST(watching == 2);
+    settledWatchersOf(all);
+    sleepMs(1'000);
+    BOOST_TEST(watchersOf(all).size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(routers_whose_watchers_are_paused_keep_serving_keys_and_still_refuse_revoked_ones)
 {
     auto all = gateway_fleet({ .routers = routerCount });
-    sleepMs(5'000);
-    auto paused = watchersOf(all);
+    auto paused = settledWatchersOf(all);
     auto running = std::vector<router_handle *>();
     for (auto &router : all.routers()) {
         if (std::find(paused.begin(), paused.end(), &router) == paused.end()) {
             running.push_back(&router);
         }
     }
-    BOOST_REQUIRE(!running.empty());
+    BOOST_REQUIRE(running.size() == routerCount - 2U);
     for (auto *router : paused) {
         router->process->signal(SIGSTOP);
     }
