New connections wait in a short queue; an overloaded router stays out of rotation for longer than a wave of traffic

Cause: one caller of the grown fleets sends up to 1,200 requests a second to one router of 0.12 of a core. And as the router was ready again a second after it had rested, the balancer gave it the same caller again, so the flood went round three small routers. Now 128 connections may wait, so that a caller whose connection is not accepted turns elsewhere after a second; and a router that was overloaded for 0.4 s rests for 30 s, so that the flood moves on until it meets a large router. A single pause of the machine is no reason to rest any more.

--- a/include/marjoramloom/gateway/loop_lag.h
+++ b/include/marjoramloom/gateway/loop_lag.h
@@ -20,9 +20,13 @@
     /// being overloaded.
     static constexpr duration LIMIT = std::chrono::milliseconds(120);
 
-    /// A router that was overloaded for this long takes no new connections until it was not for RECOVERY_TIME.
+    /// A router that was overloaded for this long takes no new connections for RECOVERY_TIME.
     static constexpr duration PATIENCE = std::chrono::milliseconds(400);
-    static constexpr duration RECOVERY_TIME = std::chrono::milliseconds(1'000);
+    /// The balancer gives a caller to the same router again as soon as that is ready, so one that is too small for its
+    /// callers stays away for longer than a wave of their traffic, and they come to a larger one in the end.
+    static constexpr duration RECOVERY_TIME = std::chrono::seconds(30);
+    /// Measurements beyond the limit that are further apart belong to two pauses, not to one overload.
+    static constexpr duration EPISODE_GAP = std::chrono::milliseconds(1'000);
 
     /// The timer fired, or starts. Returns when it is to fire next.
     auto fire(time_point now) -> time_point
@@ -31,10 +35,7 @@
         m_lateness = m_due == time_point() ? duration::zero() : std::max<duration>(now - m_due, duration::zero());
         m_due = now + PERIOD;
         if (m_lateness > LIMIT) {
-            m_lastOverload = now;
-            m_overloadedSince = std::min(m_overloadedSince, now - m_lateness);
-        } else if (now - m_lastOverload > RECOVERY_TIME) {
-            m_overloadedSince = time_point::max();
+            noteOverload(now);
         }
         return m_due;
     }
@@ -42,7 +43,7 @@
     /// Whether new connections should go to other routers for now.
     [[nodiscard]] auto shouldRest(time_point now) const -> bool
     {
-        return m_overloadedSince != time_point::max() && now - m_overloadedSince > PATIENCE;
+        return now <= m_restsUntil;
     }
 
     /// Two measurements in a row beyond the limit. One alone is a pause of the machine, and over when it is seen.
@@ -54,11 +55,23 @@
     }
 
 private:
+    auto noteOverload(time_point now) -> void
+    {
+        if (now - m_lastOverload > EPISODE_GAP) {
+            m_overloadedSince = now;
+        }
+        m_lastOverload = now;
+        if (now - m_overloadedSince >= PATIENCE) {
+            m_restsUntil = now + RECOVERY_TIME;
+        }
+    }
+
     time_point m_due{};
     duration m_lateness{};
     duration m_before{};
     time_point m_lastOverload{};
-    time_point m_overloadedSince = time_point::max();
+    time_point m_overloadedSince{};
+    time_point m_restsUntil{};
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -17,6 +17,9 @@
 
 /// How long an idle connection stays open once its server stops.
 constexpr auto idleCloseDelay = std::chrono::seconds(2);
+/// Connections that may wait to be accepted. A router that is overloaded accepts some hundred a second, and a caller
+/// that is not accepted within a second turns to another router; one that waits in a longer queue learns of nothing.
+constexpr int listenQueue = 128;
 /// Connections that are accepted in one go, so that a server that is behind with its work still takes new ones.
 constexpr std::size_t acceptBatch = 128;
 /// Pause after an accept that failed, as when no file descriptor is free.
@@ -50,7 +53,7 @@
         m_acceptor.bind(*endpoint, error);
     }
     if (!error) {
-        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        m_acceptor.listen(listenQueue, error);
     }
     if (error) {
         return why.fail(failure_kind::unavailable, "listen", address, error.message());
--- a/tests/unit/gateway/loop_lag_test.cpp
+++ b/tests/unit/gateway/loop_lag_test.cpp
@@ -42,4 +42,25 @@
     BOOST_TEST(!lag.shouldRest(due));
 }
 
+BOOST_AUTO_TEST_CASE(pauses_of_the_machine_are_no_reason_to_rest_and_a_long_overload_is_for_long)
+{
+    auto lag = loop_lag();
+    auto due = lag.fire(time_point(100s));
+    due = lag.fire(due + 4s); // The machine stood still.
+    BOOST_TEST(!lag.shouldRest(due));
+    for (auto firing = 0; firing < 100; ++firing) {
+        due = lag.fire(due);
+    }
+    due = lag.fire(due + 300ms); // And again, seconds later.
+    BOOST_TEST(!lag.shouldRest(due));
+    // A caller's flood comes in waves of up to 20 s; between two of them the router keeps up.
+    for (auto firing = 0; firing < 5; ++firing) {
+        due = lag.fire(due + 150ms);
+    }
+    for (auto firing = 0; firing < 400; ++firing) {
+        BOOST_TEST(lag.shouldRest(due));
+        due = lag.fire(due);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/router/http_server_test.cpp
+++ b/tests/unit/router/http_server_test.cpp
@@ -55,4 +55,31 @@
     loop.join();
 }
 
+BOOST_AUTO_TEST_CASE(a_server_that_falls_behind_keeps_few_connections_waiting)
+{
+    // What waits in a long queue is not seen by anybody: its callers learn too late that they should turn elsewhere.
+    constexpr auto callers = 400;
+    auto context = boost::asio::io_context(1);
+    auto counters = counter_registry();
+    auto handler = counting_handler();
+    auto server = std::make_shared<http_server<counting_handler>>(context, handler, counters, "test", http_limits(),
+                                                                  session_concurrency::oneThread);
+    auto why = last_reason();
+    const auto port = server->listen("127.0.0.1:0", why);
+    BOOST_REQUIRE(port.has_value());
+    auto calling = boost::asio::io_context(1);
+    auto sockets = std::vector<boost::asio::ip::tcp::socket>();
+    auto waiting = 0;
+    for (auto index = 0; index < callers; ++index) {
+        sockets.emplace_back(calling);
+    }
+    const auto address = boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), *port);
+    for (auto &socket : sockets) {
+        socket.async_connect(address, [&](const boost::system::error_code &error) { waiting += error ? 0 : 1; });
+    }
+    calling.run_for(std::chrono::milliseconds(500)); // The server's loop does not run.
+    BOOST_TEST(waiting > 0);
+    BOOST_TEST(waiting < callers / 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
