While the store is away, a router tries the configuration alone, once at a time; stand-ins call less often

Cause: in an outage each of 69 routers tried two kinds, each on two new connections, and when the store was back all of them watched it for four seconds at ten calls a second. Now a list that failed on a new connection to the only address is not tried again at once; the list of backend servers waits until the configuration is answered; a router that watches in place of others calls once a second. Test: without the wait for the configuration, the new case of platform_feed_test counts two calls in place of one. store_client_test sets the same period by its new name.

--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -62,6 +62,7 @@
     auto follow(std::string_view kind, List list, watch_callback onEvent, std::uint64_t &known)
         -> boost::asio::awaitable<void>;
     auto waitUntilWatching() -> boost::asio::awaitable<void>;
+    auto waitUntilAnswered() -> boost::asio::awaitable<void>;
     auto onConfigurationEvent(const watch_event &event) -> void;
     auto onServerEvent(const watch_event &event) -> void;
     auto applyConfiguration(const stored_object &object) -> bool;
@@ -84,6 +85,7 @@
     bool m_serversChanged = false; ///< Since the last bookmark.
     bool m_watching = false;
     boost::asio::steady_timer m_gate; ///< Cancelled when this router begins to watch.
+    boost::asio::steady_timer m_answerGate; ///< Cancelled when the store answers again.
     bool m_refreshing = false;
     bool m_wantsConfiguration = false;
     bool m_wantsServers = false;
--- a/include/marjoramloom/store/store_client.h
+++ b/include/marjoramloom/store/store_client.h
@@ -19,20 +19,29 @@
 
 namespace marjoramloom {
 
+/// How often a watch calls.
+struct watch_pace
+{
+    /// Least time between two calls of one watch: changes in quick succession are fetched together, as each call
+    /// counts.
+    std::chrono::milliseconds period{ 0 };
+    /// Least wait after a failed call; waits are spread up to twice of it.
+    std::chrono::milliseconds leastRetryWait{ 0 };
+};
+
 /// Limits and addresses of a store_client.
 struct store_options
 {
     std::vector<std::string> addresses; ///< IP:port each; any of them serves.
     std::chrono::milliseconds timeout{ 2'000 }; ///< Of one call, with its retries.
     std::chrono::milliseconds watchWait{ 1'000 }; ///< How long one call of a watch waits for changes.
-    /// Least time between two calls of one watch: changes in quick succession are fetched together, as each call
-    /// counts.
-    std::chrono::milliseconds watchPeriod{ 0 };
+    watch_pace pace;
+    /// Whether a watch dials anew by itself after a failed call; else it ends.
+    bool redialsWatches = true;
     std::chrono::milliseconds watchSilence{ 2'000 }; ///< A watch without an answer for this long is dialled anew.
     std::chrono::milliseconds idleLimit{ 15'000 }; ///< Idle connections are not used again after this long.
     std::chrono::milliseconds retryFirst{ 100 };
     std::chrono::milliseconds retryLimit{ 3'000 };
-    std::chrono::milliseconds leastRetryWait{ 0 }; ///< Of a watch.
 };
 
 /// The instance list at one revision.
@@ -52,11 +61,10 @@
     /// Precondition: at least one address; \p executor and \p counters outlive the client.
     store_client(boost::asio::any_io_executor executor, store_options options, counter_registry &counters);
 
-    /// Least wait of a watch after a failed call; waits are spread up to twice of it. Call on the only thread of the
-    /// executor.
-    auto setLeastRetryWait(std::chrono::milliseconds wait) -> void;
+    /// Changes the pace of watches from their next calls on. Call on the only thread of the executor.
+    auto setWatchPace(const watch_pace &pace) -> void;
 
-    [[nodiscard]] auto leastRetryWait() const -> std::chrono::milliseconds;
+    [[nodiscard]] auto watchPace() const -> const watch_pace &;
 
     /// The object; revision 0 where none stands. Nothing where the platform gave no clear answer.
     auto get(std::string kind, std::string name, last_reason &why)
@@ -83,8 +91,9 @@
 
     /// Hands every change of \p kinds after revision \p since to \p callback, one event at a time; those of one kind
     /// come in order and each once, with bookmarks between them. Calls again whenever a call ends, and dials anew where
-    /// the connection ends or falls silent. Ends when the callback returns false, or when the platform no longer keeps
-    /// the changes after the last revision seen: then list again. Precondition: \p kinds is not empty.
+    /// the connection ends or falls silent, or ends there where the options say so. Ends when the callback returns
+    /// false, or when the platform no longer keeps the changes after the last revision seen: then list again.
+    /// Precondition: \p kinds is not empty.
     auto watch(std::vector<std::string> kinds, std::uint64_t since, watch_callback callback)
         -> boost::asio::awaitable<watch_end>;
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -26,8 +26,6 @@
 namespace {
 
 constexpr auto tickPeriod = std::chrono::milliseconds(200);
-/// News of leaving servers and revoked keys may take seconds; a tenth of one joins the changes of a fleet that starts.
-constexpr auto watchPeriod = std::chrono::milliseconds(100);
 /// The balancer asks once a second and takes a router out after two misses; new connections come until then.
 constexpr auto acceptAfterStop = std::chrono::milliseconds(2'600);
 constexpr auto drainPoll = std::chrono::milliseconds(50);
@@ -47,9 +45,8 @@
     options.addresses = config.platform;
     options.timeout = config.platformTimeout;
     options.watchWait = std::min(longestWatchWait, config.gateway->keyLifetime / proofsPerLifetime);
-    options.watchPeriod = watchPeriod;
+    options.redialsWatches = false;
     options.watchSilence = options.watchWait + slowestAnswer;
-    options.retryLimit = std::chrono::milliseconds(800);
     return options;
 }
 
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -16,12 +16,16 @@
 
 namespace {
 
-/// Waits between reads of a list that fail.
-constexpr auto listRetryFirst = std::chrono::milliseconds(100);
-constexpr auto listRetryLimit = std::chrono::milliseconds(800);
-/// A router that watches in place of others tries less often while the store is away: the fleet's calls would add up,
-/// and the routers on duty tell it of the store's return.
-constexpr auto standInRetryWait = std::chrono::milliseconds(2'000);
+/// Waits between calls that fail.
+constexpr auto retryFirst = std::chrono::milliseconds(100);
+constexpr auto retryLimit = std::chrono::milliseconds(800);
+/// News of leaving servers and revoked keys may take seconds; a tenth of one joins the changes of a fleet that starts.
+constexpr auto dutyPace = watch_pace{ .period = std::chrono::milliseconds(100),
+                                      .leastRetryWait = std::chrono::milliseconds(0) };
+/// A router that watches in place of others calls less often: the calls of a whole fleet add up when the store goes away
+/// and when it is back, and the routers on duty tell it of the store's return.
+constexpr auto standInPace = watch_pace{ .period = std::chrono::milliseconds(1'000),
+                                         .leastRetryWait = std::chrono::milliseconds(2'000) };
 
 auto pause(duration wait) -> asio::awaitable<void>
 {
@@ -38,6 +42,7 @@
     , m_state(state)
     , m_listening(std::move(listening))
     , m_gate(executor, time_point::max())
+    , m_answerGate(executor, time_point::max())
     , m_lastAnswer(system_clock_source().now())
 {
 }
@@ -47,25 +52,41 @@
 auto platform_feed::follow(std::string_view kind, List list, watch_callback onEvent, std::uint64_t &known)
     -> asio::awaitable<void>
 {
-    auto backoff = retry_backoff(listRetryFirst, listRetryLimit, m_state.random());
+    auto backoff = retry_backoff(retryFirst, retryLimit, m_state.random());
     while (true) {
         co_await waitUntilWatching();
-        if (known == 0) {
-            auto why = last_reason();
-            if (!co_await list(why)) {
-                onFailure(why);
-                co_await pause(backoff.next(m_client.leastRetryWait()));
-                continue;
-            }
+        if (kind != platform::configurationKind) {
+            co_await waitUntilAnswered();
         }
-        backoff.reset();
-        auto kinds = std::vector<std::string>(1, std::string(kind));
-        if (co_await m_client.watch(std::move(kinds), known, onEvent) == watch_end::expired) {
+        const auto answeredBefore = m_lastAnswer;
+        auto end = watch_end::broken;
+        auto why = last_reason();
+        if (known == 0 && !co_await list(why)) {
+            onFailure(why);
+        } else {
+            auto kinds = std::vector<std::string>(1, std::string(kind));
+            end = co_await m_client.watch(std::move(kinds), known, onEvent);
+        }
+        if (m_lastAnswer != answeredBefore) {
+            backoff.reset();
+        }
+        if (end == watch_end::expired) {
             known = 0;
+        } else if (end == watch_end::broken) {
+            co_await pause(backoff.next(m_client.watchPace().leastRetryWait));
         }
     }
 }
 
+/// While the store is away, the watch of the configuration alone tries whether it is back.
+auto platform_feed::waitUntilAnswered() -> asio::awaitable<void>
+{
+    while (m_storeLost) {
+        auto error = boost::system::error_code();
+        co_await m_answerGate.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
 auto platform_feed::waitUntilWatching() -> asio::awaitable<void>
 {
     while (!m_watching) {
@@ -76,7 +97,7 @@
 
 auto platform_feed::setWatching(bool watching, bool onDuty, time_point now) -> void
 {
-    m_client.setLeastRetryWait(onDuty ? std::chrono::milliseconds(0) : standInRetryWait);
+    m_client.setWatchPace(onDuty ? dutyPace : standInPace);
     if (watching == m_watching) {
         return;
     }
@@ -325,6 +346,7 @@
     m_lastAnswer = system_clock_source().now();
     if (m_storeLost) {
         m_storeLost = false;
+        m_answerGate.cancel();
         m_state.servers.onStoreRegained(m_lastAnswer);
         log_line(log_level::info, "store_regained").with("address", "platform");
     }
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -62,6 +62,7 @@
     time_point deadline;
     bool repeatable = false;
     bool fresh = false; ///< Use no idle connection.
+    bool wasIdle = false; ///< The last attempt used one, which may have been stale.
 };
 
 store_client::store_client(asio::any_io_executor executor, store_options options, counter_registry &counters)
@@ -74,14 +75,14 @@
     assert(!m_options.addresses.empty());
 }
 
-auto store_client::setLeastRetryWait(std::chrono::milliseconds wait) -> void
+auto store_client::setWatchPace(const watch_pace &pace) -> void
 {
-    m_options.leastRetryWait = wait;
+    m_options.pace = pace;
 }
 
-auto store_client::leastRetryWait() const -> std::chrono::milliseconds
+auto store_client::watchPace() const -> const watch_pace &
 {
-    return m_options.leastRetryWait;
+    return m_options.pace;
 }
 
 auto store_client::get(std::string kind, std::string name, last_reason &why)
@@ -218,7 +219,6 @@
 auto store_client::call(http_request request, bool repeatable, sent_state &sent, last_reason &why)
     -> asio::awaitable<std::optional<http_response>>
 {
-    m_calls.add();
     auto state = call_budget{ .deadline = std::chrono::steady_clock::now() + m_options.timeout,
                               .repeatable = repeatable,
                               .fresh = false };
@@ -233,7 +233,9 @@
         }
         state.fresh = true;
         const auto mayRepeat = repeatable || sent == sent_state::notSent;
-        if (!mayRepeat || std::chrono::steady_clock::now() >= state.deadline) {
+        // Where a new connection to the only address failed, another one is a call more and fails as well.
+        const auto mayHelp = state.wasIdle || m_options.addresses.size() > 1;
+        if (!mayRepeat || !mayHelp || std::chrono::steady_clock::now() >= state.deadline) {
             break;
         }
     }
@@ -244,6 +246,7 @@
 auto store_client::attempt(call_budget &state, http_request request, sent_state &sent, last_reason &why)
     -> asio::awaitable<std::optional<http_response>>
 {
+    m_calls.add();
     const auto address = preferredAddress();
     request.set(http::field::host, address);
     const auto remaining =
@@ -251,6 +254,7 @@
     // A read leaves time for another attempt elsewhere; so does connecting, which proves that nothing was sent.
     const auto half = std::max(remaining / 2, std::chrono::milliseconds(1));
     auto connection = state.fresh ? nullptr : takeIdle(address);
+    state.wasIdle = connection != nullptr;
     if (!connection) {
         connection = std::make_shared<store_connection>(m_executor, address);
         const auto connected = co_await connection->connect(half, why);
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -48,7 +48,7 @@
     auto connection = std::shared_ptr<store_connection>();
     while (true) {
         auto why = last_reason();
-        const auto nextCall = system_clock_source().now() + m_options.watchPeriod;
+        const auto nextCall = system_clock_source().now() + m_options.pace.period;
         const auto end = co_await watchOnce(connection, kind, revision, callback, why);
         if (end == watch_end::idle) {
             backoff.reset();
@@ -67,7 +67,10 @@
             .with("kind", kind)
             .with("reason", why.text())
             .with("revision", revision);
-        timer.expires_after(backoff.next(m_options.leastRetryWait));
+        if (!m_options.redialsWatches) {
+            co_return watch_end::broken;
+        }
+        timer.expires_after(backoff.next(m_options.pace.leastRetryWait));
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
--- a/tests/unit/gateway/platform_feed_test.cpp
+++ b/tests/unit/gateway/platform_feed_test.cpp
@@ -110,4 +110,17 @@
     BOOST_TEST(!feed.take(news, boot_clock::now()));
 }
 
+BOOST_AUTO_TEST_CASE(only_the_configuration_is_tried_while_the_store_is_away)
+{
+    // A fleet of 69 such routers makes each call 69 times.
+    boost::asio::co_spawn(
+        context, [this] { return feed.followConfiguration(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        context, [this] { return feed.followServers(); }, boost::asio::detached);
+    constexpr auto standsIn = false;
+    feed.setWatching(true, standsIn, system_clock_source().now());
+    context.run_for(1'500ms);
+    BOOST_TEST(counters.at("marjoramloom_platform_calls_total").value() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/store/store_client_test.cpp
+++ b/tests/unit/store/store_client_test.cpp
@@ -125,7 +125,7 @@
 BOOST_AUTO_TEST_CASE(changes_in_quick_succession_are_fetched_together)
 {
     auto patient = options();
-    patient.watchPeriod = std::chrono::milliseconds(300);
+    patient.pace.period = std::chrono::milliseconds(300);
     auto watching = store_client(context.get_executor(), patient, counters);
     constexpr auto changes = 10;
     auto writer = std::thread([this] {
