Dispatchers place what failed at an engine, too, and avoid engines at which two routers failed

Cause: in a large fleet only a part's dispatcher knows the engines' loads. And each of 69 routers had to find out by itself which engines were down. Now a repeated query names the engines that failed; the dispatcher leaves them out, never refuses what was begun, and avoids an engine once two routers within a second say that it failed (one alone may be what is cut off). The cost that queries carried and nobody read is gone.

--- a/include/marjoramloom/gateway/engine_decision.h
+++ b/include/marjoramloom/gateway/engine_decision.h
@@ -15,8 +15,9 @@
     engine_part part; ///< Engines that may be chosen.
     prompt_outline prompt;
     std::uint64_t account = 0;
-    std::uint32_t cost = 0; ///< Tokens that the account is charged.
     duration objective{}; ///< To the first event.
+    tried_servers failed; ///< Where the request was just tried in vain; not chosen again.
+    bool begun = false; ///< A server has had the request before: it goes on wherever it can, and is not refused.
 };
 
 /// An engine for a prompt, or a refusal.
@@ -28,7 +29,7 @@
 
 /// Decides by what this router knows: the engine, and whether the request is worth its wait. Nothing where no engine of
 /// the service can be used.
-auto decideEngine(gateway_state &state, const placement_query &query, const std::set<std::string> &tried,
-                  time_point now, last_reason &why) -> std::optional<engine_decision>;
+auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why)
+    -> std::optional<engine_decision>;
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -87,7 +87,7 @@
     std::uint64_t m_accountId;
     const routed_service *m_service = nullptr;
     std::shared_ptr<call_control> m_control;
-    std::set<std::string> m_tried; ///< Servers that got the request.
+    tried_servers m_tried;
     std::uint32_t m_sends = 0; ///< Sends that reached a server.
     std::optional<std::int64_t> m_lastEvent; ///< Last event that the caller got of this answer.
     duration m_firstEvent{}; ///< From the last send to its first event; 0 where none came.
--- a/include/marjoramloom/gateway/server_choice.h
+++ b/include/marjoramloom/gateway/server_choice.h
@@ -9,6 +9,9 @@
 
 namespace marjoramloom {
 
+/// Runs of backend servers at which a request was tried in vain.
+using tried_servers = std::set<std::uint64_t>;
+
 /// A backend server for one send of a request, and what was known when it was chosen.
 struct chosen_server
 {
@@ -26,11 +29,11 @@
 /// The engine in \p part of \p service for \p prompt that is not among \p tried. Nothing where none is left or all are
 /// full: the reason's kind tells which (notFound, overloaded). Precondition: the service is one of engines.
 auto chooseEngine(gateway_state &state, const routed_service &service, const engine_part &part,
-                  const prompt_outline &prompt, const std::set<std::string> &tried, time_point now, last_reason &why)
+                  const prompt_outline &prompt, const tried_servers &tried, time_point now, last_reason &why)
     -> std::optional<chosen_server>;
 
 /// The same for a plain service.
-auto choosePlain(gateway_state &state, const routed_service &service, const std::set<std::string> &tried,
+auto choosePlain(gateway_state &state, const routed_service &service, const tried_servers &tried,
                  time_point now, last_reason &why) -> std::optional<chosen_server>;
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/server_loads.h
+++ b/include/marjoramloom/gateway/server_loads.h
@@ -17,6 +17,8 @@
     std::uint64_t unreadTokens = 0; ///< Prompt tokens of own requests that the server has still to read.
     std::uint32_t failuresInRow = 0;
     time_point avoidedUntil{}; ///< After failures, others go first until then.
+    std::uint64_t suspectedBy = 0; ///< Router that last said that the server failed a request.
+    time_point suspectedAt{};
     part_memory parts;
 
     [[nodiscard]] auto isAvoided(time_point now) const -> bool
@@ -46,10 +48,18 @@
     /// A request failed at \p server in a way that tells of the server rather than of the request.
     auto noteFailure(const listed_server &server, time_point now) -> void;
 
+    /// The router \p router says that a request failed at the run \p id. It counts as a failure once two routers say so
+    /// within SUSPICION_TIME: one alone may be what is cut off.
+    auto noteSuspicion(std::uint64_t id, std::uint64_t router, time_point now) -> void;
+
     /// The server answered as it should.
     auto noteSuccess(const listed_server &server) -> void;
 
+    static constexpr duration SUSPICION_TIME = std::chrono::milliseconds(1'000);
+
 private:
+    auto avoid(server_load &load, time_point now) -> void;
+
     static constexpr duration AVOID_BASE = std::chrono::milliseconds(250); ///< Doubles with each failure in a row.
     static constexpr duration AVOID_LIMIT = std::chrono::milliseconds(4'000);
 
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -88,7 +88,8 @@
                                   .account = message.account() };
     query.prompt.parts = std::move(*parts);
     query.prompt.promptTokens = message.prompt_tokens();
-    query.cost = message.cost_tokens();
+    query.failed.insert(message.failed().begin(), message.failed().end());
+    query.begun = message.begun();
     query.objective = std::chrono::milliseconds(message.objective_ms());
     return query;
 }
@@ -99,11 +100,14 @@
     writeParts(query.prompt.parts, message);
     message.set_prompt_tokens(query.prompt.promptTokens);
     message.set_account(query.account);
-    message.set_cost_tokens(query.cost);
     message.set_objective_ms(
         static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(query.objective).count()));
     message.set_engine_part(query.part.index);
     message.set_engine_parts(query.part.count);
+    for (const auto run : query.failed) {
+        message.add_failed(run);
+    }
+    message.set_begun(query.begun);
 }
 
 auto readAnswer(const wire::PlacementAnswer &message) -> placement_answer
--- a/src/gateway/engine_decision.cpp
+++ b/src/gateway/engine_decision.cpp
@@ -2,14 +2,14 @@
 
 namespace marjoramloom {
 
-auto decideEngine(gateway_state &state, const placement_query &query, const std::set<std::string> &tried,
-                  time_point now, last_reason &why) -> std::optional<engine_decision>
+auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why)
+    -> std::optional<engine_decision>
 {
     const auto *service = state.routes ? state.routes->findService(query.service) : nullptr;
     if (service == nullptr || !service->engine) {
         return why.fail(failure_kind::notFound, "choose engine", query.service, "no such service of engines");
     }
-    auto chosen = chooseEngine(state, *service, query.part, query.prompt, tried, now, why);
+    auto chosen = chooseEngine(state, *service, query.part, query.prompt, query.failed, now, why);
     if (!chosen) {
         return why.kind == failure_kind::overloaded
             ? std::optional(engine_decision{ .chosen = std::nullopt, .everyoneFull = true })
@@ -17,7 +17,7 @@
     }
     const auto fraction = state.accounts.startedFraction(query.account, now);
     const auto reading = chosen->firstEvent - chosen->wait;
-    if (chosen->wait > state.admission.longestWait(query.objective, reading, fraction)) {
+    if (!query.begun && chosen->wait > state.admission.longestWait(query.objective, reading, fraction)) {
         why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
         return engine_decision{ .chosen = std::nullopt, .everyoneFull = false };
     }
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -152,7 +152,7 @@
         if (end == send_end::answered || end == send_end::callerLeft || !maySendAgain(end)) {
             break;
         }
-        m_tried.insert(chosen->server->id);
+        m_tried.insert(server_loads::runId(*chosen->server));
     }
     if (end == send_end::callerLeft) {
         logEnd("caller left", 0);
@@ -182,23 +182,22 @@
 
 auto gateway_call::chooseForPrompt(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
 {
-    if (m_sends > 0) {
+    const auto query = placement_query{ .service = m_service->name,
+                                        .part = partOf(m_state.servers.usable(m_service->name), m_request.prompt),
+                                        .prompt = m_request.prompt,
+                                        .account = m_accountId,
+                                        .objective = m_route.latencyObjective,
+                                        .failed = m_tried,
+                                        .begun = m_sends > 0 };
+    auto decision = co_await m_dispatch.decide(query, why);
+    if (decision && decision->chosen) {
+        co_return std::move(decision->chosen);
+    }
+    if (query.begun) {
         // Work that was begun goes on wherever it can.
         co_return chooseEngine(m_state, *m_service, {}, m_request.prompt, m_tried, system_clock_source().now(), why);
     }
-    auto query = placement_query{ .service = m_service->name,
-                                  .part = partOf(m_state.servers.usable(m_service->name), m_request.prompt),
-                                  .prompt = m_request.prompt,
-                                  .account = m_accountId,
-                                  .cost = static_cast<std::uint32_t>(cost()),
-                                  .objective = m_route.latencyObjective };
-    auto decision = std::optional<engine_decision>();
-    if (m_tried.empty()) {
-        decision = co_await m_dispatch.decide(query, why);
-    } else {
-        decision = decideEngine(m_state, query, m_tried, system_clock_source().now(), why);
-    }
-    co_return decision ? std::move(decision->chosen) : std::nullopt;
+    co_return std::nullopt;
 }
 
 auto gateway_call::maySendAgain(send_end end) -> bool
--- a/src/gateway/placement_dispatch.cpp
+++ b/src/gateway/placement_dispatch.cpp
@@ -32,7 +32,7 @@
         }
         m_missed.add();
     }
-    co_return decideEngine(m_state, query, {}, system_clock_source().now(), why);
+    co_return decideEngine(m_state, query, system_clock_source().now(), why);
 }
 
 auto placement_dispatch::dispatcherOf(const std::string &service, std::uint32_t part, time_point now) -> std::uint64_t
@@ -101,7 +101,10 @@
 {
     const auto now = system_clock_source().now();
     auto why = last_reason();
-    const auto decision = decideEngine(m_state, query, {}, now, why);
+    for (const auto run : query.failed) {
+        m_state.loads.noteSuspicion(run, asking, now);
+    }
+    const auto decision = decideEngine(m_state, query, now, why);
     if (!decision) {
         return std::nullopt;
     }
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -16,11 +16,12 @@
 
 /// The servers in \p part of \p service that take new requests and are not among \p tried.
 auto openServers(const gateway_state &state, const routed_service &service, const engine_part &part,
-                 const std::set<std::string> &tried, last_reason &why) -> std::optional<server_list>
+                 const tried_servers &tried, last_reason &why) -> std::optional<server_list>
 {
     auto servers = server_list();
     for (const auto &server : state.servers.usable(service.name)) {
-        if (part.holds(server->id) && !tried.contains(server->id)) {
+        const auto wasTried = !tried.empty() && tried.contains(server_loads::runId(*server));
+        if (part.holds(server->id) && !wasTried) {
             servers.push_back(server);
         }
     }
@@ -50,7 +51,7 @@
 }
 
 auto chooseEngine(gateway_state &state, const routed_service &service, const engine_part &part,
-                  const prompt_outline &prompt, const std::set<std::string> &tried, time_point now, last_reason &why)
+                  const prompt_outline &prompt, const tried_servers &tried, time_point now, last_reason &why)
     -> std::optional<chosen_server>
 {
     assert(service.engine);
@@ -90,7 +91,7 @@
 }
 
 /// Takes the server with the fewest own requests; among equals one of the own data centre, then any.
-auto choosePlain(gateway_state &state, const routed_service &service, const std::set<std::string> &tried,
+auto choosePlain(gateway_state &state, const routed_service &service, const tried_servers &tried,
                  time_point now, last_reason &why) -> std::optional<chosen_server>
 {
     const auto servers = openServers(state, service, {}, tried, why);
--- a/src/gateway/server_loads.cpp
+++ b/src/gateway/server_loads.cpp
@@ -37,12 +37,33 @@
 
 auto server_loads::noteFailure(const listed_server &server, time_point now) -> void
 {
-    auto &load = at(server);
+    avoid(at(server), now);
+}
+
+auto server_loads::avoid(server_load &load, time_point now) -> void
+{
+    if (now - load.avoidedUntil > AVOID_LIMIT) {
+        load.failuresInRow = 0; // Nothing was heard of it for long.
+    }
     const auto doublings = std::min<std::uint32_t>(load.failuresInRow, 4);
     load.avoidedUntil = now + std::min<duration>(AVOID_BASE * (1U << doublings), AVOID_LIMIT);
     ++load.failuresInRow;
 }
 
+auto server_loads::noteSuspicion(std::uint64_t id, std::uint64_t router, time_point now) -> void
+{
+    auto *load = find(id);
+    if (load == nullptr) {
+        return; // A server that this router does not use.
+    }
+    const auto isConfirmed = load->suspectedBy != router && now - load->suspectedAt <= SUSPICION_TIME;
+    load->suspectedBy = router;
+    load->suspectedAt = now;
+    if (isConfirmed && !load->isAvoided(now)) {
+        avoid(*load, now);
+    }
+}
+
 auto server_loads::noteSuccess(const listed_server &server) -> void
 {
     auto &load = at(server);
--- a/tests/unit/gateway/placement_dispatch_test.cpp
+++ b/tests/unit/gateway/placement_dispatch_test.cpp
@@ -173,6 +173,69 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(what_failed_at_one_engine_is_placed_at_another_and_is_not_refused_once_it_was_begun)
+{
+    auto query = queryOf(1, 100);
+    const auto home = dispatch.answer(2, 1, query)->server;
+    query.failed = { home };
+    const auto second = dispatch.answer(2, 2, query)->server;
+    BOOST_TEST(second != 0U);
+    BOOST_TEST(second != home);
+    auto late = queryOf(9, 90'000); // Each engine has seconds of reading ahead.
+    for (auto request = 0; request < 3; ++request) {
+        late.begun = true;
+        BOOST_TEST(dispatch.answer(2, 3, late)->server != 0U);
+    }
+    late.begun = false;
+    BOOST_TEST(dispatch.answer(2, 4, late)->server == 0U);
+    late.begun = true;
+    BOOST_TEST(dispatch.answer(2, 5, late)->server != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(an_engine_is_avoided_once_two_routers_say_that_it_failed)
+{
+    auto query = queryOf(1, 100);
+    const auto home = dispatch.answer(2, 1, query)->server;
+    auto failing = query;
+    failing.failed = { home };
+    for (auto attempt = 0; attempt < 5; ++attempt) {
+        dispatch.answer(2, 2, failing); // This router alone may be cut off from the engine.
+    }
+    BOOST_TEST(dispatch.answer(3, 3, query)->server == home);
+    dispatch.answer(3, 4, failing);
+    BOOST_TEST(dispatch.answer(4, 5, query)->server != home);
+}
+
+BOOST_AUTO_TEST_CASE(few_prompts_are_sent_in_vain_when_a_quarter_of_the_engines_crashes)
+{
+    // The list of backend servers shows a crash seconds later. Until then each prompt that is placed at a crashed engine
+    // is late by a failed connection at least.
+    auto crashed = tried_servers();
+    for (auto number = 0; number < 12; ++number) {
+        const auto engine = engineOf("engine-" + std::to_string(number));
+        state.servers.put(engine, system_clock_source().now());
+        if (number % 4 == 0) {
+            crashed.insert(server_loads::runId(engine));
+        }
+    }
+    constexpr auto prompts = 400;
+    auto inVain = 0;
+    for (auto prompt = std::uint64_t(0); prompt < prompts; ++prompt) {
+        const auto router = 2 + prompt % 9;
+        auto query = queryOf(100 + prompt % 60, 600);
+        auto answer = dispatch.answer(router, prompt, query);
+        while (answer && crashed.contains(answer->server)) {
+            ++inVain;
+            query.failed.insert(answer->server);
+            answer = dispatch.answer(router, prompt, query);
+        }
+        BOOST_REQUIRE(answer.has_value());
+        BOOST_TEST(answer->server != 0U);
+        state.placements.settle(router, answer->sequence);
+    }
+    BOOST_TEST(inVain < prompts / 20);
+}
+
 BOOST_AUTO_TEST_CASE(placements_count_until_the_routers_report_shows_them)
 {
     const auto now = time_point(100s);
