--- a/include/marjoramloom/gateway/gateway_settings.h
+++ b/include/marjoramloom/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include "marjoramloom/gateway/repeat_budget.h"
 
 #include <chrono>
+#include <cstdint>
 
 namespace marjoramloom {
 
@@ -15,6 +16,7 @@
     std::chrono::milliseconds keyLifetime{ 4'500 }; ///< How long keys are served after a proof that they are in force.
     std::chrono::milliseconds graceTime{ 8'000 }; ///< From the signal to stop until the process is ended.
     double cores = 1; ///< Share of a processor core that the router may use; large ones dispatch for the others.
+    std::uint32_t descriptors = 1'024; ///< File descriptors that the process may use.
     repeat_budget_settings repeats;
 };
 
--- a/include/marjoramloom/gateway/server_choice.h
+++ b/include/marjoramloom/gateway/server_choice.h
@@ -33,7 +33,7 @@
     -> std::optional<chosen_server>;
 
 /// The same for a plain service.
-auto choosePlain(gateway_state &state, const routed_service &service, const tried_servers &tried,
-                 time_point now, last_reason &why) -> std::optional<chosen_server>;
+auto choosePlain(gateway_state &state, const routed_service &service, const tried_servers &tried, time_point now,
+                 last_reason &why) -> std::optional<chosen_server>;
 
 } // namespace marjoramloom
--- a/include/marjoramloom/router/http_server.h
+++ b/include/marjoramloom/router/http_server.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <concepts>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,6 +33,8 @@
     std::uint32_t headerBytes = 32U << 10U;
     duration headerTimeout = std::chrono::seconds(10); ///< From the first byte of a request to its last.
     duration idleTimeout = std::chrono::seconds(60); ///< Between requests, and for one write.
+    /// While more connections than this are open, each is closed after its answer.
+    std::size_t keptConnections = std::numeric_limits<std::size_t>::max();
 };
 
 /// How a server's connections share its context.
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -227,7 +227,7 @@
         co_return false;
     }
     auto exchange = http_exchange(stream, buffer, parser.release(), peer, m_limits.idleTimeout);
-    if (m_stopping) {
+    if (m_stopping || m_connections > m_limits.keptConnections) {
         exchange.closeAfterwards();
     }
     co_await runHandler(exchange);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -57,12 +57,17 @@
              .cores = config.gateway->cores };
 }
 
-auto httpLimits(const caller_limits &limits) -> http_limits
+/// Part of the file descriptors that callers' idle connections may take: a caller with much traffic opens thousands,
+/// and each request needs one more, to its backend server.
+constexpr auto keptPart = 0.4;
+
+auto httpLimits(const caller_limits &limits, const gateway_settings &settings) -> http_limits
 {
     return { .bodyBytes = limits.bodyBytes,
              .headerBytes = limits.headerBytes,
              .headerTimeout = limits.headerTimeout,
-             .idleTimeout = limits.idleTimeout };
+             .idleTimeout = limits.idleTimeout,
+             .keptConnections = static_cast<std::size_t>(settings.descriptors * keptPart) };
 }
 
 } // namespace
@@ -111,7 +116,7 @@
     , statusServer(std::make_shared<http_server<status_handler>>(context, status, counters, "operators", http_limits(),
                                                                  session_concurrency::oneThread))
     , feed(context.get_executor(), store, state,
-           { .onRoutes = [this] { callerServer->setLimits(httpLimits(state.routes->limits())); },
+           { .onRoutes = [this] { callerServer->setLimits(httpLimits(state.routes->limits(), state.settings)); },
              .onNews =
                  [this] {
                      relay.tellFollowers();
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -20,12 +20,12 @@
 constexpr auto retryFirst = std::chrono::milliseconds(100);
 constexpr auto retryLimit = std::chrono::milliseconds(800);
 /// News of leaving servers and revoked keys may take seconds; a tenth of one joins the changes of a fleet that starts.
-constexpr auto dutyPace = watch_pace{ .period = std::chrono::milliseconds(100),
-                                      .leastRetryWait = std::chrono::milliseconds(0) };
-/// A router that watches in place of others calls less often: the calls of a whole fleet add up when the store goes away
-/// and when it is back, and the routers on duty tell it of the store's return.
-constexpr auto standInPace = watch_pace{ .period = std::chrono::milliseconds(1'000),
-                                         .leastRetryWait = std::chrono::milliseconds(2'000) };
+constexpr auto dutyPace =
+    watch_pace{ .period = std::chrono::milliseconds(100), .leastRetryWait = std::chrono::milliseconds(0) };
+/// A router that watches in place of others calls less often: the calls of a whole fleet add up when the store goes
+/// away and when it is back, and the routers on duty tell it of the store's return.
+constexpr auto standInPace =
+    watch_pace{ .period = std::chrono::milliseconds(1'000), .leastRetryWait = std::chrono::milliseconds(2'000) };
 
 auto pause(duration wait) -> asio::awaitable<void>
 {
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -91,8 +91,8 @@
 }
 
 /// Takes the server with the fewest own requests; among equals one of the own data centre, then any.
-auto choosePlain(gateway_state &state, const routed_service &service, const tried_servers &tried,
-                 time_point now, last_reason &why) -> std::optional<chosen_server>
+auto choosePlain(gateway_state &state, const routed_service &service, const tried_servers &tried, time_point now,
+                 last_reason &why) -> std::optional<chosen_server>
 {
     const auto servers = openServers(state, service, {}, tried, why);
     if (!servers) {
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -183,6 +183,7 @@
         gateway.keyLifetime = revocation - gateway_settings::KEY_MARGIN;
         reader.number("grace_seconds", graceSeconds, 0.5, 3'600);
         reader.number("cores", gateway.cores, 0.01, 1'024);
+        reader.whole("descriptors", gateway.descriptors, 64, 1'000'000);
         reader.number("repeat_ratio", gateway.repeats.ratio, 0, 1);
         reader.number("repeat_window_seconds", windowSeconds, 0.1, 3'600);
         reader.number("repeat_reserve", gateway.repeats.reserve, 0, 1e6);
--- a/tests/unit/gateway/placement_dispatch_test.cpp
+++ b/tests/unit/gateway/placement_dispatch_test.cpp
@@ -208,8 +208,8 @@
 
 BOOST_AUTO_TEST_CASE(few_prompts_are_sent_in_vain_when_a_quarter_of_the_engines_crashes)
 {
-    // The list of backend servers shows a crash seconds later. Until then each prompt that is placed at a crashed engine
-    // is late by a failed connection at least.
+    // The list of backend servers shows a crash seconds later. Until then each prompt that is placed at a crashed
+    // engine is late by a failed connection at least.
     auto crashed = tried_servers();
     for (auto number = 0; number < 12; ++number) {
         const auto engine = engineOf("engine-" + std::to_string(number));
--- a/tests/unit/router/http_server_test.cpp
+++ b/tests/unit/router/http_server_test.cpp
@@ -1,6 +1,8 @@
 #include "marjoramloom/router/http_server.h"
 
+#include "support/fleet.h"
 #include "support/http_call.h"
+#include "support/kept_caller.h"
 
 #include <boost/test/unit_test.hpp>
 #include <thread>
@@ -82,4 +84,28 @@
     BOOST_TEST(waiting < callers / 2);
 }
 
+BOOST_AUTO_TEST_CASE(connections_beyond_what_is_kept_are_closed_after_their_answers)
+{
+    auto context = boost::asio::io_context(1);
+    auto counters = counter_registry();
+    auto handler = counting_handler();
+    auto limits = http_limits();
+    limits.keptConnections = 3;
+    auto server = std::make_shared<http_server<counting_handler>>(context, handler, counters, "test", limits,
+                                                                  session_concurrency::oneThread);
+    auto why = last_reason();
+    const auto port = server->listen("127.0.0.1:0", why);
+    BOOST_REQUIRE(port.has_value());
+    auto loop = std::thread([&] { context.run(); });
+    const auto address = "127.0.0.1:" + std::to_string(*port);
+    auto callers = std::vector<std::unique_ptr<test::kept_caller>>();
+    for (auto index = 0; index < 6; ++index) {
+        callers.push_back(std::make_unique<test::kept_caller>(address));
+        BOOST_TEST(callers.back()->call({}).body == "served"); // Also those whose connection ends with it.
+    }
+    BOOST_TEST(test::waitUntil(1'000, [&] { return server->connections() == 3U; }));
+    context.stop();
+    loop.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/router/settings_test.cpp
+++ b/tests/unit/router/settings_test.cpp
@@ -79,13 +79,15 @@
     BOOST_TEST(contains(errorOf(complete + "[gateway]\n"), "instance.threads must be 1"));
     const auto single = std::string("[instance]\nthreads = 1\n") + complete.substr(complete.find('\n') + 1);
     auto why = last_reason();
-    const auto text = single + "[gateway]\nkey_revocation_ms = 3000\ngrace_seconds = 2.5\nrepeat_ratio = 0.3\n";
+    const auto text =
+        single + "[gateway]\nkey_revocation_ms = 3000\ngrace_seconds = 2.5\nrepeat_ratio = 0.3\ndescriptors = 4100\n";
     const auto parsed = parseSettings(text, "router.toml", why);
     BOOST_REQUIRE_MESSAGE(parsed, why.text());
     BOOST_REQUIRE(parsed->gateway.has_value());
     BOOST_TEST(parsed->gateway->keyLifetime.count() == 2'500);
     BOOST_TEST(parsed->gateway->graceTime.count() == 2'500);
     BOOST_TEST(parsed->gateway->repeats.ratio == 0.3);
+    BOOST_TEST(parsed->gateway->descriptors == 4'100U);
 }
 
 BOOST_AUTO_TEST_CASE(missing_keys_and_text_that_is_not_toml_are_refused)
