--- /dev/null
+++ b/tests/process/gateway/store_cut_test.cpp
@@ -0,0 +1,148 @@
+#include "process/peer/peer_relays.h"
+#include "support/gateway_fleet.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace marjoramloom::test;
+
+namespace {
+
+constexpr auto routerCount = 4;
+constexpr auto watcherCount = 2;
+/// A server gets no request later than this after its leaving was acknowledged.
+constexpr auto drainBoundMs = 2'000;
+
+/// Routers that each reach the store through a relay of their own.
+struct store_cut_fixture
+{
+    std::vector<std::unique_ptr<peer_relays>> relays;
+    std::string storeAddress;
+    std::unique_ptr<gateway_fleet> fleet;
+
+    store_cut_fixture()
+    {
+        auto plan = gateway_plan();
+        plan.routers = routerCount;
+        plan.servers = 3;
+        plan.storeAddressForRouter = [this](int, const std::string &address) {
+            storeAddress = address;
+            relays.push_back(std::make_unique<peer_relays>());
+            return relays.back()->addressFor(address);
+        };
+        fleet = std::make_unique<gateway_fleet>(std::move(plan));
+    }
+
+    auto lastLineIs(std::size_t router, const std::string &last, const std::string &other) const -> bool
+    {
+        const auto log = fleet->readLog(fleet->routers()[router]);
+        const auto found = log.rfind(last);
+        const auto previous = log.rfind(other);
+        return found != std::string::npos && (previous == std::string::npos || previous < found);
+    }
+
+    auto watches(std::size_t router) const -> bool
+    {
+        return lastLineIs(router, "event=store_watch watches=yes", "event=store_watch watches=no");
+    }
+
+    /// The routers that watch the store, or those that don't, once exactly two of them do.
+    auto settled(bool watching) const -> std::vector<std::size_t>
+    {
+        const auto watcherTotal = [&] {
+            auto total = 0;
+            for (auto router = std::size_t(0); router < routerCount; ++router) {
+                total += watches(router) ? 1 : 0;
+            }
+            return total;
+        };
+        constexpr auto settleLimitMs = 12'000;
+        BOOST_REQUIRE(waitUntil(settleLimitMs, [&] { return watcherTotal() == watcherCount; }));
+        auto selected = std::vector<std::size_t>();
+        for (auto router = std::size_t(0); router < routerCount; ++router) {
+            if (watches(router) == watching) {
+                selected.push_back(router);
+            }
+        }
+        return selected;
+    }
+
+    auto logShows(std::size_t router, const std::string &text) const -> bool
+    {
+        return fleet->readLog(fleet->routers()[router]).find(text) != std::string::npos;
+    }
+
+    auto removeServer(std::size_t server) const -> void
+    {
+        const auto target = "/v1/objects/servers/" + fleet->servers()[server]->name();
+        BOOST_REQUIRE(httpCall(storeAddress, { "DELETE", target, {}, {} }).status < 300U);
+    }
+
+    /// Sends requests through \p router and returns how many of them reached \p server.
+    auto requestsReaching(std::size_t server, std::size_t router) const -> std::size_t
+    {
+        constexpr auto requests = 20;
+        const auto before = fleet->servers()[server]->record().size();
+        static auto number = 0;
+        for (auto sent = 0; sent < requests; ++sent) {
+            fleet->call(fleet->routers()[router], "/open/x", "cut-" + std::to_string(++number), "GET", "");
+        }
+        return fleet->servers()[server]->record().size() - before;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(store_cut_test, store_cut_fixture)
+
+BOOST_AUTO_TEST_CASE(a_server_removed_while_a_router_was_cut_off_from_the_store_is_not_used_after_its_return)
+{
+    const auto watcher = settled(true).front();
+    relays[watcher]->cut(storeAddress);
+    BOOST_REQUIRE(waitUntil(6'000, [&] { return lastLineIs(watcher, "event=store_lost", "event=store_regained"); }));
+    removeServer(0);
+    sleepMs(drainBoundMs);
+    relays[watcher]->resume(storeAddress);
+    BOOST_REQUIRE(waitUntil(8'000, [&] { return lastLineIs(watcher, "event=store_regained", "event=store_lost"); }));
+    constexpr auto tickMs = 400;
+    sleepMs(tickMs);
+    BOOST_TEST(requestsReaching(0, watcher) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_watcher_that_is_cut_off_from_the_store_does_not_hide_a_leaving_server_from_its_followers)
+{
+    auto server = std::size_t(0);
+    for (const auto watcher : settled(true)) {
+        const auto followers = settled(false);
+        // A read right before the cut makes the watcher look up to date for as long as possible.
+        fleet->writeConfiguration({ "key-alpha" });
+        sleepMs(100);
+        relays[watcher]->cut(storeAddress);
+        fleet->writeServer(server, "draining");
+        sleepMs(drainBoundMs);
+        for (const auto follower : followers) {
+            BOOST_TEST(logShows(follower, "change=leaving server=" + fleet->servers()[server]->name()));
+            BOOST_TEST(requestsReaching(server, follower) == 0U);
+        }
+        relays[watcher]->resume(storeAddress);
+        sleepMs(3'000);
+        ++server;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_router_that_cannot_reach_the_store_itself_applies_changes_that_other_routers_relay)
+{
+    const auto follower = settled(false).front();
+    relays[follower]->cut(storeAddress);
+    // The follower cannot read the new configuration and begins to watch the store itself.
+    fleet->writeConfiguration({ "key-new" });
+    BOOST_REQUIRE(waitUntil(6'000, [&] { return watches(follower); }));
+    fleet->writeServer(0, "draining");
+    removeServer(1);
+    sleepMs(drainBoundMs);
+    BOOST_TEST(watches(follower));
+    BOOST_TEST(requestsReaching(0, follower) == 0U);
+    BOOST_TEST(requestsReaching(1, follower) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
