A router's own loss of the store no longer counts as an outage of the store

Cause: servers renew expired entries for 2.3 s after an outage of the store, so a router keeps servers whose entries disappear in that time. It counted the time from its own first answer, also when only its own connection had failed. Entries removed for good therefore stayed in use until 2.3 s after its return. The class of fault: a local failure taken for a failure of the other side.

Routers now tell each other, in every datagram, since when and until when the store answered without interruption. The time for renewals counts from the start of that interval. A cut-off router hears from the others that the store answered all the time, and drops at once what was removed; after a real outage all of them count from the first answer to any of them. Only an answer of the store extends the interval, so routers cannot confirm each other.

--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 #include "marjoramloom/gateway/router_roster.h"
 #include "marjoramloom/gateway/server_directory.h"
 #include "marjoramloom/gateway/server_loads.h"
+#include "marjoramloom/gateway/store_contact.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <map>
@@ -64,6 +65,7 @@
     bool rejectingRequests = false; ///< The stop is so far advanced that new requests are rejected.
     event_loop_delay loopDelay;
     key_freshness keys;
+    store_contact storeContact;
     server_directory servers;
     server_loads loads;
     router_roster roster;
--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -73,6 +73,8 @@
     auto listConfiguration(last_reason &why) -> boost::asio::awaitable<bool>;
     auto readMissing() -> boost::asio::awaitable<void>;
     auto noteStoreAnswer() -> void;
+    auto noteOwnStoreAnswer() -> void;
+    auto limitRenewals(time_point now) -> void;
     auto noteStoreFailure(const last_reason &why) -> void;
 
     boost::asio::any_io_executor m_executor;
--- a/include/marjoramloom/gateway/server_directory.h
+++ b/include/marjoramloom/gateway/server_directory.h
@@ -50,6 +50,10 @@
     /// Extends the period in which servers may renew expired entries to \p until, if that is later.
     auto expectRenewals(time_point until) -> void;
 
+    /// Ends the period in which servers may renew expired entries at \p end, unless it ends earlier: the store was
+    /// available again before this router noticed, or all the time.
+    auto limitRenewals(time_point end) -> void;
+
     /// How much longer expired entries may be renewed; 0 if no outage ended recently.
     [[nodiscard]] auto renewalLeft(time_point now) const -> std::chrono::milliseconds;
 
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -1,9 +1,14 @@
 #include "datagram_codec.h"
 
+#include <algorithm>
+
 namespace marjoramloom {
 
 namespace {
 
+/// Longest history of the contact with the store that is sent.
+constexpr auto maxContactAge = std::chrono::milliseconds(600'000);
+
 /// Combines the lists of block ids and token counts; nothing if their lengths differ.
 template<typename Message>
 auto readPrefixBlocks(const Message &message) -> std::optional<std::vector<prefix_block>>
@@ -178,4 +183,24 @@
     message.set_renewal_left_ms(static_cast<std::uint32_t>(update.renewalLeft.count()));
 }
 
+auto readStoreContact(const wire::RouterDatagram &message, boot_time now) -> std::optional<store_contact::interval>
+{
+    if (message.store_since_ms() == 0 || message.store_since_ms() < message.store_until_ms()) {
+        return std::nullopt;
+    }
+    return store_contact::interval{ .since = now - std::chrono::milliseconds(message.store_since_ms()),
+                                    .until = now - std::chrono::milliseconds(message.store_until_ms()) };
+}
+
+auto write(const store_contact::interval &answered, boot_time now, wire::RouterDatagram &message) -> void
+{
+    // Rounded so that the interval never appears longer than it is.
+    const auto since = std::chrono::floor<std::chrono::milliseconds>(now - answered.since);
+    const auto until = std::chrono::ceil<std::chrono::milliseconds>(now - answered.until);
+    if (until < maxContactAge) {
+        message.set_store_since_ms(static_cast<std::uint32_t>(std::min(since, maxContactAge).count()));
+        message.set_store_until_ms(static_cast<std::uint32_t>(until.count()));
+    }
+}
+
 } // namespace marjoramloom
--- a/src/gateway/datagram_codec.h
+++ b/src/gateway/datagram_codec.h
@@ -4,6 +4,7 @@
 #include "marjoramloom/gateway/fleet_loads.h"
 #include "marjoramloom/gateway/placement_dispatch.h"
 #include "marjoramloom/gateway/router_roster.h"
+#include "marjoramloom/gateway/store_contact.h"
 #include "marjoramloom/gateway/store_update.h"
 
 #include <optional>
@@ -30,4 +31,8 @@
 auto readStoreUpdate(const wire::StoreNews &message) -> store_update;
 auto write(const store_update &update, wire::StoreNews &message) -> void;
 
+/// The interval in which the store answered, as of the arrival of \p message at \p now; nothing if it is unknown.
+auto readStoreContact(const wire::RouterDatagram &message, boot_time now) -> std::optional<store_contact::interval>;
+auto write(const store_contact::interval &answered, boot_time now, wire::RouterDatagram &message) -> void;
+
 } // namespace marjoramloom
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -270,6 +270,9 @@
     datagram.set_version(datagramVersion);
     datagram.set_sender(m_incarnation);
     datagram.set_router(m_state.roster.self());
+    if (const auto &answered = m_state.storeContact.latest()) {
+        write(*answered, boot_clock::now(), datagram);
+    }
     m_sentDatagrams.add();
     auto error = boost::system::error_code();
     // An error counts as a lost datagram: the next report makes up for it, and queries time out.
@@ -320,6 +323,9 @@
         addRouter(readIdentity(datagram.identity()));
     }
     m_state.roster.noteMessageReceived(router);
+    if (const auto answered = readStoreContact(datagram, boot_clock::now())) {
+        m_state.storeContact.noteInterval(*answered);
+    }
     if (datagram.has_report()) {
         handleReport(router, datagram.sender(), datagram.report());
     }
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -128,7 +128,7 @@
 
 auto platform_feed::onConfigurationEvent(const watch_event &event) -> void
 {
-    noteStoreAnswer();
+    noteOwnStoreAnswer();
     m_configurationWatchRevision = std::max(m_configurationWatchRevision, event.revision);
     if (event.kind == watch_event_kind::put && event.object.name == platform::configurationName) {
         applyConfiguration(event.object);
@@ -146,7 +146,7 @@
     if (!listed) {
         co_return false;
     }
-    noteStoreAnswer();
+    noteOwnStoreAnswer();
     // If there is no configuration yet, the watch reports the first one.
     for (const auto &object : listed->objects) {
         if (object.name == platform::configurationName && applyConfiguration(object)) {
@@ -199,7 +199,7 @@
 
 auto platform_feed::onServerEvent(const watch_event &event) -> void
 {
-    noteStoreAnswer();
+    noteOwnStoreAnswer();
     m_serversWatchRevision = std::max(m_serversWatchRevision, event.revision);
     if (event.kind != watch_event_kind::bookmark) {
         applyServer({ .object = event.object, .removed = event.kind == watch_event_kind::remove });
@@ -218,7 +218,7 @@
     if (!listed) {
         co_return false;
     }
-    noteStoreAnswer();
+    noteOwnStoreAnswer();
     auto servers = std::vector<listed_server>();
     for (const auto &object : listed->objects) {
         auto reason = last_reason();
@@ -299,6 +299,7 @@
     }
     noteStoreAnswer();
     m_state.servers.expectRenewals(now + update.renewalLeft);
+    limitRenewals(now);
     const auto isListContinued = m_state.hasServers && update.serversBaseRevision <= m_serverChanges.revision();
     if (isListContinued) {
         for (const auto &change : update.changes) {
@@ -342,9 +343,26 @@
         why.fail(failure_kind::unavailable, "watch", "platform", "no answer");
         noteStoreFailure(why);
     }
+    limitRenewals(now);
     m_state.servers.tick(now);
 }
 
+auto platform_feed::noteOwnStoreAnswer() -> void
+{
+    m_state.storeContact.noteAnswer(boot_clock::now());
+    noteStoreAnswer();
+}
+
+/// Counts the time for renewals from the first answer of the store to any router. Entries that disappeared while the
+/// store answered other routers were removed and did not expire.
+auto platform_feed::limitRenewals(time_point now) -> void
+{
+    if (const auto &answered = m_state.storeContact.latest()) {
+        const auto available = std::chrono::duration_cast<duration>(boot_clock::now() - answered->since);
+        m_state.servers.limitRenewals(now + server_directory::RENEWAL_TIME - available);
+    }
+}
+
 auto platform_feed::noteStoreAnswer() -> void
 {
     m_lastAnswer = system_clock_source().now();
@@ -352,6 +370,7 @@
         m_storeLost = false;
         m_storeReturn.cancel();
         m_state.servers.onStoreRegained(m_lastAnswer);
+        limitRenewals(m_lastAnswer);
         log_line(log_level::info, "store_regained").with("address", "platform");
     }
 }
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -94,6 +94,19 @@
     }
 }
 
+auto server_directory::limitRenewals(time_point end) -> void
+{
+    if (!m_renewalDeadline || *m_renewalDeadline <= end) {
+        return;
+    }
+    m_renewalDeadline = end;
+    for (auto &[id, current] : m_entries) {
+        if (current.expiredKeptUntil) {
+            current.expiredKeptUntil = std::min(*current.expiredKeptUntil, end);
+        }
+    }
+}
+
 auto server_directory::renewalLeft(time_point now) const -> std::chrono::milliseconds
 {
     const auto left = m_renewalDeadline ? *m_renewalDeadline - now : duration::zero();
--- a/tests/unit/gateway/server_directory_test.cpp
+++ b/tests/unit/gateway/server_directory_test.cpp
@@ -70,6 +70,24 @@
     BOOST_TEST(usable() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_server_removed_while_only_this_router_lost_the_store_is_not_kept_for_a_renewal)
+{
+    directory.replaceAll({ makeServer("a"), makeServer("b"), makeServer("c") }, now);
+    directory.onStoreLost();
+    directory.remove("a", now);
+    now += 5s;
+    directory.onStoreRegained(now);
+    directory.remove("b", now);
+    BOOST_TEST(usable() == 3U);
+    // Another router shows that the store was available all the time.
+    directory.limitRenewals(now - 5s);
+    directory.tick(now);
+    BOOST_TEST(usable() == 1U);
+    BOOST_TEST(directory.renewalLeft(now) == 0ms);
+    directory.remove("c", now);
+    BOOST_TEST(usable() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_server_is_removed_at_once_during_an_outage)
 {
     directory.replaceAll({ makeServer("a", 1, true) }, now);
