A router whose own watch fails applies what other routers relay

Cause: a router that watches by itself took the contents from its own watch only and used updates merely to decide whether to go on watching. Between failed calls it waits 2 to 4 s. Updates are now applied in any state; where the own watch gets no answer, a newer configuration is read as soon as an update names it, and a designated watcher without answers queries the other one. A failed read is repeated after 1 s at the earliest: the trace shows up to ten failed reads a second, one for each unsolicited update.

--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -13,8 +13,9 @@
 /// Keeps the routes, keys and backend servers of a gateway_state in sync with the platform's store.
 ///
 /// A router that watches the store lists the objects of each kind once and then watches them. A long poll that ends
-/// without a change also validates the keys. A router that does not watch gets updates from another router, and reads
-/// from the store only a new configuration, or the list of servers where an update does not continue its own list.
+/// without a change also validates the keys. A router that does not watch, or whose watch fails, gets updates from
+/// other routers, and reads from the store only a new configuration, or the list of servers where an update does not
+/// continue its own list.
 /// Not thread safe: runs on the router's only thread.
 class platform_feed
 {
@@ -49,6 +50,9 @@
     /// Revision of the list of backend servers; 0 before it was read.
     [[nodiscard]] auto serversRevision() const -> std::uint64_t;
 
+    /// Whether this router gets no answers from the store.
+    [[nodiscard]] auto isStoreLost() const -> bool;
+
     /// Applies an update of another router, which answers a query sent at \p queriedAt; an update that answers no query
     /// validates no keys. Returns true if this router is then as current as the update. Returns false if the other
     /// router has lost the store or is behind, or if this one first has to read from the store, which it starts to do.
@@ -60,6 +64,9 @@
     /// Changes of backend servers in one update, so that it fits well into a datagram.
     static constexpr std::size_t MAX_CHANGES_PER_UPDATE = 60;
 
+    /// Shortest time after a failed read of what an update showed to be missing until the next one.
+    static constexpr duration MISSING_READ_INTERVAL = std::chrono::milliseconds(1'000);
+
     template<typename List>
     auto watchKind(std::string_view kind, List list, watch_callback onEvent, std::uint64_t &revision)
         -> boost::asio::awaitable<void>;
@@ -91,6 +98,7 @@
     boost::asio::steady_timer m_watchStart; ///< Cancelled when this router begins to watch.
     boost::asio::steady_timer m_storeReturn; ///< Cancelled when the store answers again.
     bool m_isReadingMissing = false; ///< readMissing() is running.
+    time_point m_nextMissingRead; ///< readMissing() is not started again before this time.
     bool m_needsConfiguration = false; ///< readMissing() has to read the configuration.
     bool m_needsServers = false; ///< readMissing() has to read the list of backend servers.
     time_point m_lastAnswer;
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -261,6 +261,11 @@
     return m_serverChanges.revision();
 }
 
+auto platform_feed::isStoreLost() const -> bool
+{
+    return m_storeLost;
+}
+
 auto platform_feed::updateSince(std::uint64_t serversRevision) const -> store_update
 {
     auto update = store_update();
@@ -286,18 +291,22 @@
 
 auto platform_feed::applyUpdate(const store_update &update, std::optional<boot_time> queriedAt) -> bool
 {
-    if (m_watching) {
-        // The contents come from the store; the update only shows whether watching is still necessary.
-        return !update.storeLost && update.configurationRevision >= m_configurationRevision;
-    }
     const auto now = system_clock_source().now();
     if (update.storeLost) {
-        auto why = last_reason();
-        why.fail(failure_kind::unavailable, "query watcher", "platform", "the watcher gets no answer from the store");
-        noteStoreFailure(why);
+        if (!m_watching) {
+            auto why = last_reason();
+            why.fail(failure_kind::unavailable, "query watcher", "platform",
+                     "the watcher gets no answer from the store");
+            noteStoreFailure(why);
+        }
         return false;
     }
-    noteStoreAnswer();
+    if (m_watching) {
+        // The store is available, although this router may get no answer from it.
+        m_state.servers.onStoreRegained(now);
+    } else {
+        noteStoreAnswer();
+    }
     m_state.servers.expectRenewals(now + update.renewalLeft);
     limitRenewals(now);
     const auto isListContinued = m_state.hasServers && update.serversBaseRevision <= m_serverChanges.revision();
@@ -312,26 +321,36 @@
     if (hasNewestConfiguration && m_isNewestApplied && update.validationAge && queriedAt) {
         m_state.keys.noteValidation(*queriedAt - *update.validationAge);
     }
+    if (m_watching && !m_storeLost) {
+        // The watch is about to deliver what is missing; the update only shows whether watching is still necessary.
+        return update.configurationRevision >= m_configurationRevision;
+    }
     m_needsServers = m_needsServers || (!isListContinued && update.serversRevision > 0);
     m_needsConfiguration = m_needsConfiguration || !hasNewestConfiguration;
-    if ((m_needsServers || m_needsConfiguration) && !m_isReadingMissing) {
+    if ((m_needsServers || m_needsConfiguration) && !m_isReadingMissing && now >= m_nextMissingRead) {
         asio::co_spawn(
             m_executor, [this] { return readMissing(); }, asio::detached);
     }
     return isListContinued && hasNewestConfiguration;
 }
 
-/// Reads the missing configuration or list of servers from the store once. A failed read is retried with the next
-/// update of another router.
+/// Reads the missing configuration or list of servers from the store once. A failed read is retried with an update of
+/// another router after MISSING_READ_INTERVAL.
 auto platform_feed::readMissing() -> asio::awaitable<void>
 {
     m_isReadingMissing = true;
     auto why = last_reason();
+    auto complete = true;
     if (std::exchange(m_needsConfiguration, false) && !co_await listConfiguration(why)) {
         log_line(log_level::warning, "refresh_failed").with("reason", why.text());
+        complete = false;
     }
     if (std::exchange(m_needsServers, false) && !co_await listServers(why)) {
         log_line(log_level::warning, "refresh_failed").with("reason", why.text());
+        complete = false;
+    }
+    if (!complete) {
+        m_nextMissingRead = system_clock_source().now() + MISSING_READ_INTERVAL;
     }
     m_isReadingMissing = false;
 }
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -25,7 +25,7 @@
         const auto now = system_clock_source().now();
         const auto isDesignated = m_watchRole.isDesignated(m_state.roster, now);
         m_feed.setWatching(m_watchRole.shouldWatch(m_state.roster, now), isDesignated, now);
-        if (!isDesignated) {
+        if (!isDesignated || m_feed.isStoreLost()) {
             sendQuery(now); // Also while this router watches, to notice when a designated watcher answers again.
         }
         auto error = boost::system::error_code();
