Followers query both watchers in turn, so that a cut-off one delays no change

A router in touch with the store kept sending to a leaving server, and kept an older configuration, for up to 3.95 s after the change: more than drain_ms and config_apply_ms of the sites (2 and 3 s).

Cause: followers queried only the first watcher that answers. One that is cut off from the store answers; its followers accept it until its validation is 2.25 s old, wait 1.3 s, and begin to watch at the next query period of 0.4 s. The second watcher, which has the change, never heard of them.

Queries now alternate between the two watchers, so each of them knows every follower and sends it changes at once. A follower counts the store as lost only if a watcher reports so and no other update came for 1 s.

--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -61,6 +61,9 @@
 private:
     /// The store counts as lost after this time without a valid answer: one long poll and a slow answer.
     static constexpr duration SILENCE_LIMIT = std::chrono::milliseconds(2'600);
+    /// A router that does not watch counts the store as lost if a watcher has lost it and no other one sent an update
+    /// for this long.
+    static constexpr duration LOST_REPORT_DELAY = std::chrono::milliseconds(1'000);
     /// Changes of backend servers in one update, so that it fits well into a datagram.
     static constexpr std::size_t MAX_CHANGES_PER_UPDATE = 60;
 
--- a/include/marjoramloom/gateway/store_relay.h
+++ b/include/marjoramloom/gateway/store_relay.h
@@ -12,9 +12,9 @@
 
 /// Forwards the contents of the platform's store from the few routers of a data centre that watch it to the others.
 ///
-/// A router that does not watch sends queries to one that does, several times a second, and gets unsolicited updates of
-/// changes in between. A validation of the keys counts from the time of the query, so a slow answer cannot prolong it.
-/// Not thread safe: runs on the router's only thread.
+/// A router that does not watch sends queries to those that do, in turn and several times a second, and gets
+/// unsolicited updates of changes in between. A validation of the keys counts from the time of the query, so a slow
+/// answer cannot prolong it. Not thread safe: runs on the router's only thread.
 class store_relay
 {
 public:
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -293,7 +293,7 @@
 {
     const auto now = system_clock_source().now();
     if (update.storeLost) {
-        if (!m_watching) {
+        if (!m_watching && now - m_lastAnswer > LOST_REPORT_DELAY) {
             auto why = last_reason();
             why.fail(failure_kind::unavailable, "query watcher", "platform",
                      "the watcher gets no answer from the store");
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -40,12 +40,12 @@
     m_timer.cancel();
 }
 
-/// Sends a query to the first watcher that is not silent; if the previous query was not answered, to the next one.
+/// Sends a query to one of the watchers that are not silent, in turn. Each of them then sends its updates to this
+/// router, so none of them delays a change if it has lost the store.
 auto store_relay::sendQuery(time_point now) -> void
 {
     auto target = std::uint64_t(0);
-    auto routersToSkip =
-        m_pendingQueries.empty() ? std::size_t(0) : m_pendingQueries.size() % watch_role::WATCHER_COUNT;
+    auto routersToSkip = m_lastQueryNumber % watch_role::WATCHER_COUNT;
     for (const auto id : m_state.roster.watchOrder()) {
         if (id == m_state.roster.self() || !m_state.roster.isResponsive(id, now)) {
             continue;
