Bytes without end from a server cost bounded memory and time

A server may send bytes that are no answer until the connection is closed. Eight such requests at once cost a router 1.2 GB as one event or one chunk header without end, 600 MB as a trailer and 85 MB as bodies; the callers waited until their deadline (4.0 to 4.2 s of 4 s). After a refusal in the head, callers waited for its endless body, although the request had certainly not run, and the server did not count as failing. Routers with 88 MB would have been killed.

Cause: limits applied to single answers or not at all. Now the parser's buffer is limited (heads, chunk headers, trailers), as are the length of an event, the number of interim answers and of answers to other requests, and the bytes and time spent on the rest of a refusal. Buffered answers share one memory limit: each may use half of what the others leave, so short answers still pass.

Found by the same test: 103 is unknown to the parser's table of statuses, so an interim head with it reached the caller as the final answer. The status number now decides.

--- a/include/marjoramloom/call/http_connection.h
+++ b/include/marjoramloom/call/http_connection.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,6 +48,14 @@
     auto readRest(std::size_t sizeLimit, duration limit, last_reason &why)
         -> boost::asio::awaitable<std::optional<std::string>>;
 
+    /// Reads the rest of the answer's body like readRest(), and drops it.
+    auto skipRest(std::size_t sizeLimit, duration limit, last_reason &why) -> boost::asio::awaitable<bool>;
+
+    /// Passes the rest of the answer's body to \p accept, part by part, within \p limit. Fails once \p accept returns
+    /// false because the answer is too large. Precondition: readHead() succeeded.
+    auto readAllParts(std::function<bool(std::string_view)> accept, duration limit, last_reason &why)
+        -> boost::asio::awaitable<bool>;
+
     /// Head of the answer, valid until the next send(). Precondition: readHead() succeeded.
     [[nodiscard]] auto head() const -> const boost::beast::http::response_header<> &;
 
@@ -87,6 +96,10 @@
     auto fail(std::string_view step, const boost::system::error_code &error, last_reason &why) -> void;
 
     static constexpr std::size_t PART_BYTES = 16 * 1024;
+    /// Limit of the bytes that are buffered for the parser: heads, chunk headers and trailers must be shorter.
+    static constexpr std::size_t MAX_BUFFERED_BYTES = 64 * 1024;
+    /// Interim (1xx) answers that may precede an answer.
+    static constexpr std::size_t MAX_INTERIM_HEADS = 16;
     /// TCP_USER_TIMEOUT: detects a peer host that lost power, which sends no reset.
     static constexpr std::chrono::milliseconds UNACKNOWLEDGED_LIMIT{ 1'500 };
 
@@ -96,7 +109,7 @@
     bool m_anythingSent = false;
     bool m_expectsNoBody = false; ///< The answer to a HEAD request has no body, even if its Content-Length is set.
     duration m_idleLimit = duration::max();
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{ MAX_BUFFERED_BYTES };
     std::optional<parser> m_parser;
     std::array<char, PART_BYTES> m_part;
 };
--- a/include/marjoramloom/gateway/event_splitter.h
+++ b/include/marjoramloom/gateway/event_splitter.h
@@ -25,10 +25,16 @@
     /// Appends \p bytes and returns the events that they complete.
     [[nodiscard]] auto feed(std::string_view bytes) -> std::vector<stream_event>;
 
+    /// Whether an event is longer than MAX_EVENT_BYTES; the stream cannot be continued then.
+    [[nodiscard]] auto isEventTooLong() const -> bool;
+
     /// Whether bytes of an incomplete event are buffered.
     [[nodiscard]] auto hasPartialEvent() const -> bool;
 
 private:
+    /// Size limit of one event.
+    static constexpr std::size_t MAX_EVENT_BYTES = 256 * 1024;
+
     std::string m_pending; ///< Bytes of the incomplete event.
 };
 
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -75,6 +75,7 @@
     admission_policy admission;
     std::vector<prefill_record> unreportedPrefills; ///< Not yet sent to the other routers.
     std::size_t running = 0; ///< Requests that are being forwarded.
+    std::size_t bufferedAnswerBytes = 0; ///< Size of the answers that are being read before they are forwarded.
     prompt_placement placement;
     connection_pool connections;
     boost::random::mt19937_64 random;
--- a/src/call/http_connection.cpp
+++ b/src/call/http_connection.cpp
@@ -75,14 +75,26 @@
 auto http_connection::readHead(duration limit, last_reason &why) -> asio::awaitable<bool>
 {
     auto error = error_code();
+    auto interimHeads = std::size_t(0);
     m_timeout->arm(limit);
-    do {
+    while (true) {
         m_parser.emplace();
         m_parser->body_limit(boost::none);
         m_parser->skip(m_expectsNoBody);
         co_await http::async_read_header(m_socket, m_buffer, *m_parser,
                                          asio::redirect_error(asio::use_awaitable, error));
-    } while (!error && http::to_status_class(m_parser->get().result()) == http::status_class::informational);
+        // Compares the number because Beast does not know every interim status.
+        constexpr auto firstFinalStatus = 200U;
+        if (error || m_parser->get().result_int() >= firstFinalStatus) {
+            break;
+        }
+        if (++interimHeads > MAX_INTERIM_HEADS) {
+            m_timeout->disarm();
+            interrupt();
+            why.fail(failure_kind::protocolViolation, "read answer head", m_peer, "too many interim answers");
+            co_return false;
+        }
+    }
     m_timeout->disarm();
     if (error) {
         fail("read answer head", error, why);
@@ -120,22 +132,45 @@
 auto http_connection::readRest(std::size_t sizeLimit, duration limit, last_reason &why)
     -> asio::awaitable<std::optional<std::string>>
 {
-    const auto deadline = std::chrono::steady_clock::now() + limit;
     auto content = std::string();
+    const auto append = [&](std::string_view part) {
+        const auto fits = content.size() + part.size() <= sizeLimit;
+        content += fits ? part : std::string_view();
+        return fits;
+    };
+    if (!co_await readAllParts(append, limit, why)) {
+        co_return std::nullopt;
+    }
+    co_return content;
+}
+
+auto http_connection::skipRest(std::size_t sizeLimit, duration limit, last_reason &why) -> asio::awaitable<bool>
+{
+    auto skipped = std::size_t(0);
+    const auto skip = [&](std::string_view part) {
+        skipped += part.size();
+        return skipped <= sizeLimit;
+    };
+    co_return co_await readAllParts(skip, limit, why);
+}
+
+auto http_connection::readAllParts(std::function<bool(std::string_view)> accept, duration limit, last_reason &why)
+    -> asio::awaitable<bool>
+{
+    const auto deadline = std::chrono::steady_clock::now() + limit;
     while (true) {
-        const auto remaining = deadline - std::chrono::steady_clock::now();
-        const auto part = co_await readPart(remaining, why);
+        const auto part = co_await readPart(deadline - std::chrono::steady_clock::now(), why);
         if (!part) {
-            co_return std::nullopt;
+            co_return false;
         }
         if (part->empty()) {
-            co_return content;
+            co_return true;
         }
-        if (content.size() + part->size() > sizeLimit) {
+        if (!accept(*part)) {
             interrupt();
-            co_return why.fail(failure_kind::protocolViolation, "read answer", m_peer, "answer over the size limit");
+            why.fail(failure_kind::protocolViolation, "read answer", m_peer, "answer over the size limit");
+            co_return false;
         }
-        content += *part;
     }
 }
 
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -52,6 +52,11 @@
     return events;
 }
 
+auto event_splitter::isEventTooLong() const -> bool
+{
+    return m_pending.size() > MAX_EVENT_BYTES;
+}
+
 auto event_splitter::hasPartialEvent() const -> bool
 {
     return !m_pending.empty();
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -23,8 +23,13 @@
 constexpr auto connectTimeout = std::chrono::milliseconds(400);
 /// The router answers this long before the caller's time limit, so that the answer arrives in time.
 constexpr auto answerMargin = std::chrono::milliseconds(15);
-/// Size limit of answers that are not event streams; they are buffered completely before they are forwarded.
-constexpr auto maxBufferedAnswerBytes = std::size_t(8) << 20U;
+/// Limit of all answers together that are not event streams; they are buffered completely before they are forwarded.
+constexpr auto maxBufferedBytes = std::size_t(16) << 20U;
+/// Limits for the rest of an answer that is dropped so that its connection can be reused.
+constexpr auto maxSkippedBytes = std::size_t(256) << 10U;
+constexpr auto maxSkipTime = std::chrono::milliseconds(100);
+/// Late answers to earlier requests that may precede the answer on a connection.
+constexpr auto maxStrayAnswers = 4;
 /// Idle time after which a server may close a connection if its answer has no Keep-Alive timeout.
 constexpr auto defaultIdleTimeout = std::chrono::milliseconds(300);
 /// Connections are not reused this shortly before the Keep-Alive timeout of the server.
@@ -81,6 +86,44 @@
     std::uint64_t m_pendingPrefillTokens;
 };
 
+/// The part of an answer that was read, which counts towards the memory for all answers.
+class answer_buffer
+{
+public:
+    explicit answer_buffer(std::size_t &total)
+        : m_total(total)
+    {
+    }
+    ~answer_buffer()
+    {
+        m_total -= m_content.size();
+    }
+    answer_buffer(const answer_buffer &) = delete;
+    auto operator=(const answer_buffer &) -> answer_buffer & = delete;
+
+    /// Appends \p part unless the answer would use more than half of the memory that the other answers leave.
+    auto append(std::string_view part) -> bool
+    {
+        const auto others = m_total - m_content.size();
+        const auto left = maxBufferedBytes - std::min(maxBufferedBytes, others);
+        if (m_content.size() + part.size() > left / 2) {
+            return false;
+        }
+        m_content += part;
+        m_total += part.size();
+        return true;
+    }
+
+    [[nodiscard]] auto content() const -> const std::string &
+    {
+        return m_content;
+    }
+
+private:
+    std::size_t &m_total;
+    std::string m_content;
+};
+
 } // namespace
 
 /// State of one attempt to send the request to a server.
@@ -343,7 +386,7 @@
             m_state.servers.noteMisdirected(server);
         }
         const auto status = head.result_int();
-        co_await attempt.connection->readRest(maxBufferedAnswerBytes, remainingTime(), m_why);
+        co_await attempt.connection->skipRest(maxSkippedBytes, std::min<duration>(maxSkipTime, remainingTime()), m_why);
         m_why.fail(failure_kind::overloaded, "read answer", server.id,
                    "the server did not run it: status " + std::to_string(status));
         noteServerFailed(server);
@@ -359,7 +402,7 @@
 /// connection.
 auto gateway_call::readMatchingHead(send_attempt &attempt) -> asio::awaitable<bool>
 {
-    while (true) {
+    for (auto strayAnswers = 0; strayAnswers <= maxStrayAnswers; ++strayAnswers) {
         if (!co_await attempt.connection->readHead(remainingTime(), m_why)) {
             co_return false;
         }
@@ -371,16 +414,22 @@
             .with("request", m_request.id)
             .with("answered", answeredId)
             .with("server", attempt.chosen.server->id);
-        if (!co_await attempt.connection->readRest(maxBufferedAnswerBytes, remainingTime(), m_why)) {
+        if (!co_await attempt.connection->skipRest(maxSkippedBytes, remainingTime(), m_why)) {
             co_return false;
         }
     }
+    m_why.fail(failure_kind::protocolViolation, "read answer", attempt.chosen.server->id,
+               "too many answers to other requests");
+    co_return false;
 }
 
 auto gateway_call::relayCompleteAnswer(send_attempt &attempt) -> asio::awaitable<attempt_outcome>
 {
-    const auto body = co_await attempt.connection->readRest(maxBufferedAnswerBytes, remainingTime(), m_why);
-    if (!body) {
+    auto body = answer_buffer(m_state.bufferedAnswerBytes);
+    const auto append = [&](std::string_view part) {
+        return body.append(part);
+    };
+    if (!co_await attempt.connection->readAllParts(append, remainingTime(), m_why)) {
         noteServerFailed(*attempt.chosen.server);
         co_return attempt_outcome::incomplete;
     }
@@ -403,7 +452,7 @@
     head.result(status);
     platform::copyAnswerFields(from, head);
     noteAnswered(status);
-    co_await m_exchange.relayComplete(head, *body);
+    co_await m_exchange.relayComplete(head, body.content());
     co_return attempt_outcome::answered;
 }
 
@@ -419,6 +468,12 @@
             break;
         }
         const auto outcome = co_await relayEvents(attempt, *part);
+        if (attempt.splitter.isEventTooLong()) {
+            m_why.fail(failure_kind::protocolViolation, "read answer", attempt.chosen.server->id,
+                       "an event over the size limit");
+            noteServerFailed(*attempt.chosen.server);
+            co_return attempt_outcome::incomplete;
+        }
         if (outcome != attempt_outcome::answered) {
             co_return outcome;
         }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -44,6 +44,12 @@
 
     [[nodiscard]] auto running() -> bool;
 
+    /// Process id; still the same after the exit.
+    [[nodiscard]] auto id() const -> pid_t
+    {
+        return m_pid;
+    }
+
 private:
     pid_t m_pid = -1;
     int m_output = -1;
