Followers of watchers that are all cut off read the store within two seconds

Cause: a follower took its watchers for current until their validation was 2.25 s old (polls of 1.5 s make it 3 s old in ordinary operation), then waited 1.3 s, and began to watch up to 0.4 s later. The age of a validation says little about whether the store still answers; that of servers was not looked at.

An update now carries the time since the store last answered its sender. Polls of 1 s let it grow to 1.3 s at most on a watcher in contact. On an older one the follower queries the next watcher at once, and if that is cut off, too, watches the store: 1.3 s + 0.3 s query period + a read.

followers_get_changes_in_time_while_every_watcher_is_cut_off_from_the_store failed before (16 records of the leaving server, 401 for the new key, after 2 s), still failed once without the immediate query (401 at one follower), and passes in two runs.

--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -20,6 +20,11 @@
 class platform_feed
 {
 public:
+    /// Longest wait of a long poll.
+    static constexpr std::chrono::milliseconds MAX_POLL_WAIT{ 1'000 };
+    /// The store answers a watcher that reaches it at least this often: one long poll and its answer.
+    static constexpr std::chrono::milliseconds MAX_ANSWER_AGE = MAX_POLL_WAIT + std::chrono::milliseconds(300);
+
     /// Callbacks for changes.
     struct listeners
     {
@@ -104,7 +109,8 @@
     time_point m_nextMissingRead; ///< readMissing() is not started again before this time.
     bool m_needsConfiguration = false; ///< readMissing() has to read the configuration.
     bool m_needsServers = false; ///< readMissing() has to read the list of backend servers.
-    time_point m_lastAnswer;
+    time_point m_lastAnswer; ///< Of the store, or of a router that gets answers from it.
+    time_point m_lastOwnAnswer; ///< Of the store to this router.
     bool m_storeLost = true;
 };
 
--- a/include/marjoramloom/gateway/store_relay.h
+++ b/include/marjoramloom/gateway/store_relay.h
@@ -52,8 +52,8 @@
         std::uint64_t sentRevision = 0; ///< Revision of the list of backend servers that was sent to it.
     };
 
-    /// Time between two queries; a revocation must be in force within seconds.
-    static constexpr duration QUERY_PERIOD = std::chrono::milliseconds(400);
+    /// Time between two queries; changes must be in force within two seconds also if the watchers are cut off.
+    static constexpr duration QUERY_PERIOD = std::chrono::milliseconds(300);
     /// An update counts as current only if its validation is no older than the keys' lifetime divided by this.
     static constexpr int VALIDATIONS_PER_LIFETIME = 2;
     /// A router that sent no query for this long watches the store itself or has stopped.
--- a/include/marjoramloom/gateway/store_update.h
+++ b/include/marjoramloom/gateway/store_update.h
@@ -29,6 +29,7 @@
     std::uint64_t serversRevision = 0; ///< Revision of the list after the changes.
     std::vector<server_change> changes;
     bool storeLost = false; ///< The sender gets no answers from the store.
+    std::chrono::milliseconds answerAge{ 0 }; ///< Time since the store last answered the sender itself.
     std::chrono::milliseconds renewalLeft{ 0 }; ///< How much longer expired entries may be renewed.
 };
 
--- a/include/marjoramloom/gateway/watch_role.h
+++ b/include/marjoramloom/gateway/watch_role.h
@@ -11,7 +11,8 @@
 ///
 /// The number of calls to the store must stay small; it would grow with the fleet and with each change if every router
 /// watched. Therefore the first routers of a common order watch in each data centre, and the others query them. A
-/// router that gets no current updates watches the store itself, whatever the order says, so no router depends on one
+/// router that gets no current updates, or hears from as many watchers as there should be that they
+/// get no answers, watches the store itself, whatever the order says, so no router depends on one
 /// that is suspended, partitioned or cut off from the store. Not thread safe.
 class watch_role
 {
@@ -32,6 +33,10 @@
     /// This router applied a current update of another router.
     auto noteUpToDate(time_point now) -> void;
 
+    /// A watcher reported that it gets no answers from the store. Returns whether the next watcher should be queried,
+    /// or the store be watched, without delay.
+    auto noteWatcherCutOff() -> bool;
+
     /// Whether this router is one of the designated watchers: the first routers of the order that answer.
     [[nodiscard]] auto isDesignated(router_roster &roster, time_point now) const -> bool;
 
@@ -40,6 +45,7 @@
 
 private:
     time_point m_lastUpToDate;
+    std::size_t m_cutOffReports = 0; ///< Since the last current update.
     bool m_routersKnown = false;
     std::optional<time_point> m_watchingSince; ///< Set while this router watches.
 };
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -150,6 +150,7 @@
                                 .serversRevision = message.servers_revision(),
                                 .changes = {},
                                 .storeLost = message.store_lost(),
+                                .answerAge = std::chrono::milliseconds(message.answer_age_ms()),
                                 .renewalLeft = std::chrono::milliseconds(message.renewal_left_ms()) };
     if (message.proved()) {
         update.validationAge = std::chrono::milliseconds(message.proof_age_ms());
@@ -180,6 +181,7 @@
         serverChange->set_entry(change.object.value);
     }
     message.set_store_lost(update.storeLost);
+    message.set_answer_age_ms(static_cast<std::uint32_t>(update.answerAge.count()));
     message.set_renewal_left_ms(static_cast<std::uint32_t>(update.renewalLeft.count()));
 }
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -36,9 +36,6 @@
 /// Each long poll that ends without a change validates the keys. Several fit into the keys' lifetime, so that one may
 /// be lost.
 constexpr auto validationsPerLifetime = 3;
-/// Longest wait of a long poll. The store counts as lost after this time and that of a slow answer, see
-/// platform_feed::SILENCE_LIMIT.
-constexpr auto maxWatchWait = std::chrono::milliseconds(1'500);
 /// Time that the store may take to answer beyond the requested wait.
 constexpr auto maxAnswerDelay = std::chrono::milliseconds(700);
 
@@ -47,7 +44,8 @@
     auto options = store_options();
     options.addresses = config.platform;
     options.timeout = config.platformTimeout;
-    options.watchPollWait = std::min(maxWatchWait, config.gateway->keyLifetime / validationsPerLifetime);
+    options.watchPollWait =
+        std::min(platform_feed::MAX_POLL_WAIT, config.gateway->keyLifetime / validationsPerLifetime);
     options.reconnectsWatches = false;
     options.watchTimeout = options.watchPollWait + maxAnswerDelay;
     return options;
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -28,6 +28,9 @@
 constexpr auto fallbackThrottle =
     watch_throttle{ .minInterval = std::chrono::milliseconds(1'000), .minRetryWait = std::chrono::milliseconds(2'000) };
 
+/// Ages are reported up to this limit.
+constexpr auto MAX_REPORTED_AGE = std::chrono::milliseconds(600'000);
+
 auto pause(duration wait) -> asio::awaitable<void>
 {
     auto timer = asio::steady_timer(co_await asio::this_coro::executor, wait);
@@ -285,6 +288,8 @@
         update.changes = std::move(*changes);
     }
     update.storeLost = m_storeLost;
+    update.answerAge = std::min(
+        std::chrono::ceil<std::chrono::milliseconds>(system_clock_source().now() - m_lastOwnAnswer), MAX_REPORTED_AGE);
     update.renewalLeft = m_state.servers.renewalLeft(system_clock_source().now());
     return update;
 }
@@ -370,6 +375,7 @@
 {
     m_state.storeContact.noteAnswer(boot_clock::now());
     noteStoreAnswer();
+    m_lastOwnAnswer = m_lastAnswer;
 }
 
 /// Counts the time for renewals from the first answer of the store to any router. Entries that disappeared while the
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -88,7 +88,13 @@
     m_pendingQueries.erase(m_pendingQueries.begin(), std::next(query));
     const auto maxAge = m_state.settings.keyLifetime / VALIDATIONS_PER_LIFETIME;
     const auto isValidated = update.validationAge ? *update.validationAge <= maxAge : update.configurationRevision == 0;
-    if (isCurrent && isValidated) {
+    // A watcher that has just started is not cut off; it has read no configuration yet.
+    const auto hasStarted = update.configurationRevision > 0;
+    if (hasStarted && (update.storeLost || update.answerAge > platform_feed::MAX_ANSWER_AGE)) {
+        if (m_watchRole.noteWatcherCutOff()) {
+            m_timer.cancel();
+        }
+    } else if (isCurrent && isValidated) {
         m_relayedValidations.add();
         m_watchRole.noteUpToDate(system_clock_source().now());
     }
--- a/src/gateway/watch_role.cpp
+++ b/src/gateway/watch_role.cpp
@@ -16,6 +16,12 @@
 auto watch_role::noteUpToDate(time_point now) -> void
 {
     m_lastUpToDate = now;
+    m_cutOffReports = 0;
+}
+
+auto watch_role::noteWatcherCutOff() -> bool
+{
+    return ++m_cutOffReports <= WATCHER_COUNT;
 }
 
 auto watch_role::isDesignated(router_roster &roster, time_point now) const -> bool
@@ -32,7 +38,7 @@
 
 auto watch_role::shouldWatch(router_roster &roster, time_point now) -> bool
 {
-    const auto isOutOfDate = now - m_lastUpToDate > MAX_UPDATE_AGE;
+    const auto isOutOfDate = now - m_lastUpToDate > MAX_UPDATE_AGE || m_cutOffReports >= WATCHER_COUNT;
     if (isDesignated(roster, now) || isOutOfDate) {
         m_watchingSince = m_watchingSince ? m_watchingSince : now;
         return true;
--- a/tests/process/gateway/store_cut_test.cpp
+++ b/tests/process/gateway/store_cut_test.cpp
@@ -130,6 +130,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(followers_get_changes_in_time_while_every_watcher_is_cut_off_from_the_store)
+{
+    const auto watchers = settled(true);
+    const auto followers = settled(false);
+    // A read right before the cut makes the watchers look up to date for as long as possible.
+    fleet->writeConfiguration({ "key-alpha" });
+    sleepMs(100);
+    for (const auto watcher : watchers) {
+        relays[watcher]->cut(storeAddress);
+    }
+    fleet->writeConfiguration({ "key-new" });
+    fleet->writeServer(0, "draining");
+    sleepMs(drainBoundMs);
+    for (const auto follower : followers) {
+        BOOST_TEST(requestsReaching(0, follower) == 0U);
+        const auto id = "new-key-" + std::to_string(follower);
+        BOOST_TEST(fleet->call(fleet->routers()[follower], "/read/x", id, "GET", "key-new").status == 200U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_router_that_cannot_reach_the_store_itself_applies_changes_that_other_routers_relay)
 {
     const auto follower = settled(false).front();
