The pause after a failed watch ends once the store answers another call

A router that restarts during an outage lists the configuration through an update's hint when the store is back, but its own watch sleeps for up to 4 s after its failed call, and updates are not used to read newer configurations because the store counts as available again.

No test of our own fails first: a process test of a router that the store answers again passed in six runs on the code before, so it is not kept. The pause is checked every 200 ms.

--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -19,6 +19,8 @@
 /// Shortest and longest wait before a failed call is retried.
 constexpr auto firstRetryWait = std::chrono::milliseconds(100);
 constexpr auto maxRetryWait = std::chrono::milliseconds(800);
+/// Period in which a pause before a retry is checked for an earlier end.
+constexpr auto pauseSlice = std::chrono::milliseconds(200);
 /// Throttling of the designated watchers' calls. Updates about draining servers and revoked keys may take seconds; a
 /// period of 100 ms combines the changes of a fleet that starts into fewer calls.
 constexpr auto designatedThrottle =
@@ -29,7 +31,7 @@
     watch_throttle{ .minInterval = std::chrono::milliseconds(1'000), .minRetryWait = std::chrono::milliseconds(2'000) };
 
 /// Ages are reported up to this limit.
-constexpr auto MAX_REPORTED_AGE = std::chrono::milliseconds(600'000);
+constexpr auto maxReportedAge = std::chrono::milliseconds(600'000);
 
 auto pause(duration wait) -> asio::awaitable<void>
 {
@@ -78,7 +80,12 @@
         if (end == watch_end::expired) {
             revision = 0;
         } else if (end == watch_end::broken) {
-            co_await pause(backoff.next(m_client.watchThrottle().minRetryWait));
+            // Ends early if the store answers another call of this router.
+            const auto failedAt = system_clock_source().now();
+            const auto retryAt = failedAt + backoff.next(m_client.watchThrottle().minRetryWait);
+            for (auto now = failedAt; now < retryAt && m_lastOwnAnswer <= failedAt; now = system_clock_source().now()) {
+                co_await pause(std::min<duration>(retryAt - now, pauseSlice));
+            }
         }
     }
 }
@@ -289,7 +296,7 @@
     }
     update.storeLost = m_storeLost;
     update.answerAge = std::min(
-        std::chrono::ceil<std::chrono::milliseconds>(system_clock_source().now() - m_lastOwnAnswer), MAX_REPORTED_AGE);
+        std::chrono::ceil<std::chrono::milliseconds>(system_clock_source().now() - m_lastOwnAnswer), maxReportedAge);
     update.renewalLeft = m_state.servers.renewalLeft(system_clock_source().now());
     return update;
 }
