--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -29,6 +29,8 @@
     int loadLagMs = 1'000;
     int callMs = 0;
     int eventMs = 5;
+    int callSlots = 0;
+    int queueLength = 0;
     int checksFencing = 0;
     int seed = 1;
     std::string standin;
@@ -53,6 +55,8 @@
         { "load-lag-ms", 0, POPT_ARG_INT, &parsed.loadLagMs, 0, "engine: age of load reports", "MS" },
         { "checks-fencing", 0, POPT_ARG_NONE, &parsed.checksFencing, 0, "engine: refuse old fencing numbers", nullptr },
         { "call-ms", 0, POPT_ARG_INT, &parsed.callMs, 0, "service, routed: duration of a call", "MS" },
+        { "call-slots", 0, POPT_ARG_INT, &parsed.callSlots, 0, "routed: calls at once; 0: no limit", "N" },
+        { "queue", 0, POPT_ARG_INT, &parsed.queueLength, 0, "routed: calls that may wait for a slot", "N" },
         { "event-ms", 0, POPT_ARG_INT, &parsed.eventMs, 0, "routed: time before each event", "MS" },
         { "seed", 0, POPT_ARG_INT, &parsed.seed, 0, "engine: seed of the variation of token delays", "N" },
         POPT_AUTOHELP POPT_TABLEEND,
@@ -124,7 +128,12 @@
         return runStandin(context, service, shared, line.listen);
     }
     if (line.standin == "routed") {
-        auto routed = routed_standin(shared, { line.name, line.callMs, line.eventMs });
+        auto routed = routed_standin(shared,
+                                     { .name = line.name,
+                                       .callMs = line.callMs,
+                                       .eventMs = line.eventMs,
+                                       .slots = static_cast<std::size_t>(line.callSlots),
+                                       .queueLength = static_cast<std::size_t>(line.queueLength) });
         return runStandin(context, routed, shared, line.listen);
     }
     std::cerr << "unknown stand-in '" << line.standin << "'; known are platform, engine, service, routed\n";
--- a/tests/standins/routed_standin.cpp
+++ b/tests/standins/routed_standin.cpp
@@ -4,6 +4,8 @@
 
 #include "marjoramloom/core/hash.h"
 
+#include <algorithm>
+
 namespace standins {
 
 namespace {
@@ -24,6 +26,7 @@
 routed_standin::routed_standin(standin_context &shared, routed_options options)
     : m_shared(shared)
     , m_options(std::move(options))
+    , m_slotFreeAt(m_options.slots)
 {
 }
 
@@ -40,6 +43,12 @@
         co_await exchange.reply(answer);
         co_return;
     }
+    if (m_options.slots > 0 && m_calls >= m_options.slots + m_options.queueLength) {
+        recordExecution(exchange, "refused");
+        const auto answer = notExecutedReply(http::status::service_unavailable);
+        co_await exchange.reply(answer);
+        co_return;
+    }
     recordExecution(exchange, "started");
     if (exchange.path().ends_with("stream")) {
         co_await answerWithStream(exchange);
@@ -50,9 +59,12 @@
 
 auto routed_standin::answerCall(http_exchange &exchange) -> void_awaitable
 {
-    if (m_options.callMs > 0) {
-        co_await sleepFor(m_options.callMs);
+    ++m_calls;
+    const auto callMs = m_options.slots > 0 ? reserveSlot() : m_options.callMs;
+    if (callMs > 0) {
+        co_await sleepFor(callMs);
     }
+    --m_calls;
     const auto execute = std::function<http_reply()>([this, &exchange] {
         recordExecution(exchange, "finished");
         auto body = boost::json::object();
@@ -73,6 +85,15 @@
     co_await executeAndReply(exchange, m_shared, exchange.header("X-Attempt-Id"), execute);
 }
 
+/// Occupies the slot that becomes free first. Returns the time in milliseconds until the call has finished there.
+auto routed_standin::reserveSlot() -> std::int64_t
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto slot = std::min_element(m_slotFreeAt.begin(), m_slotFreeAt.end());
+    *slot = std::max(*slot, now) + std::chrono::milliseconds(m_options.callMs);
+    return std::chrono::ceil<std::chrono::milliseconds>(*slot - now).count();
+}
+
 auto routed_standin::answerWithStream(http_exchange &exchange) -> void_awaitable
 {
     const auto die = m_shared.faults.take(fault_kind::die, exchange.subject(exchange.header("X-Attempt-Id")));
--- a/tests/standins/routed_standin.h
+++ b/tests/standins/routed_standin.h
@@ -2,6 +2,9 @@
 
 #include "http_server.h"
 
+#include <chrono>
+#include <vector>
+
 namespace standins {
 
 /// Settings of a stand-in of a backend server behind gateway routes.
@@ -10,6 +13,8 @@
     std::string name = "server";
     std::int64_t callMs = 0; ///< Duration of a call that is not a stream.
     std::int64_t eventMs = 5; ///< Time before each event of a stream.
+    std::size_t slots = 0; ///< Calls that run at once; 0 for no limit.
+    std::size_t queueLength = 0; ///< Calls that may wait for a slot; further ones are refused.
 };
 
 /// Simulates a backend server behind the gateway's routes. It executes only requests whose X-Expect-Instance header is
@@ -29,10 +34,13 @@
     auto answerHeaders(const http_exchange &exchange) const -> header_list;
     auto recordExecution(const http_exchange &exchange, std::string state) -> void;
     auto answerCall(http_exchange &exchange) -> void_awaitable;
+    auto reserveSlot() -> std::int64_t;
     auto answerWithStream(http_exchange &exchange) -> void_awaitable;
 
     standin_context &m_shared;
     routed_options m_options;
+    std::size_t m_calls = 0; ///< Running and waiting.
+    std::vector<std::chrono::steady_clock::time_point> m_slotFreeAt;
 };
 
 } // namespace standins
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -13,6 +13,8 @@
 
 constexpr auto host = "desk.example";
 constexpr auto serviceName = "desk";
+/// Declared slots of a backend server that does not limit its calls.
+constexpr auto defaultSlots = 8;
 
 auto routeEntry(const std::string &prefix, const std::string &kind, int attempts, bool anonymous, bool resumable)
     -> json::object
@@ -48,9 +50,12 @@
     writeConfiguration({ "key-alpha" });
     for (auto index = 0; index < m_plan.servers; ++index) {
         const auto name = "server-" + std::to_string(index);
-        const auto arguments =
-            std::vector<std::string>{ "routed", "--name=" + name, "--call-ms=" + std::to_string(m_plan.callMs),
-                                      "--event-ms=" + std::to_string(m_plan.eventMs) };
+        const auto arguments = std::vector<std::string>{ "routed",
+                                                         "--name=" + name,
+                                                         "--call-ms=" + std::to_string(m_plan.callMs),
+                                                         "--call-slots=" + std::to_string(m_plan.callSlots),
+                                                         "--queue=" + std::to_string(m_plan.callQueue),
+                                                         "--event-ms=" + std::to_string(m_plan.eventMs) };
         m_servers.push_back(std::make_unique<standin>(name, arguments, m_folder + "/" + name + ".log"));
         writeServer(static_cast<std::size_t>(index), "ready");
     }
@@ -159,7 +164,7 @@
         { "address", m_plan.listedServerAddress ? m_plan.listedServerAddress(server.address()) : server.address() },
         { "zone", "north" },
         { "version", "v1" },
-        { "slots", 8 },
+        { "slots", m_plan.callSlots > 0 ? m_plan.callSlots : defaultSlots },
         { "state", state },
         { "born", 1'700'000'000'000 + index + static_cast<std::size_t>(incarnation) * 1'000 },
     };
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -17,6 +17,8 @@
     int routers = 2;
     int servers = 2; ///< Number of backend servers; all belong to one service.
     int callMs = 0; ///< Duration of a call that is not a stream.
+    int callSlots = 0; ///< Calls that a backend server runs at once; 0 for no limit.
+    int callQueue = 0; ///< Calls that may wait for a slot of a backend server; it refuses further ones.
     int eventMs = 5; ///< Time before each event of a stream.
     int revocationMs = 5'000; ///< Setting key_revocation_ms of the routers.
     double graceSeconds = 8; ///< Setting grace_seconds of the routers.
