A server that is full does not count as failed

Callers of a plain service got 429 after one or two refusals within milliseconds, although another server had room.

Cause: a refusal by a full server was handled like a failure. Each one extended the time for which the router avoids the server, up to 4 s, and was passed to the dispatcher as a suspicion. At a crest all servers of a service were avoided at once, and the order among them said nothing.

A refusal with 429 or 503 is now kept apart: the server gets no further request for 30 ms if there are others, without growing pauses and without a suspicion, and the request's next attempt goes elsewhere. Other refusals (421, 400) still count as failures. marjoramloom_server_full_total counts the refusals.

Test: a_server_that_refuses_because_it_is_full_does_not_count_as_failed failed before and passes. The other two of full_service_test still fail, as the routers do not limit the load together.

--- a/include/marjoramloom/gateway/engine_decision.h
+++ b/include/marjoramloom/gateway/engine_decision.h
@@ -17,7 +17,16 @@
     std::uint64_t account = 0; ///< From account_usage::accountId().
     duration objective{}; ///< Latency objective of the first event.
     tried_servers failedServers; ///< Engines at which this request has just failed; they are not chosen again.
+    tried_servers fullServers; ///< Servers that have just refused this request as they were full.
     bool alreadySent = false; ///< An engine was already sent the request, so it is not refused for its expected wait.
+
+    /// The servers that are not chosen again.
+    [[nodiscard]] auto triedServers() const -> tried_servers
+    {
+        auto tried = failedServers;
+        tried.insert(fullServers.begin(), fullServers.end());
+        return tried;
+    }
 };
 
 /// The engine chosen for a prompt, or a refusal.
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -70,6 +70,7 @@
     auto makeUpstreamRequest(const chosen_server &chosen) const -> http_connection::request;
     auto mayRetry(attempt_outcome outcome) -> bool;
     auto noteServerFailed(const listed_server &server) -> void;
+    auto noteServerFull(const chosen_server &chosen) -> void;
     auto refuse(unsigned status, std::string_view reason) -> boost::asio::awaitable<void>;
     auto answerFailure() -> boost::asio::awaitable<void>;
     auto costTokens() const -> std::uint64_t;
@@ -87,7 +88,8 @@
     std::uint64_t m_accountId;
     const routed_service *m_service = nullptr;
     std::shared_ptr<call_control> m_control;
-    tried_servers m_triedServers;
+    tried_servers m_failedServers; ///< Servers at which an attempt failed.
+    tried_servers m_fullServers; ///< Servers that refused the request.
     std::uint32_t m_sendCount = 0; ///< Attempts for which a connection to a server was open.
     std::optional<std::int64_t> m_lastEventId; ///< Id of the last event that was forwarded to the caller.
     duration m_firstEventLatency{}; ///< From the last attempt to its first event; 0 without an event.
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -83,6 +83,7 @@
     latency_histogram firstEventLatency; ///< From sending a request to the first event of its stream.
     latency_histogram answerLatency; ///< From the arrival of a request to its final answer.
     counter &answeredRequests; ///< Requests that were answered by a backend server.
+    counter &fullServerAnswers; ///< Refusals by backend servers that were full.
     counter &truncatedStreams; ///< Streams that ended before their last event.
     counter &abandonedRequests; ///< Requests whose callers disconnected before the router processed them.
 };
--- a/include/marjoramloom/gateway/server_loads.h
+++ b/include/marjoramloom/gateway/server_loads.h
@@ -4,6 +4,7 @@
 #include "marjoramloom/gateway/listed_server.h"
 #include "marjoramloom/gateway/prefix_cache_estimate.h"
 #include "marjoramloom/gateway/routed_request.h"
+#include "marjoramloom/gateway/server_capacity.h"
 
 #include <cstdint>
 #include <unordered_map>
@@ -19,12 +20,22 @@
     time_point avoidedUntil{}; ///< After failures, other servers are preferred until then.
     std::uint64_t suspectedBy = 0; ///< Router that last reported a failed request at the server.
     time_point suspectedAt{};
+    server_capacity capacity;
     prefix_cache_estimate prefixCache; ///< Prefix blocks that the server is assumed to have cached.
 
     [[nodiscard]] auto isAvoided(time_point now) const -> bool
     {
         return now < avoidedUntil;
     }
+
+    /// Records that the server refused a request as it was full, with \p others requests there as far as known.
+    auto noteFull(std::uint32_t others, time_point now) -> void
+    {
+        capacity.noteFull(others, FULL_PAUSE, now);
+    }
+
+    /// Time for which a server that was full gets no further requests if there are others.
+    static constexpr duration FULL_PAUSE = std::chrono::milliseconds(30);
 };
 
 /// Loads of all backend servers, by incarnation. Not thread safe.
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -89,13 +89,14 @@
     if (!blocks || message.engine_part() >= count) {
         return std::nullopt;
     }
-    auto query = placement_query{ .service = message.service(),
-                                  .shard = { .index = message.engine_part(), .count = count },
-                                  .prompt = {},
-                                  .account = message.account() };
+    auto query = placement_query();
+    query.service = message.service();
+    query.shard = { .index = message.engine_part(), .count = count };
+    query.account = message.account();
     query.prompt.parts = std::move(*blocks);
     query.prompt.promptTokens = message.prompt_tokens();
     query.failedServers.insert(message.failed().begin(), message.failed().end());
+    query.fullServers.insert(message.refused().begin(), message.refused().end());
     query.alreadySent = message.begun();
     query.objective = std::chrono::milliseconds(message.objective_ms());
     return query;
@@ -114,6 +115,9 @@
     for (const auto server : query.failedServers) {
         message.add_failed(server);
     }
+    for (const auto server : query.fullServers) {
+        message.add_refused(server);
+    }
     message.set_begun(query.alreadySent);
 }
 
--- a/src/gateway/engine_decision.cpp
+++ b/src/gateway/engine_decision.cpp
@@ -9,7 +9,7 @@
     if (service == nullptr || !service->engine) {
         return why.fail(failure_kind::notFound, "choose engine", query.service, "no such service of engines");
     }
-    auto chosen = chooseEngine(state, *service, query.shard, query.prompt, query.failedServers, now, why);
+    auto chosen = chooseEngine(state, *service, query.shard, query.prompt, query.triedServers(), now, why);
     if (!chosen) {
         return why.kind == failure_kind::overloaded
             ? std::optional(engine_decision{ .chosen = std::nullopt, .allEnginesFull = true })
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -196,7 +196,8 @@
             || !mayRetry(outcome)) {
             break;
         }
-        m_triedServers.insert(server_loads::incarnationId(*chosen->server));
+        auto &tried = outcome == attempt_outcome::notRun ? m_fullServers : m_failedServers;
+        tried.insert(server_loads::incarnationId(*chosen->server));
     }
     if (outcome == attempt_outcome::callerDisconnected) {
         logCompletion("caller left", 0);
@@ -217,7 +218,9 @@
     if (m_service->engine && m_route.carriesPrompt) {
         chosen = co_await chooseEngineForPrompt(why);
     } else {
-        chosen = choosePlainServer(m_state, *m_service, m_triedServers, system_clock_source().now(), why);
+        auto tried = m_failedServers;
+        tried.insert(m_fullServers.begin(), m_fullServers.end());
+        chosen = choosePlainServer(m_state, *m_service, tried, system_clock_source().now(), why);
     }
     if (!chosen && m_sendCount == 0) {
         m_why = why;
@@ -232,7 +235,8 @@
                                         .prompt = m_request.prompt,
                                         .account = m_accountId,
                                         .objective = m_route.latencyObjective,
-                                        .failedServers = m_triedServers,
+                                        .failedServers = m_failedServers,
+                                        .fullServers = m_fullServers,
                                         .alreadySent = m_sendCount > 0 };
     auto decision = co_await m_dispatch.decide(query, why);
     if (decision && decision->chosen) {
@@ -241,8 +245,8 @@
     if (query.alreadySent) {
         // A request that was already sent to a server is not refused here: its retry may go to any engine of the
         // service.
-        co_return chooseEngine(m_state, *m_service, {}, m_request.prompt, m_triedServers, system_clock_source().now(),
-                               why);
+        co_return chooseEngine(m_state, *m_service, {}, m_request.prompt, query.triedServers(),
+                               system_clock_source().now(), why);
     }
     co_return std::nullopt;
 }
@@ -389,7 +393,11 @@
         co_await attempt.connection->skipRest(maxSkippedBytes, std::min<duration>(maxSkipTime, remainingTime()), m_why);
         m_why.fail(failure_kind::overloaded, "read answer", server.id,
                    "the server did not run it: status " + std::to_string(status));
-        noteServerFailed(server);
+        if (status == tooManyRequests || status == unavailable) {
+            noteServerFull(attempt.chosen);
+        } else {
+            noteServerFailed(server);
+        }
         co_return attempt_outcome::notRun;
     }
     if (isSuccess(head) && isEventStream(head)) {
@@ -546,6 +554,13 @@
         .with("reason", m_why.text());
 }
 
+/// Records a refusal by a server that is full, which is no failure of the server.
+auto gateway_call::noteServerFull(const chosen_server &chosen) -> void
+{
+    m_state.loads.at(*chosen.server).noteFull(chosen.running, system_clock_source().now());
+    m_state.fullServerAnswers.add();
+}
+
 auto gateway_call::answerFailure() -> asio::awaitable<void>
 {
     if (m_streaming) {
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -39,6 +39,7 @@
     , firstEventLatency(registry, "marjoramloom_first_event_seconds", "")
     , answerLatency(registry, "marjoramloom_answer_seconds", "")
     , answeredRequests(registry.at("marjoramloom_answered_total"))
+    , fullServerAnswers(registry.at("marjoramloom_server_full_total"))
     , truncatedStreams(registry.at("marjoramloom_answers_cut_total"))
     , abandonedRequests(registry.at("marjoramloom_abandoned_total"))
 {
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/server_choice.cpp
@@ -78,7 +78,7 @@
                                .pendingPrefillTokens = load.pendingPrefillTokens + others.pendingPrefillTokens
                                    + pending.pendingPrefillTokens,
                                .cachedTokens = load.prefixCache.cachedTokens(prompt),
-                               .avoided = load.isAvoided(now) });
+                               .avoided = load.isAvoided(now) || load.capacity.isFull(now) });
     }
     const auto choice = state.placement.choose(candidates, prompt.promptTokens);
     if (!choice) {
@@ -109,8 +109,8 @@
         if (load.running >= server->slots + maxQueuedRequests) {
             continue;
         }
-        const auto serverRank =
-            rank(load.isAvoided(now), load.running, server->dataCentre != state.dataCentre, state.random());
+        const auto serverRank = rank(load.isAvoided(now) || load.capacity.isFull(now), load.running,
+                                     server->dataCentre != state.dataCentre, state.random());
         if (!best || serverRank < bestRank) {
             best = server;
             bestRank = serverRank;
