A refusal whose body does not end counts as a failure of its server

A server that answered 429 and then sent bytes without end was logged as full, not as failed, and kept getting requests.

Cause: since full servers no longer count as failed, every refusal with 429 or 503 counted as that of a full server, also one that could not be read to its end. Evidence: endless_answer_test, form 'refusal', failed on with a joint limit for plain services on top: no server_failed in the log.

Only a refusal that was read completely says that the server is full. endless_answer_test passes.

--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -390,10 +390,11 @@
             m_state.servers.noteMisdirected(server);
         }
         const auto status = head.result_int();
-        co_await attempt.connection->skipRest(maxSkippedBytes, std::min<duration>(maxSkipTime, remainingTime()), m_why);
+        const auto isWhole = co_await attempt.connection->skipRest(
+            maxSkippedBytes, std::min<duration>(maxSkipTime, remainingTime()), m_why);
         m_why.fail(failure_kind::overloaded, "read answer", server.id,
                    "the server did not run it: status " + std::to_string(status));
-        if (status == tooManyRequests || status == unavailable) {
+        if (isWhole && (status == tooManyRequests || status == unavailable)) {
             noteServerFull(attempt.chosen);
         } else {
             noteServerFailed(server);
