Routers fill a plain service together, up to what it serves in time

Cause: each router limited a server by its own running requests. With 69 routers that limit never applied; servers were sent three times what they accept, their queues stayed full, and who was served was decided by how a request met the full server (a new connection waits to be accepted, a request on a kept connection is refused).

Class: a limit kept by each of many routers alone for something that they share. Prompts had a dispatcher already.

Plain requests now go through the dispatcher of their service, too. It grants places up to the queue that leaves half of the objective, counts them until the router returns them, lists them no longer in a report, or is silent for 700 ms (slot_grants, slot_lease), and refuses the rest at once, accounts with large shares first (plain_placement, request_shares). All routes of a service meet the same limit. A router without a dispatcher uses its share of the servers only. A refusal by a server lowers the limit, which then recovers.

--- a/include/marjoramloom/gateway/engine_decision.h
+++ b/include/marjoramloom/gateway/engine_decision.h
@@ -18,6 +18,8 @@
     duration objective{}; ///< Latency objective of the first event.
     tried_servers failedServers; ///< Engines at which this request has just failed; they are not chosen again.
     tried_servers fullServers; ///< Servers that have just refused this request as they were full.
+    bool plain = false; ///< A request without a prompt; the service's servers are chosen by plain_placement.
+    std::string dataCentre; ///< Of the router that sends the request.
     bool alreadySent = false; ///< An engine was already sent the request, so it is not refused for its expected wait.
 
     /// The servers that are not chosen again.
@@ -41,4 +43,9 @@
 auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why)
     -> std::optional<engine_decision>;
 
+/// Chooses a plain server for the request of \p query, like decideEngine(). \p knownFraction is the fraction of the
+/// fleet whose load this router knows.
+auto decidePlainServer(gateway_state &state, const placement_query &query, double knownFraction, time_point now,
+                       last_reason &why) -> std::optional<engine_decision>;
+
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/fleet_loads.h
+++ b/include/marjoramloom/gateway/fleet_loads.h
@@ -60,6 +60,9 @@
     /// Tokens that the other routers sent to engines for all accounts, over sliding_window_sum::LENGTH.
     [[nodiscard]] auto startedTokens() const -> std::uint64_t;
 
+    /// Number of routers whose reports the sums include.
+    [[nodiscard]] auto reportingRouters() const -> std::size_t;
+
 private:
     struct router_report
     {
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -56,6 +56,7 @@
 
     auto chooseServer() -> boost::asio::awaitable<std::optional<chosen_server>>;
     auto chooseEngineForPrompt(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
+    auto choosePlainServerForRequest(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
     auto sendWithRetries() -> boost::asio::awaitable<void>;
     auto sendAttempt(const chosen_server &chosen) -> boost::asio::awaitable<attempt_outcome>;
     auto openConnection(const chosen_server &chosen, last_reason &why)
@@ -71,6 +72,7 @@
     auto mayRetry(attempt_outcome outcome) -> bool;
     auto noteServerFailed(const listed_server &server) -> void;
     auto noteServerFull(const chosen_server &chosen) -> void;
+    auto noteServed(const send_attempt &attempt) -> void;
     auto refuse(unsigned status, std::string_view reason) -> boost::asio::awaitable<void>;
     auto answerFailure() -> boost::asio::awaitable<void>;
     auto costTokens() const -> std::uint64_t;
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -11,11 +11,14 @@
 #include "marjoramloom/gateway/gateway_settings.h"
 #include "marjoramloom/gateway/key_freshness.h"
 #include "marjoramloom/gateway/pending_placements.h"
+#include "marjoramloom/gateway/plain_placement.h"
 #include "marjoramloom/gateway/prompt_placement.h"
+#include "marjoramloom/gateway/request_shares.h"
 #include "marjoramloom/gateway/route_table.h"
 #include "marjoramloom/gateway/router_roster.h"
 #include "marjoramloom/gateway/server_directory.h"
 #include "marjoramloom/gateway/server_loads.h"
+#include "marjoramloom/gateway/slot_grants.h"
 #include "marjoramloom/gateway/store_contact.h"
 
 #include <boost/random/mersenne_twister.hpp>
@@ -77,6 +80,9 @@
     std::size_t running = 0; ///< Requests that are being forwarded.
     std::size_t bufferedAnswerBytes = 0; ///< Size of the answers that are being read before they are forwarded.
     prompt_placement placement;
+    plain_placement plainPlacement;
+    slot_grants slotGrants;
+    request_shares plainShares; ///< Requests for plain services that this router placed as their dispatcher.
     connection_pool connections;
     boost::random::mt19937_64 random;
     std::map<std::string, gateway_retry_budget> retryBudgets; ///< By service.
--- a/include/marjoramloom/gateway/load_exchange.h
+++ b/include/marjoramloom/gateway/load_exchange.h
@@ -68,9 +68,9 @@
     /// Engines that a report covers: those of the shards, or all engines if no shard is given.
     struct report_scope
     {
-        std::vector<engine_shard> shards;
+        std::vector<std::pair<std::string, engine_shard>> shards; ///< With the names of their services.
 
-        [[nodiscard]] auto contains(const std::string &server) const -> bool;
+        [[nodiscard]] auto contains(const listed_server &server) const -> bool;
     };
 
     auto isFullMesh() const -> bool;
@@ -79,10 +79,13 @@
     auto probeSilentDispatchers(const std::string &service, const engine_shard &shard, time_point now) -> void;
     auto makeReport(const report_scope &scope) -> wire::RouterDatagram;
     auto sendQuery(std::uint64_t router, std::uint64_t number, const placement_query &query) -> void;
+    auto sendRelease(std::uint64_t router, const slot_release &release) -> void;
     auto send(std::uint64_t router, wire::RouterDatagram &datagram) -> void;
     auto handleDatagram(std::string_view bytes) -> void;
     auto handleReport(std::uint64_t router, std::uint64_t incarnation, const wire::LoadReport &report) -> void;
     auto handleQuery(std::uint64_t router, std::uint64_t incarnation, const wire::PlacementQuery &query) -> void;
+    auto subtractGrants(std::uint64_t incarnation, const wire::LoadReport &report, load_snapshot &snapshot,
+                        time_point now) -> void;
     auto sendHeartbeat(std::uint64_t router, time_point now) -> void;
 
     boost::asio::any_io_executor m_executor;
--- a/include/marjoramloom/gateway/placement_dispatch.h
+++ b/include/marjoramloom/gateway/placement_dispatch.h
@@ -23,6 +23,8 @@
     duration firstEvent{};
     std::uint32_t running = 0;
     std::uint32_t candidates = 0;
+    std::uint64_t grant = 0; ///< Of a place at a plain server, from slot_grants::add(); 0 for none.
+    std::uint64_t router = 0; ///< Router id of the dispatcher; not part of the message.
 };
 
 /// Lets one router, the dispatcher, place all prompts of a shard of a service's engines one after the other.
@@ -36,8 +38,10 @@
 public:
     using send_query = std::function<void(std::uint64_t router, std::uint64_t number, const placement_query &query)>;
 
-    /// Preconditions: \p state outlives this object; \p send delivers a query to another router, or loses it silently.
-    placement_dispatch(boost::asio::any_io_executor executor, gateway_state &state, send_query send);
+    /// Preconditions: \p state outlives this object; \p send and \p sendRelease deliver a message to another router, or
+    /// lose it silently.
+    placement_dispatch(boost::asio::any_io_executor executor, gateway_state &state, send_query send,
+                       held_grants::send_release sendRelease = {});
 
     /// The id of the dispatcher of \p shard of \p service, as far as this router knows.
     auto dispatcherOf(const std::string &service, std::uint32_t shard, time_point now) -> std::uint64_t;
@@ -55,6 +59,12 @@
     /// Completes the query that \p answer, from the router incarnation \p dispatcher, belongs to.
     auto handleAnswer(std::uint64_t dispatcher, const placement_answer &answer) -> void;
 
+    /// Ends a grant of this dispatcher for a request of the router with the incarnation \p router.
+    auto handleRelease(std::uint64_t router, const slot_release &release) -> void;
+
+    /// The grants that this router holds from dispatchers.
+    [[nodiscard]] auto heldGrants() const -> const held_grants &;
+
     /// The sequence number of the last placement received from each dispatcher, by its incarnation.
     [[nodiscard]] auto lastSequences() const -> const std::map<std::uint64_t, std::uint64_t> &;
 
@@ -67,6 +77,7 @@
         }
         boost::asio::steady_timer timer;
         std::optional<placement_answer> answer;
+        std::shared_ptr<slot_lease> lease; ///< Of the place that the answer grants; null for none.
     };
 
     /// Allows for several round trips between data centres.
@@ -84,8 +95,14 @@
     };
 
     auto queryDispatcher(std::uint64_t dispatcher, const placement_query &query)
-        -> boost::asio::awaitable<std::optional<placement_answer>>;
-    auto toDecision(const placement_answer &answer, last_reason &why) const -> std::optional<engine_decision>;
+        -> boost::asio::awaitable<std::shared_ptr<pending_query>>;
+    auto decideLocally(const placement_query &query, bool isDispatcher, last_reason &why)
+        -> std::optional<engine_decision>;
+    auto toDecision(const placement_answer &answer, std::shared_ptr<slot_lease> lease, last_reason &why) const
+        -> std::optional<engine_decision>;
+    auto makeLease(std::uint64_t dispatcher, const placement_answer &answer) const -> std::shared_ptr<slot_lease>;
+    /// Fraction of the routers whose load this router knows, itself included.
+    [[nodiscard]] auto knownFraction() const -> double;
 
     boost::asio::any_io_executor m_executor;
     gateway_state &m_state;
@@ -94,6 +111,7 @@
     std::map<std::uint64_t, std::shared_ptr<pending_query>> m_pendingQueries; ///< By the query's number.
     std::map<std::uint64_t, std::uint64_t> m_lastSequences;
     std::unordered_map<std::uint64_t, dispatcher_status> m_dispatcherStatus;
+    std::shared_ptr<held_grants> m_heldGrants;
     counter &m_decidedByDispatcher;
     counter &m_decidedLocally;
 };
--- a/include/marjoramloom/gateway/route_table.h
+++ b/include/marjoramloom/gateway/route_table.h
@@ -119,6 +119,9 @@
 
     /// The service \p name; null if it is not configured.
     [[nodiscard]] auto findService(const std::string &name) const -> const routed_service *;
+
+    /// The shortest latency objective of the routes to \p service that carry no prompts; nothing if there is none.
+    [[nodiscard]] auto shortestObjective(const std::string &service) const -> std::optional<std::chrono::milliseconds>;
     [[nodiscard]] auto services() const -> const std::vector<routed_service> &;
     [[nodiscard]] auto limits() const -> const caller_limits &;
     [[nodiscard]] auto tokensPerSecond() const -> double;
@@ -131,6 +134,7 @@
     route_table_content m_content;
     std::unordered_map<std::string, routes_by_prefix> m_routesByHost; ///< Indexes of m_content.routes.
     std::unordered_map<std::string, std::size_t> m_serviceIndexes; ///< Indexes of m_content.services.
+    std::unordered_map<std::string, std::chrono::milliseconds> m_shortestObjectives; ///< By service.
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/server_choice.h
+++ b/include/marjoramloom/gateway/server_choice.h
@@ -4,7 +4,9 @@
 #include "marjoramloom/gateway/engine_shards.h"
 #include "marjoramloom/gateway/gateway_state.h"
 #include "marjoramloom/gateway/routed_request.h"
+#include "marjoramloom/gateway/slot_lease.h"
 
+#include <memory>
 #include <set>
 
 namespace marjoramloom {
@@ -21,6 +23,7 @@
     duration firstEvent{}; ///< Expected time to the first event; 0 for plain services.
     std::uint32_t running = 0; ///< Requests at the server, as far as known.
     std::size_t candidates = 0; ///< Servers among which it was chosen.
+    std::shared_ptr<slot_lease> lease; ///< The place that a dispatcher granted there; null for none.
 };
 
 /// One of \p route's services, at random in proportion to their weights. Precondition: the route has targets.
@@ -32,8 +35,10 @@
                   const prompt_summary &prompt, const tried_servers &tried, time_point now, last_reason &why)
     -> std::optional<chosen_server>;
 
-/// Chooses a server of a plain service; fails like chooseEngine().
-auto choosePlainServer(gateway_state &state, const routed_service &service, const tried_servers &tried, time_point now,
-                       last_reason &why) -> std::optional<chosen_server>;
+/// Chooses a server of a plain service that is not among \p tried for a request of a router in \p dataCentre; fails
+/// like chooseEngine().
+auto choosePlainServer(gateway_state &state, const routed_service &service, const engine_shard &shard,
+                       const plain_demand &demand, const std::string &dataCentre, const tried_servers &tried,
+                       time_point now, last_reason &why) -> std::optional<chosen_server>;
 
 } // namespace marjoramloom
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -97,6 +97,8 @@
     query.prompt.promptTokens = message.prompt_tokens();
     query.failedServers.insert(message.failed().begin(), message.failed().end());
     query.fullServers.insert(message.refused().begin(), message.refused().end());
+    query.plain = message.plain();
+    query.dataCentre = message.data_centre();
     query.alreadySent = message.begun();
     query.objective = std::chrono::milliseconds(message.objective_ms());
     return query;
@@ -118,6 +120,10 @@
     for (const auto server : query.fullServers) {
         message.add_refused(server);
     }
+    message.set_plain(query.plain);
+    if (query.plain) {
+        message.set_data_centre(query.dataCentre);
+    }
     message.set_begun(query.alreadySent);
 }
 
@@ -130,7 +136,8 @@
              .wait = std::chrono::microseconds(message.wait_us()),
              .firstEvent = std::chrono::microseconds(message.first_event_us()),
              .running = message.running(),
-             .candidates = message.candidates() };
+             .candidates = message.candidates(),
+             .grant = message.grant() };
 }
 
 auto write(const placement_answer &answer, wire::PlacementAnswer &message) -> void
@@ -143,6 +150,23 @@
     message.set_first_event_us(toMicroseconds(answer.firstEvent));
     message.set_running(answer.running);
     message.set_candidates(answer.candidates);
+    message.set_grant(answer.grant);
+}
+
+auto readRelease(const wire::SlotRelease &message) -> slot_release
+{
+    return { .dispatcher = message.dispatcher(),
+             .grant = message.grant(),
+             .latency = std::chrono::microseconds(message.ran_us()),
+             .serverFull = message.full() };
+}
+
+auto write(const slot_release &release, wire::SlotRelease &message) -> void
+{
+    message.set_dispatcher(release.dispatcher);
+    message.set_grant(release.grant);
+    message.set_ran_us(toMicroseconds(release.latency));
+    message.set_full(release.serverFull);
 }
 
 auto readStoreUpdate(const wire::StoreNews &message) -> store_update
--- a/src/gateway/datagram_codec.h
+++ b/src/gateway/datagram_codec.h
@@ -28,6 +28,9 @@
 auto readAnswer(const wire::PlacementAnswer &message) -> placement_answer;
 auto write(const placement_answer &answer, wire::PlacementAnswer &message) -> void;
 
+auto readRelease(const wire::SlotRelease &message) -> slot_release;
+auto write(const slot_release &release, wire::SlotRelease &message) -> void;
+
 auto readStoreUpdate(const wire::StoreNews &message) -> store_update;
 auto write(const store_update &update, wire::StoreNews &message) -> void;
 
--- a/src/gateway/engine_decision.cpp
+++ b/src/gateway/engine_decision.cpp
@@ -1,5 +1,7 @@
 #include "marjoramloom/gateway/engine_decision.h"
 
+#include <algorithm>
+
 namespace marjoramloom {
 
 auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why)
@@ -24,4 +26,27 @@
     return engine_decision{ .chosen = std::move(chosen), .allEnginesFull = false };
 }
 
+auto decidePlainServer(gateway_state &state, const placement_query &query, double knownFraction, time_point now,
+                       last_reason &why) -> std::optional<engine_decision>
+{
+    const auto *service = state.routes ? state.routes->findService(query.service) : nullptr;
+    if (service == nullptr) {
+        return why.fail(failure_kind::notFound, "choose server", query.service, "no such service");
+    }
+    // All requests for a service meet the same limit. Otherwise those with a long objective would fill the queues, and
+    // those with a short one would be refused.
+    const auto shortest = state.routes->shortestObjective(query.service);
+    const auto demand =
+        plain_demand{ .objective = shortest ? std::min<duration>(*shortest, query.objective) : query.objective,
+                      .accountShare = state.plainShares.note(query.service, query.account, now),
+                      .knownFraction = knownFraction };
+    auto chosen =
+        choosePlainServer(state, *service, query.shard, demand, query.dataCentre, query.triedServers(), now, why);
+    if (!chosen && why.kind != failure_kind::overloaded) {
+        return std::nullopt;
+    }
+    const auto areAllFull = !chosen.has_value();
+    return engine_decision{ .chosen = std::move(chosen), .allEnginesFull = areAllFull };
+}
+
 } // namespace marjoramloom
--- a/src/gateway/fleet_loads.cpp
+++ b/src/gateway/fleet_loads.cpp
@@ -64,6 +64,11 @@
     return m_startedTokens;
 }
 
+auto fleet_loads::reportingRouters() const -> std::size_t
+{
+    return m_routers.size();
+}
+
 auto fleet_loads::adjustSums(const load_snapshot &snapshot, bool isAdded) -> void
 {
     for (const auto &engine : snapshot.engines) {
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -1,5 +1,6 @@
 #include "marjoramloom/gateway/gateway_call.h"
 
+#include "marjoramloom/core/hash.h"
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/gateway/error_reply.h"
 #include "marjoramloom/gateway/event_splitter.h"
@@ -218,9 +219,7 @@
     if (m_service->engine && m_route.carriesPrompt) {
         chosen = co_await chooseEngineForPrompt(why);
     } else {
-        auto tried = m_failedServers;
-        tried.insert(m_fullServers.begin(), m_fullServers.end());
-        chosen = choosePlainServer(m_state, *m_service, tried, system_clock_source().now(), why);
+        chosen = co_await choosePlainServerForRequest(why);
     }
     if (!chosen && m_sendCount == 0) {
         m_why = why;
@@ -237,6 +236,8 @@
                                         .objective = m_route.latencyObjective,
                                         .failedServers = m_failedServers,
                                         .fullServers = m_fullServers,
+                                        .plain = false,
+                                        .dataCentre = {},
                                         .alreadySent = m_sendCount > 0 };
     auto decision = co_await m_dispatch.decide(query, why);
     if (decision && decision->chosen) {
@@ -251,6 +252,24 @@
     co_return std::nullopt;
 }
 
+auto gateway_call::choosePlainServerForRequest(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
+{
+    const auto shards = shardCount(m_state.servers.usable(m_service->name).size());
+    const auto query = placement_query{ .service = m_service->name,
+                                        .shard = { .index = static_cast<std::uint32_t>(hash64(m_request.id) % shards),
+                                                   .count = shards },
+                                        .prompt = {},
+                                        .account = m_account.empty() ? 0 : m_accountId,
+                                        .objective = m_route.latencyObjective,
+                                        .failedServers = m_failedServers,
+                                        .fullServers = m_fullServers,
+                                        .plain = true,
+                                        .dataCentre = m_state.dataCentre,
+                                        .alreadySent = m_sendCount > 0 };
+    auto decision = co_await m_dispatch.decide(query, why);
+    co_return decision ? std::move(decision->chosen) : std::nullopt;
+}
+
 auto gateway_call::mayRetry(attempt_outcome outcome) -> bool
 {
     if (remainingTime() <= answerMargin || m_control->cancelled()) {
@@ -455,7 +474,7 @@
             co_return attempt_outcome::failed;
         }
     } else {
-        m_state.loads.noteSuccess(*attempt.chosen.server);
+        noteServed(attempt);
     }
     auto head = http::response_header<>();
     head.result(status);
@@ -559,9 +578,27 @@
 auto gateway_call::noteServerFull(const chosen_server &chosen) -> void
 {
     m_state.loads.at(*chosen.server).noteFull(chosen.running, system_clock_source().now());
+    if (chosen.lease) {
+        chosen.lease->noteServerFull();
+    }
     m_state.fullServerAnswers.add();
 }
 
+/// Records how long the server of a plain service took for a complete answer.
+auto gateway_call::noteServed(const send_attempt &attempt) -> void
+{
+    m_state.loads.noteSuccess(*attempt.chosen.server);
+    if (m_route.carriesPrompt) {
+        return;
+    }
+    const auto latency = system_clock_source().now() - attempt.sentAt;
+    if (attempt.chosen.lease) {
+        attempt.chosen.lease->noteServed(latency);
+    }
+    const auto slots = std::max(1U, attempt.chosen.server->slots);
+    m_state.loads.at(*attempt.chosen.server).capacity.noteServed(attempt.chosen.running, slots, latency);
+}
+
 auto gateway_call::answerFailure() -> asio::awaitable<void>
 {
     if (m_streaming) {
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -47,9 +47,12 @@
     , m_unreadableDatagrams(state.counters.at("marjoramloom_load_reports_unreadable_total"))
     , m_receivedDatagrams(state.counters.at("marjoramloom_datagrams_received_total"))
     , m_sentDatagrams(state.counters.at("marjoramloom_datagrams_sent_total"))
-    , m_dispatch(executor, state, [this](std::uint64_t router, std::uint64_t number, const placement_query &query) {
-        sendQuery(router, number, query);
-    })
+    , m_dispatch(
+          executor, state,
+          [this](std::uint64_t router, std::uint64_t number, const placement_query &query) {
+              sendQuery(router, number, query);
+          },
+          [this](std::uint64_t router, const slot_release &release) { sendRelease(router, release); })
 {
 }
 
@@ -132,10 +135,11 @@
     }
 }
 
-auto load_exchange::report_scope::contains(const std::string &server) const -> bool
+auto load_exchange::report_scope::contains(const listed_server &server) const -> bool
 {
-    return shards.empty()
-        || std::any_of(shards.begin(), shards.end(), [&](const auto &shard) { return shard.contains(server); });
+    return shards.empty() || std::any_of(shards.begin(), shards.end(), [&](const auto &shard) {
+               return shard.first == server.service && shard.second.contains(server.id);
+           });
 }
 
 auto load_exchange::reportToAll(time_point now) -> void
@@ -155,16 +159,13 @@
     }
     auto scopes = std::unordered_map<std::uint64_t, report_scope>();
     for (const auto &service : m_state.routes->services()) {
-        if (!service.engine) {
-            continue;
-        }
         const auto count = shardCount(m_state.servers.usable(service.name).size());
         for (auto index = std::uint32_t(0); index < count; ++index) {
             const auto shard = engine_shard{ .index = index, .count = count };
             probeSilentDispatchers(service.name, shard, now);
             const auto dispatcher = m_dispatch.dispatcherOf(service.name, index, now);
             if (dispatcher != m_state.roster.self()) {
-                scopes[dispatcher].shards.push_back(shard);
+                scopes[dispatcher].shards.emplace_back(service.name, shard);
             }
         }
     }
@@ -187,7 +188,7 @@
         auto &last = m_lastProbeSent[router];
         if (now - last >= probePeriod) {
             last = now;
-            auto report = makeReport({ .shards = { shard } });
+            auto report = makeReport({ .shards = { { service, shard } } });
             send(router, report);
         }
     }
@@ -204,7 +205,7 @@
             continue;
         }
         const auto server = scope.shards.empty() ? nullptr : m_state.servers.findUsable(run);
-        if (scope.shards.empty() || (server && scope.contains(server->id))) {
+        if (scope.shards.empty() || (server && scope.contains(*server))) {
             auto *engine = report.add_engines();
             engine->set_server(run);
             engine->set_running(load.running);
@@ -226,6 +227,12 @@
         placementHeard->set_dispatcher(dispatcher);
         placementHeard->set_sequence(sequence);
     }
+    for (const auto &[dispatcher, grants] : m_dispatch.heldGrants().all()) {
+        auto *slots = report.add_slots();
+        slots->set_dispatcher(dispatcher);
+        slots->set_last(grants.last);
+        slots->mutable_held()->Add(grants.held.begin(), grants.held.end());
+    }
     return datagram;
 }
 
@@ -246,6 +253,13 @@
     send(router, datagram);
 }
 
+auto load_exchange::sendRelease(std::uint64_t router, const slot_release &release) -> void
+{
+    auto datagram = wire::RouterDatagram();
+    write(release, *datagram.mutable_release());
+    send(router, datagram);
+}
+
 auto load_exchange::sendStoreQuery(std::uint64_t router, const store_query &query) -> void
 {
     auto datagram = wire::RouterDatagram();
@@ -333,7 +347,12 @@
         handleQuery(router, datagram.sender(), datagram.query());
     }
     if (datagram.has_answer()) {
-        m_dispatch.handleAnswer(datagram.sender(), readAnswer(datagram.answer()));
+        auto answer = readAnswer(datagram.answer());
+        answer.router = router;
+        m_dispatch.handleAnswer(datagram.sender(), answer);
+    }
+    if (datagram.has_release() && datagram.release().dispatcher() == m_incarnation) {
+        m_dispatch.handleRelease(datagram.sender(), readRelease(datagram.release()));
     }
     if (datagram.has_question() && m_storeHandlers.onQuery) {
         m_storeHandlers.onQuery(
@@ -351,10 +370,13 @@
     const auto now = system_clock_source().now();
     if (report.leaving()) {
         m_state.fleet.removeRouter(incarnation);
+        m_state.slotGrants.removeRouter(incarnation);
         m_state.roster.noteStopping(router, now);
         return;
     }
-    if (m_state.fleet.update(readReport(incarnation, report), now)) {
+    auto snapshot = readReport(incarnation, report);
+    subtractGrants(incarnation, report, snapshot, now);
+    if (m_state.fleet.update(std::move(snapshot), now)) {
         for (const auto &placementHeard : report.heard()) {
             if (placementHeard.dispatcher() == m_incarnation) {
                 m_state.placements.acknowledge(incarnation, placementHeard.sequence());
@@ -373,6 +395,26 @@
     }
 }
 
+/// Updates the grants that the router \p incarnation holds from this dispatcher, and removes them from the loads in
+/// \p snapshot, as they are counted already.
+auto load_exchange::subtractGrants(std::uint64_t incarnation, const wire::LoadReport &report, load_snapshot &snapshot,
+                                   time_point now) -> void
+{
+    for (const auto &slots : report.slots()) {
+        if (slots.dispatcher() != m_incarnation) {
+            continue;
+        }
+        const auto held = std::set<std::uint64_t>(slots.held().begin(), slots.held().end());
+        const auto retained = m_state.slotGrants.reconcile(incarnation, slots.last(), held, now);
+        for (auto &load : snapshot.engines) {
+            const auto granted = retained.find(load.server);
+            if (granted != retained.end()) {
+                load.running -= std::min(load.running, granted->second);
+            }
+        }
+    }
+}
+
 /// Confirms to a router that reports here that this one is alive.
 auto load_exchange::sendHeartbeat(std::uint64_t router, time_point now) -> void
 {
--- /dev/null
+++ b/src/gateway/request_shares.cpp
@@ -0,0 +1,22 @@
+#include "marjoramloom/gateway/request_shares.h"
+
+namespace marjoramloom {
+
+auto request_shares::note(const std::string &service, std::uint64_t account, time_point now) -> double
+{
+    auto &requests = m_services[service];
+    requests.all.add(1, now);
+    if (account == 0) {
+        return 0;
+    }
+    if (requests.byAccount.size() >= MAX_ACCOUNTS) {
+        for (auto entry = requests.byAccount.begin(); entry != requests.byAccount.end();) {
+            entry = entry->second.total(now) == 0 ? requests.byAccount.erase(entry) : std::next(entry);
+        }
+    }
+    auto &own = requests.byAccount[account];
+    own.add(1, now);
+    return static_cast<double>(own.total(now)) / static_cast<double>(requests.all.total(now));
+}
+
+} // namespace marjoramloom
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -23,6 +23,13 @@
     for (auto index = std::size_t(0); index < m_content.routes.size(); ++index) {
         const auto &route = m_content.routes[index];
         m_routesByHost[normalizedHost(route.host)].emplace(route.pathPrefix, index);
+        if (route.carriesPrompt) {
+            continue;
+        }
+        for (const auto &target : route.targets) {
+            auto &shortest = m_shortestObjectives.try_emplace(target.service, route.latencyObjective).first->second;
+            shortest = std::min(shortest, route.latencyObjective);
+        }
     }
     for (auto index = std::size_t(0); index < m_content.services.size(); ++index) {
         m_serviceIndexes.emplace(m_content.services[index].name, index);
@@ -57,6 +64,12 @@
     return found == m_content.accountsByKey.end() ? nullptr : &found->second;
 }
 
+auto route_table::shortestObjective(const std::string &service) const -> std::optional<std::chrono::milliseconds>
+{
+    const auto found = m_shortestObjectives.find(service);
+    return found == m_shortestObjectives.end() ? std::nullopt : std::optional(found->second);
+}
+
 auto route_table::findService(const std::string &name) const -> const routed_service *
 {
     const auto found = m_serviceIndexes.find(name);
