--- a/tests/standins/fault_set.cpp
+++ b/tests/standins/fault_set.cpp
@@ -47,6 +47,7 @@
     read.revision = readNumber<std::uint64_t>(from, "revision", 0);
     read.behind = readNumber<std::uint64_t>(from, "behind", 0);
     read.forget = readFlag(from, "forget", false);
+    read.crash = readFlag(from, "crash", false);
     read.silent = readFlag(from, "silent", false);
     read.enabled = readFlag(from, "enabled", true);
     return read;
--- a/tests/standins/fault_set.h
+++ b/tests/standins/fault_set.h
@@ -50,6 +50,7 @@
     std::uint64_t revision = 0; ///< Revision that stale reads show; 0 to use \p behind.
     std::uint64_t behind = 0; ///< Number of revisions by which stale reads lag.
     bool forget = false; ///< The stream cannot be resumed afterwards.
+    bool crash = false; ///< All other streams of the server break off, too.
     bool silent = false; ///< Leave the connection open without sending anything, instead of closing it.
     bool enabled = true; ///< Value of the setting that the fault overrides.
 };
--- a/tests/standins/routed_standin.cpp
+++ b/tests/standins/routed_standin.cpp
@@ -103,12 +103,19 @@
         const auto headers = answerHeaders(exchange);
         co_await exchange.startStream("text/event-stream", headers);
         auto sent = std::uint32_t(0);
+        const auto crashesBefore = m_crashes;
         for (auto number = first; number <= streamLength; ++number) {
             co_await sleepFor(m_options.eventMs);
+            if (m_crashes != crashesBefore) {
+                recordExecution(exchange, "crashed");
+                exchange.close();
+                co_return;
+            }
             const auto event = "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
             if (die && sent++ == die->events) {
                 const auto half = event.substr(0, event.size() / 2);
                 co_await exchange.writeChunk(half);
+                m_crashes += die->crash ? 1 : 0;
                 exchange.close();
                 co_return;
             }
--- a/tests/standins/routed_standin.h
+++ b/tests/standins/routed_standin.h
@@ -40,6 +40,7 @@
     standin_context &m_shared;
     routed_options m_options;
     std::size_t m_calls = 0; ///< Running and waiting.
+    std::size_t m_crashes = 0;
     std::vector<std::chrono::steady_clock::time_point> m_slotFreeAt;
 };
 
