Test of crashing engines: the retry budget does not bound the attempts

With the default reserve the budget cut the retries, so that the test showed 29 of 40 attempts and its third case failed once for want of a retry.

--- a/tests/process/gateway/engine_crash_test.cpp
+++ b/tests/process/gateway/engine_crash_test.cpp
@@ -80,6 +80,7 @@
         auto plan = gateway_plan();
         plan.routers = 3;
         plan.servers = 4;
+        plan.retryReserve = 100;
         return plan;
     }
 
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -21,6 +21,7 @@
     int callQueue = 0; ///< Calls that may wait for a slot of a backend server; it refuses further ones.
     int eventMs = 5; ///< Time before each event of a stream.
     int revocationMs = 5'000; ///< Setting key_revocation_ms of the routers.
+    double retryReserve = 2; ///< Setting repeat_reserve of the routers.
     double graceSeconds = 8; ///< Setting grace_seconds of the routers.
     /// Optional. Returns the address at which the router with this index connects to the store, which listens at
     /// \p address.
