Requests with a prefix block that crashes engines are kept from the engines

Cause: a broken attempt counted against the engine, never against what was asked. The request went to the next engine at once, and nobody compared crashes. Class: a failure that is attributed to the place where it shows, not to the input that travels.

block_quarantine collects the prompts that broke off before their first event, by block and incarnation of the engine. A first event clears all blocks of its prompt but the last. Three crashes with a head (or five without) since the last clearance quarantine the block; of several in one prompt the one with most evidence, of equal ones the last, so that shared blocks stay in use. A request that may complete the evidence is not sent again. Routers send each other reports and clearances and compare digests of what is quarantined with every datagram, so that a router that starts or was cut off has it before its first request. One router lets one request through after 20 s, then after four times as long each, up to an hour. Memory: 256 records; messages: 20 reports a second.

--- a/include/marjoramloom/gateway/error_reply.h
+++ b/include/marjoramloom/gateway/error_reply.h
@@ -9,8 +9,8 @@
 namespace marjoramloom {
 
 /// A reply that the router itself generates: \p status with \p reason as text, and with a Retry-After header if the
-/// status means that the request was not executed (429, 503).
-auto makeErrorReply(gateway_state &state, const routed_request &request, unsigned status, std::string_view reason)
-    -> http_reply;
+/// status means that the request was not executed (429, 503): a short time beyond \p unservableFor.
+auto makeErrorReply(gateway_state &state, const routed_request &request, unsigned status, std::string_view reason,
+                    duration unservableFor = duration::zero()) -> http_reply;
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -70,6 +70,9 @@
     auto canStillSend(const chosen_server &chosen, last_reason &why) -> bool;
     auto makeUpstreamRequest(const chosen_server &chosen) const -> http_connection::request;
     auto mayRetry(attempt_outcome outcome) -> bool;
+    auto isQuarantined() -> bool;
+    auto noteBroken(const send_attempt &attempt, crash_sign sign) -> void;
+    auto noteAnswerBegun() -> void;
     auto noteServerFailed(const listed_server &server) -> void;
     auto noteServerFull(const chosen_server &chosen) -> void;
     auto noteServed(const send_attempt &attempt) -> void;
@@ -97,6 +100,8 @@
     duration m_firstEventLatency{}; ///< From the last attempt to its first event; 0 without an event.
     /// A server may have executed the request, so no later refusal may state that it was not executed.
     bool m_mayHaveRun = false;
+    bool m_isTrial = false; ///< The request is to show whether a quarantined block still crashes engines.
+    bool m_answerBegan = false; ///< An engine has begun an answer, so that no block of the prompt crashes engines.
     bool m_streaming = false; ///< The head of a stream was forwarded to the caller.
     last_reason m_why;
 };
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 #include "marjoramloom/core/latency_histogram.h"
 #include "marjoramloom/gateway/account_usage.h"
 #include "marjoramloom/gateway/admission_policy.h"
+#include "marjoramloom/gateway/block_quarantine.h"
 #include "marjoramloom/gateway/event_loop_delay.h"
 #include "marjoramloom/gateway/fleet_loads.h"
 #include "marjoramloom/gateway/gateway_retry_budget.h"
@@ -83,6 +84,7 @@
     plain_placement plainPlacement;
     slot_grants slotGrants;
     request_shares plainShares; ///< Requests for plain services that this router placed as their dispatcher.
+    block_quarantine blocks;
     connection_pool connections;
     boost::random::mt19937_64 random;
     std::map<std::string, gateway_retry_budget> retryBudgets; ///< By service.
@@ -90,6 +92,7 @@
     latency_histogram answerLatency; ///< From the arrival of a request to its final answer.
     counter &answeredRequests; ///< Requests that were answered by a backend server.
     counter &fullServerAnswers; ///< Refusals by backend servers that were full.
+    counter &quarantinedRequests; ///< Requests kept from the engines for a block that crashes them.
     counter &truncatedStreams; ///< Streams that ended before their last event.
     counter &abandonedRequests; ///< Requests whose callers disconnected before the router processed them.
 };
--- a/include/marjoramloom/gateway/load_exchange.h
+++ b/include/marjoramloom/gateway/load_exchange.h
@@ -87,6 +87,9 @@
     auto subtractGrants(std::uint64_t incarnation, const wire::LoadReport &report, load_snapshot &snapshot,
                         time_point now) -> void;
     auto sendHeartbeat(std::uint64_t router, time_point now) -> void;
+    auto broadcast(wire::RouterDatagram &datagram) -> void;
+    auto handleBlocks(std::uint64_t router, const wire::RouterDatagram &datagram, time_point now) -> void;
+    auto sendBlocks(std::uint64_t router, time_point now) -> void;
 
     boost::asio::any_io_executor m_executor;
     gateway_state &m_state;
@@ -95,6 +98,7 @@
     udp::socket m_socket;
     std::unordered_map<std::uint64_t, udp::endpoint> m_endpoints; ///< By router id.
     std::unordered_map<std::uint64_t, time_point> m_lastHeartbeatSent; ///< By id of the router that reports here.
+    std::unordered_map<std::uint64_t, time_point> m_lastBlocksSent; ///< By id of the router that differed.
     std::unordered_map<std::uint64_t, time_point> m_lastProbeSent; ///< By id of the silent dispatcher.
     store_handlers m_storeHandlers;
     std::uint64_t m_reportSequence = 0;
--- a/include/marjoramloom/gateway/placement_dispatch.h
+++ b/include/marjoramloom/gateway/placement_dispatch.h
@@ -62,6 +62,9 @@
     /// Ends a grant of this dispatcher for a request of the router with the incarnation \p router.
     auto handleRelease(std::uint64_t router, const slot_release &release) -> void;
 
+    /// Whether this router lets a request with the quarantined \p block through for a trial.
+    auto isTrialRouter(std::uint64_t block, time_point now) -> bool;
+
     /// The grants that this router holds from dispatchers.
     [[nodiscard]] auto heldGrants() const -> const held_grants &;
 
@@ -88,6 +91,9 @@
     /// With this many dispatchers skipped, the router decides from its own load data.
     static constexpr std::size_t MAX_SKIPPED_DISPATCHERS = 3;
 
+    /// Quarantined blocks are divided into this many groups, whose trials different routers make.
+    static constexpr std::uint32_t TRIAL_GROUPS = 16;
+
     struct dispatcher_status
     {
         std::uint32_t unansweredQueries = 0;
--- a/src/gateway/datagram_codec.h
+++ b/src/gateway/datagram_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "load.pb.h"
+#include "marjoramloom/gateway/block_quarantine.h"
 #include "marjoramloom/gateway/fleet_loads.h"
 #include "marjoramloom/gateway/placement_dispatch.h"
 #include "marjoramloom/gateway/router_roster.h"
@@ -31,6 +32,12 @@
 auto readRelease(const wire::SlotRelease &message) -> slot_release;
 auto write(const slot_release &release, wire::SlotRelease &message) -> void;
 
+auto readCrashReport(const wire::CrashReport &message) -> crash_report;
+auto write(const crash_report &report, wire::CrashReport &message) -> void;
+
+auto readBlockRecord(const wire::BlockRecord &message) -> block_record;
+auto write(const block_record &record, wire::BlockRecord &message) -> void;
+
 auto readStoreUpdate(const wire::StoreNews &message) -> store_update;
 auto write(const store_update &update, wire::StoreNews &message) -> void;
 
--- a/src/gateway/error_reply.cpp
+++ b/src/gateway/error_reply.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// Retry-After is drawn from this range, so that callers refused together do not retry at the same moment.
+/// Retry-After exceeds the time for which the request is unservable by a draw from this range, so that callers refused
+/// together do not retry at the same moment.
 constexpr double minRetryAfterSeconds = 0.15;
 constexpr double maxRetryAfterSeconds = 0.6;
 
@@ -21,8 +22,8 @@
 
 } // namespace
 
-auto makeErrorReply(gateway_state &state, const routed_request &request, unsigned status, std::string_view reason)
-    -> http_reply
+auto makeErrorReply(gateway_state &state, const routed_request &request, unsigned status, std::string_view reason,
+                    duration unservableFor) -> http_reply
 {
     auto answer = http_reply();
     answer.status = status;
@@ -34,7 +35,7 @@
     if (isNotExecutedStatus(status)) {
         auto spread = boost::random::uniform_real_distribution<double>(minRetryAfterSeconds, maxRetryAfterSeconds);
         auto text = std::array<char, 16>{};
-        std::snprintf(text.data(), text.size(), "%.2f", spread(state.random));
+        std::snprintf(text.data(), text.size(), "%.2f", toSeconds(unservableFor) + spread(state.random));
         answer.headers.emplace_back(platform::retryAfterField, text.data());
     }
     return answer;
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -175,6 +175,9 @@
 {
     auto outcome = attempt_outcome::notSent;
     while (true) {
+        if (isQuarantined()) {
+            break;
+        }
         const auto chosen = co_await chooseServer();
         if (!chosen) {
             break;
@@ -278,11 +281,39 @@
     if (outcome == attempt_outcome::notSent) {
         return true;
     }
+    if (outcome == attempt_outcome::incomplete && !m_answerBegan
+        && (m_isTrial || !m_state.blocks.mayResend(sharedBlocks(m_request.prompt)))) {
+        return false;
+    }
     const auto isSafeToRetry = outcome == attempt_outcome::notRun || m_route.mayRetry();
     return isSafeToRetry && m_sendCount < m_route.maxAttempts
         && m_state.retryBudgetFor(m_service->name).tryConsume(system_clock_source().now());
 }
 
+/// Whether a prefix block that crashes engines keeps the request from them. Before the first attempt the reason is
+/// stored in m_why.
+auto gateway_call::isQuarantined() -> bool
+{
+    const auto now = system_clock_source().now();
+    const auto isTrialRouter = [&](std::uint64_t block) {
+        return m_dispatch.isTrialRouter(block, now);
+    };
+    if (!m_route.carriesPrompt || m_isTrial || m_answerBegan) {
+        return false;
+    }
+    const auto verdict = m_state.blocks.check(sharedBlocks(m_request.prompt), isTrialRouter, now);
+    m_isTrial = verdict == block_quarantine::verdict::trial;
+    if (verdict != block_quarantine::verdict::refused) {
+        return false;
+    }
+    m_state.quarantinedRequests.add();
+    if (m_sendCount == 0) {
+        m_why.fail(failure_kind::unavailable, "choose engine", m_service->name,
+                   "a block of the prompt crashes engines");
+    }
+    return true;
+}
+
 auto gateway_call::sendAttempt(const chosen_server &chosen) -> asio::awaitable<attempt_outcome>
 {
     auto why = last_reason();
@@ -362,6 +393,9 @@
         why.fail(failure_kind::deadlineExceeded, "send request", chosen.server->id, "no time left");
     } else if (!m_route.anonymous && !m_state.keys.isFresh(boot_clock::now())) {
         why.fail(failure_kind::unavailable, "send request", chosen.server->id, "keys not confirmed lately");
+    } else if (m_route.carriesPrompt && !m_isTrial && !m_answerBegan
+               && m_state.blocks.isQuarantined(sharedBlocks(m_request.prompt))) {
+        why.fail(failure_kind::unavailable, "send request", chosen.server->id, "a block of the prompt crashes engines");
     } else if (!m_state.servers.isUsable(*chosen.server)) {
         why.fail(failure_kind::leaving, "send request", chosen.server->id, "the server is leaving or gone");
     } else {
@@ -399,6 +433,7 @@
     const auto request = makeUpstreamRequest(attempt.chosen);
     if (!co_await attempt.connection->send(request, remainingTime(), m_why) || !co_await readMatchingHead(attempt)) {
         noteServerFailed(server);
+        noteBroken(attempt, crash_sign::noAnswer);
         co_return attempt_outcome::incomplete;
     }
     const auto &head = attempt.connection->head();
@@ -459,6 +494,7 @@
     };
     if (!co_await attempt.connection->readAllParts(append, remainingTime(), m_why)) {
         noteServerFailed(*attempt.chosen.server);
+        noteBroken(attempt, crash_sign::beganAnswer);
         co_return attempt_outcome::incomplete;
     }
     const auto &from = attempt.connection->head();
@@ -490,6 +526,7 @@
         const auto part = co_await attempt.connection->readPart(remainingTime(), m_why);
         if (!part) {
             noteServerFailed(*attempt.chosen.server);
+            noteBroken(attempt, crash_sign::beganAnswer);
             co_return attempt_outcome::incomplete;
         }
         if (part->empty()) {
@@ -508,6 +545,7 @@
     }
     if (attempt.splitter.hasPartialEvent()) {
         m_why.fail(failure_kind::protocolViolation, "read answer", attempt.chosen.server->id, "ends within an event");
+        noteBroken(attempt, crash_sign::beganAnswer);
         co_return attempt_outcome::incomplete;
     }
     startStreaming(attempt);
@@ -540,6 +578,7 @@
             m_firstEventLatency = system_clock_source().now() - attempt.sentAt;
             m_state.firstEventLatency.observe(m_firstEventLatency);
             attempt.load.notePrefillDone();
+            noteAnswerBegun();
         }
         if (event.id && m_lastEventId && *event.id <= *m_lastEventId) {
             continue; // The caller has received it in an earlier attempt.
@@ -574,6 +613,32 @@
         .with("reason", m_why.text());
 }
 
+/// Records that the connection ended before the first event of the answer, with the reason in m_why: the engine may
+/// have crashed by the request.
+auto gateway_call::noteBroken(const send_attempt &attempt, crash_sign sign) -> void
+{
+    const auto blocks = sharedBlocks(m_request.prompt);
+    if (!m_route.carriesPrompt || m_answerBegan || blocks.empty() || m_control->cancelled()
+        || (m_why.kind != failure_kind::unknownOutcome && m_why.kind != failure_kind::protocolViolation)) {
+        return;
+    }
+    const auto engine = server_loads::incarnationId(*attempt.chosen.server);
+    m_state.blocks.noteBroken(engine, sign, blocks, system_clock_source().now());
+    log_line(log_level::info, "crash_suspect")
+        .with("request", m_request.id)
+        .with("server", attempt.chosen.server->id)
+        .with("answer", sign == crash_sign::beganAnswer ? "began" : "none")
+        .with("blocks", blocks.size())
+        .with("last_block", blocks.back().id)
+        .with("may_resend", m_state.blocks.mayResend(blocks) ? "yes" : "no");
+}
+
+auto gateway_call::noteAnswerBegun() -> void
+{
+    m_answerBegan = true;
+    m_state.blocks.noteAnswerBegun(sharedBlocks(m_request.prompt), system_clock_source().now());
+}
+
 /// Records a refusal by a server that is full, which is no failure of the server.
 auto gateway_call::noteServerFull(const chosen_server &chosen) -> void
 {
@@ -589,6 +654,7 @@
 {
     m_state.loads.noteSuccess(*attempt.chosen.server);
     if (m_route.carriesPrompt) {
+        noteAnswerBegun();
         return;
     }
     const auto latency = system_clock_source().now() - attempt.sentAt;
@@ -619,7 +685,8 @@
 {
     logCompletion(reason, status);
     m_state.counters.at("marjoramloom_refused_total", "status=\"" + std::to_string(status) + "\"").add();
-    auto answer = makeErrorReply(m_state, m_request, status, reason);
+    const auto unservableFor = m_state.blocks.timeToTrial(sharedBlocks(m_request.prompt), system_clock_source().now());
+    auto answer = makeErrorReply(m_state, m_request, status, reason, unservableFor);
     co_await m_exchange.reply(std::move(answer));
 }
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -40,9 +40,12 @@
     , answerLatency(registry, "marjoramloom_answer_seconds", "")
     , answeredRequests(registry.at("marjoramloom_answered_total"))
     , fullServerAnswers(registry.at("marjoramloom_server_full_total"))
+    , quarantinedRequests(registry.at("marjoramloom_requests_quarantined_total"))
     , truncatedStreams(registry.at("marjoramloom_answers_cut_total"))
     , abandonedRequests(registry.at("marjoramloom_abandoned_total"))
 {
+    registry.setGauge("marjoramloom_blocks_quarantined", "",
+                      [this] { return static_cast<double>(blocks.quarantinedBlocks()); });
 }
 
 auto gateway_state::applySettings(const gateway_settings &newSettings) -> void
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -27,6 +27,8 @@
 constexpr auto idleReportPeriod = std::chrono::milliseconds(240);
 /// Shortest time between two heartbeats to the same router.
 constexpr auto heartbeatPeriod = std::chrono::milliseconds(200);
+/// Shortest time between two messages with all block records to the same router.
+constexpr auto blocksPeriod = std::chrono::milliseconds(100);
 /// Time between two reports to a silent dispatcher, which answers once it is back.
 constexpr auto probePeriod = std::chrono::milliseconds(1'000);
 /// Silent dispatchers of a shard that are probed.
@@ -54,6 +56,18 @@
           },
           [this](std::uint64_t router, const slot_release &release) { sendRelease(router, release); })
 {
+    m_state.blocks.setPublisher({ .onReport =
+                                      [this](const crash_report &report) {
+                                          auto datagram = wire::RouterDatagram();
+                                          write(report, *datagram.mutable_crash());
+                                          broadcast(datagram);
+                                      },
+                                  .onRecord =
+                                      [this](const block_record &record) {
+                                          auto datagram = wire::RouterDatagram();
+                                          write(record, *datagram.add_blocks());
+                                          broadcast(datagram);
+                                      } });
 }
 
 auto load_exchange::listen(const std::string &address, last_reason &why) -> bool
@@ -284,6 +298,8 @@
     datagram.set_version(datagramVersion);
     datagram.set_sender(m_incarnation);
     datagram.set_router(m_state.roster.self());
+    datagram.set_blocks_digest(m_state.blocks.digest());
+    datagram.set_has_blocks_digest(true);
     if (const auto &answered = m_state.storeContact.latest()) {
         write(*answered, boot_clock::now(), datagram);
     }
@@ -293,6 +309,13 @@
     m_socket.send_to(asio::buffer(datagram.SerializeAsString()), endpoint->second, 0, error);
 }
 
+auto load_exchange::broadcast(wire::RouterDatagram &datagram) -> void
+{
+    for (const auto router : m_state.roster.others()) {
+        send(router, datagram);
+    }
+}
+
 auto load_exchange::receive() -> asio::awaitable<void>
 {
     auto buffer = std::vector<char>(maxDatagramBytes);
@@ -343,6 +366,7 @@
     if (datagram.has_report()) {
         handleReport(router, datagram.sender(), datagram.report());
     }
+    handleBlocks(router, datagram, system_clock_source().now());
     if (datagram.has_query()) {
         handleQuery(router, datagram.sender(), datagram.query());
     }
@@ -415,6 +439,35 @@
     }
 }
 
+/// Takes over what another router knows of blocks that crash engines, and sends it this router's records if the two
+/// have not quarantined the same blocks.
+auto load_exchange::handleBlocks(std::uint64_t router, const wire::RouterDatagram &datagram, time_point now) -> void
+{
+    if (datagram.has_crash()) {
+        m_state.blocks.handleReport(readCrashReport(datagram.crash()), now);
+    }
+    for (const auto &record : datagram.blocks()) {
+        m_state.blocks.handleRecord(readBlockRecord(record), now);
+    }
+    if (datagram.has_blocks_digest() && datagram.blocks_digest() != m_state.blocks.digest()) {
+        sendBlocks(router, now);
+    }
+}
+
+auto load_exchange::sendBlocks(std::uint64_t router, time_point now) -> void
+{
+    auto &last = m_lastBlocksSent[router];
+    if (now - last < blocksPeriod) {
+        return;
+    }
+    last = now;
+    auto datagram = wire::RouterDatagram();
+    for (const auto &record : m_state.blocks.records()) {
+        write(record, *datagram.add_blocks());
+    }
+    send(router, datagram);
+}
+
 /// Confirms to a router that reports here that this one is alive.
 auto load_exchange::sendHeartbeat(std::uint64_t router, time_point now) -> void
 {
--- a/src/gateway/placement_dispatch.cpp
+++ b/src/gateway/placement_dispatch.cpp
@@ -3,6 +3,7 @@
 #include "marjoramloom/core/hash.h"
 #include "marjoramloom/core/log.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -190,6 +191,15 @@
     }
 }
 
+auto placement_dispatch::isTrialRouter(std::uint64_t block, time_point now) -> bool
+{
+    const auto group = static_cast<std::uint32_t>(block % TRIAL_GROUPS);
+    const auto &order = m_state.roster.dispatchOrder(hash64("block trials"), group);
+    const auto first = std::find_if(order.begin(), order.end(),
+                                    [&](std::uint64_t router) { return m_state.roster.isResponsive(router, now); });
+    return first != order.end() && *first == m_state.roster.self();
+}
+
 auto placement_dispatch::heldGrants() const -> const held_grants &
 {
     return *m_heldGrants;
--- /dev/null
+++ b/tests/unit/gateway/block_quarantine_test.cpp
@@ -0,0 +1,254 @@
+#include "marjoramloom/gateway/block_quarantine.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <vector>
+
+using namespace marjoramloom;
+using namespace std::chrono_literals;
+
+namespace {
+
+using verdict = block_quarantine::verdict;
+
+constexpr auto start = time_point(100s);
+
+auto blocksOf(std::initializer_list<std::uint64_t> ids) -> std::vector<prefix_block>
+{
+    auto blocks = std::vector<prefix_block>();
+    for (const auto id : ids) {
+        blocks.push_back({ id, 100 });
+    }
+    return blocks;
+}
+
+auto isAllowed(block_quarantine &router, std::initializer_list<std::uint64_t> ids, time_point now = start) -> bool
+{
+    return router.check(
+               blocksOf(ids), [](std::uint64_t) { return false; }, now)
+        == verdict::allowed;
+}
+
+/// Routers that receive each other's messages at once, unless they are lost.
+class router_group
+{
+public:
+    explicit router_group(std::size_t count)
+    {
+        for (auto index = std::size_t(0); index < count; ++index) {
+            routers.push_back(std::make_unique<block_quarantine>());
+            routers.back()->setPublisher(
+                { .onReport =
+                      [this, index](const crash_report &report) {
+                          ++messages;
+                          forOthers(index, [&](auto &router) { router.handleReport(report, now); });
+                      },
+                  .onRecord =
+                      [this, index](const block_record &record) {
+                          ++messages;
+                          forOthers(index, [&](auto &router) { router.handleRecord(record, now); });
+                      } });
+        }
+    }
+
+    std::vector<std::unique_ptr<block_quarantine>> routers;
+    bool lossy = false; ///< Messages are lost.
+    int messages = 0;
+    time_point now = start;
+
+private:
+    template<typename Action>
+    auto forOthers(std::size_t sender, Action action) -> void
+    {
+        for (auto index = std::size_t(0); index < routers.size() && !lossy; ++index) {
+            if (index != sender) {
+                action(*routers[index]);
+            }
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(block_quarantine_test)
+
+BOOST_AUTO_TEST_CASE(a_block_that_crashes_engines_is_found_though_each_crash_is_seen_by_another_router)
+{
+    auto group = router_group(3);
+    for (auto crash = std::uint64_t(0); crash < 3; ++crash) {
+        BOOST_TEST(isAllowed(*group.routers[0], { 1, 50, 666 }));
+        group.routers[crash]->noteBroken(crash, crash_sign::beganAnswer, blocksOf({ 1, 50 + crash, 666 }), start);
+    }
+    for (auto &router : group.routers) {
+        BOOST_TEST(!isAllowed(*router, { 1, 60, 666 }));
+        BOOST_TEST(isAllowed(*router, { 1, 50 }));
+        BOOST_TEST(router->quarantinedBlocks() == 1U);
+        BOOST_TEST(router->digest() == group.routers[0]->digest());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_block_is_found_though_engines_crash_before_the_head_of_the_answer_arrives)
+{
+    auto router = block_quarantine();
+    for (auto crash = std::uint64_t(0); crash < 5; ++crash) {
+        router.noteBroken(crash, crash_sign::noAnswer, blocksOf({ 50 + crash, 666 }), start);
+    }
+    BOOST_TEST(!isAllowed(router, { 1, 666 }));
+}
+
+BOOST_AUTO_TEST_CASE(two_reports_of_one_crash_count_once)
+{
+    auto group = router_group(2);
+    for (auto report = 0; report < 6; ++report) {
+        group.routers[report % 2]->noteBroken(7, crash_sign::noAnswer, blocksOf({ 1, 666 }), start);
+        group.routers[report % 2]->noteBroken(7, crash_sign::beganAnswer, blocksOf({ 1, 666 }), start);
+    }
+    BOOST_TEST(isAllowed(*group.routers[0], { 1, 666 }));
+    BOOST_TEST(isAllowed(*group.routers[1], { 1, 666 }));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_complete_the_evidence_is_not_sent_again)
+{
+    auto router = block_quarantine();
+    const auto blocks = blocksOf({ 1, 666 });
+    router.noteBroken(1, crash_sign::beganAnswer, blocks, start);
+    BOOST_TEST(router.mayResend(blocks));
+    router.noteBroken(2, crash_sign::beganAnswer, blocks, start);
+    BOOST_TEST(!router.mayResend(blocks));
+    // A new request still finds out which of the suspects it was.
+    BOOST_TEST(isAllowed(router, { 1, 666 }));
+}
+
+BOOST_AUTO_TEST_CASE(blocks_of_neighbours_at_many_crashes_are_cleared_by_the_first_event_anywhere)
+{
+    auto group = router_group(4);
+    for (auto crash = std::uint64_t(0); crash < 40; ++crash) {
+        // Requests of the conversations 11 to 14 run at each engine that crashes, and go on elsewhere.
+        for (auto router = std::size_t(0); router < 4; ++router) {
+            group.routers[router]->noteBroken(crash, crash_sign::noAnswer, blocksOf({ 1, 11 + router }), start);
+        }
+        for (auto router = std::size_t(0); router < 4; ++router) {
+            group.routers[(router + 1) % 4]->noteAnswerBegun(blocksOf({ 1, 11 + router }), start);
+        }
+    }
+    for (auto &router : group.routers) {
+        BOOST_TEST(router->quarantinedBlocks() == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(sound_blocks_that_stood_beside_the_deadly_one_at_each_crash_stay_allowed)
+{
+    auto router = block_quarantine();
+    for (auto crash = std::uint64_t(0); crash < 20; ++crash) {
+        if (isAllowed(router, { 1, 50, 666 })) {
+            router.noteBroken(crash, crash_sign::beganAnswer, blocksOf({ 1, 50, 666 }), start);
+        }
+    }
+    BOOST_TEST(!isAllowed(router, { 1, 50, 666 }));
+    BOOST_TEST(isAllowed(router, { 1, 50 }));
+}
+
+BOOST_AUTO_TEST_CASE(the_other_block_is_found_if_the_last_one_is_not_the_deadly_one)
+{
+    auto router = block_quarantine();
+    auto crashes = std::uint64_t(0);
+    for (auto request = std::uint64_t(0); request < 20; ++request) {
+        // The first requests with the deadly block 666 belong to one conversation, the others do not.
+        const auto conversation = request < 3 ? std::uint64_t(50) : 60 + request;
+        if (isAllowed(router, { 666, conversation })) {
+            router.noteBroken(++crashes, crash_sign::beganAnswer, blocksOf({ 666, conversation }), start);
+        }
+    }
+    BOOST_TEST(!isAllowed(router, { 666, 90 }));
+    BOOST_TEST(crashes <= 5U);
+}
+
+BOOST_AUTO_TEST_CASE(a_router_that_starts_or_missed_messages_learns_from_records)
+{
+    auto group = router_group(2);
+    group.lossy = true;
+    auto &informed = *group.routers[0];
+    auto &other = *group.routers[1];
+    for (auto crash = std::uint64_t(0); crash < 3; ++crash) {
+        informed.noteBroken(crash, crash_sign::beganAnswer, blocksOf({ 1, 666 }), start);
+    }
+    BOOST_TEST(other.digest() == 0U);
+    BOOST_TEST(informed.digest() != other.digest());
+    for (const auto &record : informed.records()) {
+        other.handleRecord(record, start);
+    }
+    BOOST_TEST(!isAllowed(other, { 1, 666 }));
+    BOOST_TEST(informed.digest() == other.digest());
+    // A clearance that was lost reaches the other one by the records, too, and is not undone by older ones.
+    const auto before = informed.records();
+    other.noteAnswerBegun(blocksOf({ 666 }), start);
+    BOOST_TEST(informed.digest() != other.digest());
+    for (const auto &record : before) {
+        other.handleRecord(record, start);
+    }
+    for (const auto &record : other.records()) {
+        informed.handleRecord(record, start);
+    }
+    BOOST_TEST(isAllowed(informed, { 1, 666 }));
+    BOOST_TEST(isAllowed(other, { 1, 666 }));
+}
+
+BOOST_AUTO_TEST_CASE(one_router_tries_a_quarantined_block_again_after_a_growing_time)
+{
+    auto group = router_group(2);
+    const auto blocks = blocksOf({ 1, 666 });
+    for (auto crash = std::uint64_t(0); crash < 3; ++crash) {
+        group.routers[0]->noteBroken(crash, crash_sign::beganAnswer, blocks, start);
+    }
+    const auto always = [](std::uint64_t) {
+        return true;
+    };
+    const auto never = [](std::uint64_t) {
+        return false;
+    };
+    auto &router = *group.routers[0];
+    BOOST_TEST((router.check(blocks, always, start + 10s) == verdict::refused));
+    BOOST_TEST((router.timeToTrial(blocks, start + 10s) == block_quarantine::FIRST_TRIAL_DELAY - 10s));
+    group.now = start + 21s;
+    BOOST_TEST((router.check(blocks, never, group.now) == verdict::refused));
+    BOOST_TEST((router.check(blocks, always, group.now) == verdict::trial));
+    BOOST_TEST((router.check(blocks, always, group.now + 1s) == verdict::refused));
+    BOOST_TEST((group.routers[1]->check(blocks, always, group.now + 30s) == verdict::refused));
+    auto trials = 1;
+    for (auto time = group.now; time < start + 24h; time += 10s) {
+        group.now = time;
+        trials += router.check(blocks, always, time) == verdict::trial ? 1 : 0;
+    }
+    BOOST_TEST(trials > 5);
+    BOOST_TEST(trials < 40);
+    router.noteAnswerBegun(blocks, group.now);
+    BOOST_TEST(isAllowed(*group.routers[0], { 1, 666 }));
+    BOOST_TEST(isAllowed(*group.routers[1], { 1, 666 }));
+}
+
+BOOST_AUTO_TEST_CASE(memory_and_messages_are_bounded_when_thousands_of_requests_break_off)
+{
+    auto group = router_group(2);
+    for (auto crash = std::uint64_t(0); crash < 3; ++crash) {
+        group.routers[0]->noteBroken(crash, crash_sign::beganAnswer, blocksOf({ 666 }), start);
+    }
+    group.messages = 0;
+    for (auto request = std::uint64_t(0); request < 5'000; ++request) {
+        group.routers[0]->noteBroken(request % 300, crash_sign::noAnswer, blocksOf({ 1, 1'000 + request }), start + 1s);
+    }
+    BOOST_TEST(group.routers[0]->records().size() <= block_quarantine::MAX_BLOCKS);
+    BOOST_TEST(group.messages <= 20);
+    BOOST_TEST(!isAllowed(*group.routers[0], { 666 }));
+}
+
+BOOST_AUTO_TEST_CASE(evidence_is_dropped_after_a_time)
+{
+    auto router = block_quarantine();
+    router.noteBroken(1, crash_sign::beganAnswer, blocksOf({ 1, 666 }), start);
+    router.noteBroken(2, crash_sign::beganAnswer, blocksOf({ 1, 666 }), start);
+    router.noteBroken(3, crash_sign::beganAnswer, blocksOf({ 5 }), start + 11min);
+    router.noteBroken(4, crash_sign::beganAnswer, blocksOf({ 1, 666 }), start + 11min);
+    BOOST_TEST(isAllowed(router, { 1, 666 }, start + 11min));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
