An earlier refusal that a server writes once more does not count for the next request

A faulty engine wrote an earlier refusal again on a kept connection. Callers were told 429, 'not run', for a stream that may run once only and that the engine had run (REFUSED), and a repeatable request was answered by it, too.

Cause: an answer without a request id was taken for the answer to the request sent last, on a connection that had carried others. Evidence: faulty_answer_test, case an_earlier_refusal_that_is_written_again_does_not_count_for_the_next_request, failed before with status 429 on both kinds of route, for a refusal without an id; one with the earlier request's id was skipped already.

On a reused connection an answer without an id now ends the attempt with an unknown outcome; on a new one it still counts. The test also holds broken heads, reset bodies without a length, and answers and streams that end with their connection: these passed before.

--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -135,6 +135,7 @@
     load_reservation &load;
     event_splitter splitter;
     time_point sentAt;
+    bool onReusedConnection = false; ///< The connection has carried other requests.
     bool receivedEvent = false;
 };
 
@@ -335,6 +336,7 @@
                                  .load = load,
                                  .splitter = {},
                                  .sentAt = system_clock_source().now(),
+                                 .onReusedConnection = connection->anythingSent(),
                                  .receivedEvent = false };
     m_firstEventLatency = {};
     const auto listener = m_control->addListener([connection] { connection->interrupt(); });
@@ -461,8 +463,8 @@
     co_return co_await relayCompleteAnswer(attempt);
 }
 
-/// Reads answers until the head of this request's answer: a late answer to an earlier request may precede it on the
-/// connection.
+/// Reads answers until the head of this request's answer: a late or repeated answer to an earlier request may precede
+/// it on the connection. An answer without an id may be such a one unless the connection is new.
 auto gateway_call::readMatchingHead(send_attempt &attempt) -> asio::awaitable<bool>
 {
     for (auto strayAnswers = 0; strayAnswers <= maxStrayAnswers; ++strayAnswers) {
@@ -470,9 +472,14 @@
             co_return false;
         }
         const auto answeredId = platform::answeredRequestId(attempt.connection->head());
-        if (answeredId.empty() || answeredId == m_request.id) {
+        if (answeredId == m_request.id || (answeredId.empty() && !attempt.onReusedConnection)) {
             co_return true;
         }
+        if (answeredId.empty()) {
+            m_why.fail(failure_kind::protocolViolation, "read answer", attempt.chosen.server->id,
+                       "an answer without a request id on a reused connection");
+            co_return false;
+        }
         log_line(log_level::warning, "stray_answer")
             .with("request", m_request.id)
             .with("answered", answeredId)
--- /dev/null
+++ b/tests/process/gateway/faulty_answer_test.cpp
@@ -0,0 +1,279 @@
+#include "support/gateway_fleet.h"
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+using namespace marjoramloom::test;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+enum class connection_end {
+    keep,
+    close,
+    reset,
+};
+
+/// What a scripted_server does with one request.
+struct scripted_answer
+{
+    std::string bytes;
+    connection_end end = connection_end::keep;
+};
+
+/// Answers each request by the bytes that a script returns for the request's id.
+class scripted_server
+{
+public:
+    using script = std::function<scripted_answer(const std::string &id)>;
+
+    explicit scripted_server(script answerFor)
+        : m_answerFor(std::move(answerFor))
+        , m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+        boost::asio::co_spawn(m_context, acceptAll(), boost::asio::detached);
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    ~scripted_server()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    scripted_server(const scripted_server &) = delete;
+    auto operator=(const scripted_server &) -> scripted_server & = delete;
+
+    [[nodiscard]] auto address() const -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    /// Requests that came on a connection that had carried another one before.
+    std::atomic<int> onKeptConnection = 0;
+    std::atomic<int> requests = 0;
+
+private:
+    auto acceptAll() -> boost::asio::awaitable<void>
+    {
+        while (true) {
+            auto socket = co_await m_acceptor.async_accept(boost::asio::use_awaitable);
+            boost::asio::co_spawn(m_context, serve(std::move(socket)), boost::asio::detached);
+        }
+    }
+
+    auto serve(tcp::socket socket) -> boost::asio::awaitable<void>
+    {
+        constexpr auto headEnd = "\r\n\r\n";
+        auto received = std::string();
+        try {
+            for (auto number = 0;; ++number) {
+                const auto size = co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(received),
+                                                                         headEnd, boost::asio::use_awaitable);
+                const auto head = received.substr(0, size);
+                received.erase(0, size);
+                ++requests;
+                onKeptConnection += number > 0 ? 1 : 0;
+                const auto answer = m_answerFor(fieldOf(head, "X-Attempt-Id: "));
+                co_await boost::asio::async_write(socket, boost::asio::buffer(answer.bytes),
+                                                  boost::asio::use_awaitable);
+                if (answer.end == connection_end::reset) {
+                    co_await pauseBeforeReset();
+                    socket.set_option(boost::asio::socket_base::linger(true, 0));
+                }
+                if (answer.end != connection_end::keep) {
+                    socket.close();
+                    co_return;
+                }
+            }
+        } catch (const boost::system::system_error &) {
+            co_return; // The router closed the connection.
+        }
+    }
+
+    /// Lets the router read what was written, which a reset would discard.
+    auto pauseBeforeReset() -> boost::asio::awaitable<void>
+    {
+        auto timer = boost::asio::steady_timer(m_context, std::chrono::milliseconds(100));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+
+    static auto fieldOf(const std::string &head, const std::string &name) -> std::string
+    {
+        const auto at = head.find(name);
+        return at == std::string::npos ? std::string()
+                                       : head.substr(at + name.size(), head.find("\r\n", at) - at - name.size());
+    }
+
+    script m_answerFor;
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+auto headOf(const std::string &id, const std::string &fields, const std::string &status = "200 OK") -> std::string
+{
+    const auto idField = id.empty() ? std::string() : "X-Attempt-Id: " + id + "\r\n";
+    return "HTTP/1.1 " + status + "\r\n" + idField + "X-Response-Seal: seal\r\n" + fields + "\r\n";
+}
+
+auto wholeAnswer(const std::string &id, const std::string &body, const std::string &status = "200 OK") -> std::string
+{
+    return headOf(id, "Content-Length: " + std::to_string(body.size()) + "\r\n", status) + body;
+}
+
+auto refusal(const std::string &id) -> std::string
+{
+    return headOf(id, "X-Not-Executed: 1\r\nContent-Length: 0\r\n", "503 Full");
+}
+
+/// Events \p first to \p last of a stream.
+auto events(int first, int last) -> std::string
+{
+    auto text = std::string();
+    for (auto number = first; number <= last; ++number) {
+        text += "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
+    }
+    return text;
+}
+
+constexpr auto unframedStream = "Content-Type: text/event-stream\r\n";
+
+/// One router before one scripted server for each script.
+class faulty_fleet
+{
+public:
+    explicit faulty_fleet(std::vector<scripted_server::script> scripts)
+    {
+        for (auto &answerFor : scripts) {
+            m_servers.push_back(std::make_unique<scripted_server>(std::move(answerFor)));
+        }
+        auto plan = gateway_plan();
+        plan.routers = 1;
+        plan.servers = static_cast<int>(m_servers.size());
+        plan.listedServerAddress = [this](const std::string &) {
+            return m_servers[m_listed++ % m_servers.size()]->address();
+        };
+        m_fleet = std::make_unique<gateway_fleet>(std::move(plan));
+    }
+
+    auto call(const std::string &path, const std::string &id) -> http_answer
+    {
+        return m_fleet->call(m_fleet->routers().front(), path, id);
+    }
+
+    [[nodiscard]] auto server(std::size_t index) const -> const scripted_server &
+    {
+        return *m_servers[index];
+    }
+
+private:
+    std::vector<std::unique_ptr<scripted_server>> m_servers;
+    std::size_t m_listed = 0;
+    std::unique_ptr<gateway_fleet> m_fleet;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(faulty_answer_test)
+
+BOOST_AUTO_TEST_CASE(an_earlier_refusal_that_is_written_again_does_not_count_for_the_next_request)
+{
+    for (const auto &refusedId : { std::string(), std::string("first") }) {
+        for (const auto *path : { "/once/x", "/open/x" }) {
+            BOOST_TEST_CONTEXT("path " << path << ", id of the refusal '" << refusedId << "'")
+            {
+                auto fleet = faulty_fleet({ [&](const std::string &id) {
+                    const auto own = wholeAnswer(id, "answer to " + id);
+                    return scripted_answer{ id == "first" ? own : refusal(refusedId) + own };
+                } });
+                BOOST_TEST(fleet.call("/open/x", "first").status == 200U);
+                const auto answer = fleet.call(path, "second");
+                BOOST_TEST(fleet.server(0).onKeptConnection == 1);
+                BOOST_TEST((answer.status == 200U || answer.status == 502U || answer.status == 504U),
+                           "status " << answer.status);
+                BOOST_TEST((answer.status != 200U || answer.body == "answer to second"));
+                BOOST_TEST((std::string(path) != "/once/x" || fleet.server(0).requests == 2));
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_whose_head_or_body_breaks_off_does_not_become_a_whole_one)
+{
+    const auto forms = std::vector<std::pair<std::string, std::function<scripted_answer(const std::string &)>>>{
+        { "within the status line",
+          [](const auto &) {
+              return scripted_answer{ "HTTP/1.1 200 O", connection_end::close };
+          } },
+        { "within a field",
+          [](const auto &id) {
+              return scripted_answer{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nConten", connection_end::close };
+          } },
+        { "after a field",
+          [](const auto &id) {
+              return scripted_answer{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\n", connection_end::close };
+          } },
+        { "head, by a reset",
+          [](const auto &id) {
+              return scripted_answer{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\n", connection_end::reset };
+          } },
+        { "body with length",
+          [](const auto &id) {
+              return scripted_answer{ headOf(id, "Content-Length: 9\r\n") + "short", connection_end::close };
+          } },
+        { "body in chunks",
+          [](const auto &id) {
+              return scripted_answer{ headOf(id, "Transfer-Encoding: chunked\r\n") + "5\r\nshort\r\n",
+                                      connection_end::close };
+          } },
+        { "body without length, by a reset",
+          [](const auto &id) {
+              return scripted_answer{ headOf(id, "") + "short", connection_end::reset };
+          } },
+    };
+    for (const auto &[name, answerFor] : forms) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            auto fleet = faulty_fleet({ answerFor, answerFor });
+            for (const auto *path : { "/read/x", "/post/x", "/once/x" }) {
+                const auto answer = fleet.call(path, std::string("broken-") + path[1]);
+                BOOST_TEST((answer.status == 502U || answer.status == 504U), path << " status " << answer.status);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_with_neither_length_nor_chunks_is_whole_only_if_it_ends_between_events_without_a_reset)
+{
+    const auto send = [](const std::string &text, connection_end end) {
+        auto fleet = faulty_fleet({ [&](const std::string &id) {
+            return scripted_answer{ headOf(id, unframedStream) + text, end };
+        } });
+        return fleet.call("/once/x", "unframed");
+    };
+    const auto whole = send(events(1, 5), connection_end::close);
+    BOOST_TEST(whole.status == 200U);
+    BOOST_TEST(whole.complete);
+    BOOST_TEST(whole.body == events(1, 5));
+    BOOST_TEST(!send(events(1, 5) + "id: 6\n", connection_end::close).complete);
+    BOOST_TEST(!send(events(1, 5) + "id: 6\ndata: piece", connection_end::close).complete);
+    BOOST_TEST(!send(events(1, 5), connection_end::reset).complete);
+}
+
+BOOST_AUTO_TEST_CASE(a_complete_answer_with_neither_length_nor_chunks_is_forwarded)
+{
+    auto fleet = faulty_fleet({ [](const std::string &id) {
+        return scripted_answer{ headOf(id, "") + "whole", connection_end::close };
+    } });
+    const auto answer = fleet.call("/post/x", "unframed");
+    BOOST_TEST(answer.status == 200U);
+    BOOST_TEST(answer.body == "whole");
+    BOOST_TEST(answer.complete);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
