An error of the next engine does not appear within a stream

Cause: an event without an id was passed on at any place, also as the first one of a continuation; and the end of a connection ended a stream as complete though the engine had not gone on with it. Evidence: faulty_answer_test, case an_error_of_the_next_engine_does_not_appear_within_a_stream, failed before in three of eight forms (an error as event, an error in no form, an answer with neither length, chunks nor events). Errors by status were kept out already.

A continuation must begin with an event that has an id, and one without any event counts only if its end is framed.

--- a/include/marjoramloom/call/http_connection.h
+++ b/include/marjoramloom/call/http_connection.h
@@ -69,6 +69,10 @@
     /// Value of a header of the answer; empty if absent. Precondition: readHead() succeeded.
     [[nodiscard]] auto header(std::string_view name) const -> std::string;
 
+    /// Whether the end of the connection is the only sign of the answer's end: it has neither a length nor chunks.
+    /// Precondition: readHead() succeeded.
+    [[nodiscard]] auto endsWithConnection() const -> bool;
+
     /// Whether any byte of a request may have been sent on this connection.
     [[nodiscard]] auto anythingSent() const -> bool;
 
--- a/src/call/http_connection.cpp
+++ b/src/call/http_connection.cpp
@@ -203,6 +203,12 @@
     return { value.data(), value.size() };
 }
 
+auto http_connection::endsWithConnection() const -> bool
+{
+    assert(m_parser && m_parser->is_header_done());
+    return m_parser->need_eof();
+}
+
 auto http_connection::anythingSent() const -> bool
 {
     return m_anythingSent;
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -555,6 +555,11 @@
         noteBroken(attempt, crash_sign::beganAnswer);
         co_return attempt_outcome::incomplete;
     }
+    if (m_streaming && !attempt.receivedEvent && attempt.connection->endsWithConnection()) {
+        m_why.fail(failure_kind::protocolViolation, "read answer", attempt.chosen.server->id,
+                   "closed without going on with the stream");
+        co_return attempt_outcome::incomplete;
+    }
     startStreaming(attempt);
     m_state.loads.noteSuccess(*attempt.chosen.server);
     noteAnswered(attempt.connection->status());
@@ -580,6 +585,12 @@
 {
     auto events = std::string();
     for (auto &event : attempt.splitter.feed(bytes)) {
+        if (m_streaming && !attempt.receivedEvent && !event.id) {
+            // An engine that does not know how to go on may report that as an event.
+            m_why.fail(failure_kind::protocolViolation, "read answer", attempt.chosen.server->id,
+                       "does not go on with the stream");
+            co_return attempt_outcome::incomplete;
+        }
         if (!attempt.receivedEvent) {
             attempt.receivedEvent = true;
             m_firstEventLatency = system_clock_source().now() - attempt.sentAt;
--- a/tests/process/gateway/faulty_answer_test.cpp
+++ b/tests/process/gateway/faulty_answer_test.cpp
@@ -203,6 +203,62 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_error_of_the_next_engine_does_not_appear_within_a_stream)
+{
+    const auto errors = std::vector<std::pair<std::string, std::function<std::string(const std::string &)>>>{
+        { "status 500",
+          [](const auto &id) {
+              return wholeAnswer(id, "broken", "500 Internal Server Error");
+          } },
+        { "status 404",
+          [](const auto &id) {
+              return wholeAnswer(id, "gone", "404 Not Found");
+          } },
+        { "status 200 without a stream",
+          [](const auto &id) {
+              return wholeAnswer(id, "{\"error\":1}");
+          } },
+        { "status 204",
+          [](const auto &id) {
+              return headOf(id, "", "204 No Content");
+          } },
+        { "a refusal",
+          [](const auto &id) {
+              return refusal(id);
+          } },
+        { "an error as event",
+          [](const auto &id) {
+              return headOf(id, unframedStream) + "event: error\ndata: broken\n\n";
+          } },
+        { "an error without a stream's form",
+          [](const auto &id) {
+              return headOf(id, unframedStream) + "broken\n\n";
+          } },
+        { "a stream of nothing",
+          [](const auto &id) {
+              return headOf(id, unframedStream);
+          } },
+    };
+    for (const auto &[name, error] : errors) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            auto began = std::atomic<bool>(false);
+            const auto script = [&](const std::string &id) {
+                if (!began.exchange(true)) {
+                    return scripted_answer{ headOf(id, unframedStream) + events(1, 3) + "id: 4\nda",
+                                            connection_end::close };
+                }
+                return scripted_answer{ error(id), connection_end::close };
+            };
+            auto fleet = faulty_fleet({ script, script });
+            const auto answer = fleet.call("/talk/x", "stream");
+            BOOST_TEST(answer.status == 200U);
+            BOOST_TEST(answer.body == events(1, 3));
+            BOOST_TEST(!answer.complete);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_whose_head_or_body_breaks_off_does_not_become_a_whole_one)
 {
     const auto forms = std::vector<std::pair<std::string, std::function<scripted_answer(const std::string &)>>>{
