A late list of servers does not undo changes that were applied meanwhile

A router could send requests to a server that had been removed: a list that the store answered late replaced the newer changes that other routers had relayed in the meantime, and the revision went back with it.

Evidence: platform_feed_test, case a_late_list_of_servers_does_not_undo_changes_that_were_applied_meanwhile, failed before: the removed server was usable again, revision 5 after 10. A list older than what is applied is now left out, and the watch goes on from what is applied.

--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -229,6 +229,14 @@
         co_return false;
     }
     noteOwnStoreAnswer();
+    if (m_state.hasServers && listed->revision < m_serverChanges.revision()) {
+        // Other routers relayed newer changes while the answer was on its way.
+        m_serversWatchRevision = m_serverChanges.revision();
+        log_line(log_level::info, "late_list")
+            .with("revision", listed->revision)
+            .with("applied", m_serverChanges.revision());
+        co_return true;
+    }
     auto servers = std::vector<listed_server>();
     for (const auto &object : listed->objects) {
         auto reason = last_reason();
--- a/tests/unit/gateway/platform_feed_test.cpp
+++ b/tests/unit/gateway/platform_feed_test.cpp
@@ -1,8 +1,14 @@
 #include "marjoramloom/gateway/platform_feed.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace marjoramloom;
@@ -44,6 +50,74 @@
     }
 };
 
+/// A store that answers each call by the first unused answer for its path, and a call without one not at all.
+class scripted_store
+{
+public:
+    struct answer
+    {
+        std::string path; ///< Beginning of the paths that it answers.
+        std::string body;
+        std::chrono::milliseconds delay{};
+    };
+
+    scripted_store(boost::asio::io_context &context, std::vector<answer> answers)
+        : m_acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , m_answers(std::move(answers))
+    {
+        boost::asio::co_spawn(
+            context, [this] { return acceptAll(); }, boost::asio::detached);
+    }
+
+    [[nodiscard]] auto address() const -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+private:
+    using tcp = boost::asio::ip::tcp;
+
+    auto acceptAll() -> boost::asio::awaitable<void>
+    {
+        while (true) {
+            auto socket = co_await m_acceptor.async_accept(boost::asio::use_awaitable);
+            boost::asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), boost::asio::detached);
+        }
+    }
+
+    auto serve(tcp::socket socket) -> boost::asio::awaitable<void>
+    {
+        auto received = std::string();
+        auto timer = boost::asio::steady_timer(m_acceptor.get_executor());
+        try {
+            while (true) {
+                const auto size = co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(received),
+                                                                         "\r\n\r\n", boost::asio::use_awaitable);
+                const auto path = received.substr(4, received.find(' ', 4) - 4);
+                received.erase(0, size);
+                const auto found = std::find_if(m_answers.begin(), m_answers.end(), [&](const auto &candidate) {
+                    return path.starts_with(candidate.path);
+                });
+                auto next = answer{ "", "", 1h };
+                if (found != m_answers.end()) {
+                    next = *found;
+                    m_answers.erase(found);
+                }
+                timer.expires_after(next.delay);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+                const auto text =
+                    "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(next.body.size()) + "\r\n\r\n" + next.body;
+                co_await boost::asio::async_write(socket, boost::asio::buffer(text), boost::asio::use_awaitable);
+            }
+        } catch (const boost::system::system_error &) {
+            co_return; // The router closed the connection.
+        }
+    }
+
+    tcp::acceptor m_acceptor;
+    std::vector<answer> m_answers;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(platform_feed_test, follower_fixture)
@@ -125,4 +199,35 @@
     BOOST_TEST(counters.at("marjoramloom_platform_calls_total").value() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_late_list_of_servers_does_not_undo_changes_that_were_applied_meanwhile)
+{
+    const auto list = R"({"entries":[{"metadata":{"name":"a","revision":3},"spec":)"
+        + entryOf("a", 3, "ready").object.value + R"(}],"truncated":false,"at":5})";
+    auto store = scripted_store(context,
+                                { { "/v1/objects/config", R"({"entries":[],"truncated":false,"at":2})", 0ms },
+                                  { "/v1/objects/servers", list, 250ms } });
+    auto slowClient = store_client(context.get_executor(), { .addresses = { store.address() } }, counters);
+    auto slowFeed = platform_feed(context.get_executor(), slowClient, state,
+                                  { .onRoutes = [] {},
+                                    .onStoreChange =
+                                        [] {
+                                        } });
+    state.hasServers = true;
+    boost::asio::co_spawn(
+        context, [&slowFeed] { return slowFeed.followConfiguration(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        context, [&slowFeed] { return slowFeed.followServers(); }, boost::asio::detached);
+    slowFeed.setWatching(true, true, system_clock_source().now());
+    context.run_for(100ms);
+    auto removal = entryOf("a", 10, "ready");
+    removal.removed = true;
+    auto update = updateOf({ entryOf("a", 3, "ready"), removal }, 10);
+    update.serversBaseRevision = 0;
+    BOOST_TEST(slowFeed.applyUpdate(update, std::nullopt));
+    BOOST_TEST(state.servers.usable("pool").empty());
+    context.run_for(300ms);
+    BOOST_TEST(state.servers.usable("pool").empty());
+    BOOST_TEST(slowFeed.serversRevision() == 10U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
