An older configuration that arrives late does not validate keys for an unreadable newer one

After a newer configuration that a router could not read, a late answer with an older one marked the old configuration as the newest: keys that the newer one may have taken away were validated again.

Evidence: platform_feed_test, case an_older_configuration_that_arrives_late_does_not_validate_keys_for_an_unreadable_newer_one, failed before. The revision is now compared before anything is concluded from the answer.

--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -97,6 +97,7 @@
     gateway_state &m_state;
     listeners m_listeners;
     std::uint64_t m_configurationRevision = 0; ///< Of the newest configuration that was applied.
+    std::uint64_t m_newestConfigurationRevision = 0; ///< Highest revision seen, readable or not.
     std::uint64_t m_configurationWatchRevision = 0; ///< The watch continues after this one; 0 to list first.
     bool m_isNewestApplied = false; ///< The newest configuration that was seen is valid and was applied.
     server_change_log m_serverChanges;
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -170,6 +170,10 @@
 /// Applies a configuration; returns false if it cannot be decoded.
 auto platform_feed::applyConfiguration(const stored_object &object) -> bool
 {
+    if (object.revision < m_newestConfigurationRevision) {
+        return m_isNewestApplied; // A late answer with an older configuration.
+    }
+    m_newestConfigurationRevision = object.revision;
     auto why = last_reason();
     auto content = platform::decodeConfiguration(object.value, why);
     m_isNewestApplied = content.has_value();
@@ -180,7 +184,7 @@
         return false;
     }
     if (object.revision <= m_configurationRevision) {
-        return true; // A late answer with an older or the current configuration.
+        return true; // The current configuration.
     }
     m_configurationRevision = object.revision;
     const auto previousVersion = m_state.routes ? m_state.routes->version() : 0;
--- a/tests/unit/gateway/platform_feed_test.cpp
+++ b/tests/unit/gateway/platform_feed_test.cpp
@@ -230,4 +230,34 @@
     BOOST_TEST(slowFeed.serversRevision() == 10U);
 }
 
+BOOST_AUTO_TEST_CASE(an_older_configuration_that_arrives_late_does_not_validate_keys_for_an_unreadable_newer_one)
+{
+    const auto old =
+        std::string(R"({"metadata":{"name":"main","revision":3},"spec":{"version":1,"routes":[],"services":[],)")
+        + R"("tenants":[],"limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":2000,)"
+          R"("idle_timeout_ms":5000}}})";
+    const auto list = R"({"entries":[)" + old + R"(],"truncated":false,"at":5})";
+    const auto newer = R"({"entries":[{"metadata":{"name":"main","revision":8},"spec":{"version":"?"}}],)"
+                       R"("truncated":false,"at":8})";
+    auto store =
+        scripted_store(context, { { "/v1/objects/config", list, 200ms }, { "/v1/objects/config", newer, 0ms } });
+    auto storeClient = store_client(context.get_executor(), { .addresses = { store.address() } }, counters);
+    auto storeFeed = platform_feed(context.get_executor(), storeClient, state,
+                                   { .onRoutes = [] {},
+                                     .onStoreChange =
+                                         [] {
+                                         } });
+    state.hasServers = true;
+    auto update = updateOf({}, 1);
+    update.configurationRevision = 3;
+    storeFeed.applyUpdate(update, std::nullopt);
+    context.run_for(50ms);
+    boost::asio::co_spawn(
+        context, [&storeFeed] { return storeFeed.followConfiguration(); }, boost::asio::detached);
+    storeFeed.setWatching(true, true, system_clock_source().now());
+    context.run_for(400ms);
+    BOOST_TEST(!storeFeed.updateSince(0).validationAge.has_value());
+    BOOST_TEST(!state.keys.isFresh(boot_clock::now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
