A router that knows of a newer configuration denies nothing that it may allow

A router that learned of a newer configuration and could not read it, or whose configuration was not confirmed lately, answered 404 to the paths and 401 to the keys of that configuration (CONFIG). One of the suspicions of the incident of late store changes.

Evidence: store_cut_test, case a_router_that_cannot_read_a_newer_configuration_does_not_deny_what_that_may_allow, failed before with 404 and 401. It answers 503 with Retry-After now, as long as its configuration may be outdated; another router may serve the caller.

--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -60,10 +60,14 @@
     /// for requests that open a new connection.
     [[nodiscard]] auto maxIdleConnections(const routed_service &service) const -> std::size_t;
 
+    /// Whether the configuration was lately the newest, so that what it does not name does not exist.
+    [[nodiscard]] auto isConfigurationCurrent(boot_time now) const -> bool;
+
     gateway_settings settings;
     std::string dataCentre; ///< Data centre of this router.
     counter_registry &counters;
     std::shared_ptr<const route_table> routes; ///< Null until the first configuration was read.
+    bool hasNewerConfiguration = false; ///< There is a newer configuration than `routes`, which could not be read yet.
     bool hasServers = false; ///< The list of backend servers was read at least once.
     bool stopping = false; ///< The process stops: callers' connections are closed after the next answer.
     bool rejectingRequests = false; ///< The stop is so far advanced that new requests are rejected.
--- a/src/gateway/gateway_handler.cpp
+++ b/src/gateway/gateway_handler.cpp
@@ -62,6 +62,10 @@
         co_return;
     }
     const auto *route = routes->findRoute(request->host, request->path);
+    if (route == nullptr && !m_state.isConfigurationCurrent(boot_clock::now())) {
+        co_await refuse(exchange, *request, unavailable, "no route in a configuration that may be outdated");
+        co_return;
+    }
     if (route == nullptr) {
         co_await refuse(exchange, *request, notFound, "no route");
         co_return;
@@ -73,6 +77,10 @@
             co_return;
         }
         const auto *keyAccount = request->key ? routes->findAccount(*request->key) : nullptr;
+        if (keyAccount == nullptr && !m_state.isConfigurationCurrent(boot_clock::now())) {
+            co_await refuse(exchange, *request, unavailable, "unknown key in a configuration that may be outdated");
+            co_return;
+        }
         if (keyAccount == nullptr) {
             co_await refuse(exchange, *request, unauthorized, "unknown key");
             co_return;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -71,6 +71,11 @@
     return record;
 }
 
+auto gateway_state::isConfigurationCurrent(boot_time now) const -> bool
+{
+    return routes && !hasNewerConfiguration && keys.isFresh(now);
+}
+
 auto gateway_state::maxIdleConnections(const routed_service &service) const -> std::size_t
 {
     if (service.connectionLimit == 0) {
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -177,6 +177,7 @@
     auto why = last_reason();
     auto content = platform::decodeConfiguration(object.value, why);
     m_isNewestApplied = content.has_value();
+    m_state.hasNewerConfiguration = !m_isNewestApplied;
     if (!content) {
         log_line(log_level::error, "configuration_unreadable")
             .with("revision", object.revision)
@@ -342,6 +343,7 @@
         m_serversWatchRevision = std::max(m_serversWatchRevision, update.serversRevision);
     }
     const auto hasNewestConfiguration = update.configurationRevision <= m_configurationRevision;
+    m_state.hasNewerConfiguration = m_state.hasNewerConfiguration || !hasNewestConfiguration;
     if (hasNewestConfiguration && m_isNewestApplied && update.validationAge && queriedAt) {
         m_state.keys.noteValidation(*queriedAt - *update.validationAge);
     }
--- a/tests/process/gateway/store_cut_test.cpp
+++ b/tests/process/gateway/store_cut_test.cpp
@@ -165,4 +165,25 @@
     BOOST_TEST(requestsReaching(1, follower) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_router_that_cannot_read_a_newer_configuration_does_not_deny_what_that_may_allow)
+{
+    const auto follower = settled(false).front();
+    const auto &router = fleet->routers()[follower];
+    BOOST_TEST(fleet->call(router, "/nowhere/", "unknown-1").status == 404U);
+    relays[follower]->cut(storeAddress);
+    fleet->writeConfiguration({ "key-alpha", "key-new" });
+    constexpr auto relayTimeMs = 1'500;
+    sleepMs(relayTimeMs);
+    BOOST_TEST(fleet->call(router, "/nowhere/", "unknown-2").status == 503U);
+    BOOST_TEST(fleet->call(router, "/open/x", "unknown-3", "GET", "key-new").status == 200U);
+    BOOST_TEST(fleet->call(router, "/read/x", "unknown-4", "GET", "key-new").status == 503U);
+    relays[follower]->resume(storeAddress);
+    const auto isApplied = [&] {
+        static auto number = 0;
+        return fleet->call(router, "/read/x", "applied-" + std::to_string(++number), "GET", "key-new").status == 200U;
+    };
+    BOOST_TEST(waitUntil(8'000, isApplied));
+    BOOST_TEST(fleet->call(router, "/nowhere/", "unknown-5").status == 404U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
