--- a/tests/process/gateway/faulty_answer_test.cpp
+++ b/tests/process/gateway/faulty_answer_test.cpp
@@ -243,7 +243,7 @@
         BOOST_TEST_CONTEXT(name)
         {
             auto began = std::atomic<bool>(false);
-            const auto script = [&](const std::string &id) {
+            const auto script = [&began, &error = error](const std::string &id) {
                 if (!began.exchange(true)) {
                     return scripted_answer{ headOf(id, unframedStream) + events(1, 3) + "id: 4\nda",
                                             connection_end::close };
