Test that fails: engines that fail at the same moment quarantine what their requests share

With ten engines of a rack that fail twice, the block that all prompts share is quarantined on each router.

--- a/tests/unit/gateway/block_quarantine_test.cpp
+++ b/tests/unit/gateway/block_quarantine_test.cpp
@@ -136,6 +136,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(engines_that_fail_at_the_same_moment_do_not_quarantine_what_their_requests_have_in_common)
+{
+    auto group = router_group(4);
+    // A rack of ten engines loses its power twice; requests of four conversations wait at each engine.
+    for (auto failure = std::uint64_t(0); failure < 2; ++failure) {
+        for (auto engine = std::uint64_t(0); engine < 10; ++engine) {
+            for (auto router = std::uint64_t(0); router < 4; ++router) {
+                const auto blocks = blocksOf({ 1, 100 * failure + 10 * engine + router + 2 });
+                const auto sign = router == 0 ? crash_sign::beganAnswer : crash_sign::noAnswer;
+                group.now = start + failure * 5s + engine * 10ms;
+                group.routers[router]->noteBroken(100 * failure + engine, sign, blocks, group.now);
+            }
+        }
+    }
+    for (auto &router : group.routers) {
+        BOOST_TEST(isAllowed(*router, { 1, 77 }, group.now));
+        BOOST_TEST(router->quarantinedBlocks() == 0U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(sound_blocks_that_stood_beside_the_deadly_one_at_each_crash_stay_allowed)
 {
     auto router = block_quarantine();
