Stand-in of a server: a refusal holds the request's id

full_service_test failed in 5 of 5 runs: 1 or 2 reads were answered 502, 'an answer without a request id on a reused connection'.

--- a/tests/standins/routed_standin.cpp
+++ b/tests/standins/routed_standin.cpp
@@ -13,10 +13,11 @@
 /// Number of events in each stream.
 constexpr auto streamLength = 12;
 
-auto notExecutedReply(http::status status) -> http_reply
+auto notExecutedReply(const http_exchange &exchange, http::status status) -> http_reply
 {
     auto answer = http_reply();
     answer.status = status;
+    answer.headers.emplace_back("X-Attempt-Id", exchange.header("X-Attempt-Id"));
     answer.headers.emplace_back("X-Not-Executed", "1");
     return answer;
 }
@@ -34,18 +35,18 @@
 {
     const auto id = exchange.header("X-Attempt-Id");
     if (exchange.header("X-Expect-Instance") != m_options.name) {
-        const auto answer = notExecutedReply(http::status::misdirected_request);
+        const auto answer = notExecutedReply(exchange, http::status::misdirected_request);
         co_await exchange.reply(answer);
         co_return;
     }
     if (m_shared.faults.take(fault_kind::refuse, exchange.subject(id))) {
-        const auto answer = notExecutedReply(http::status::service_unavailable);
+        const auto answer = notExecutedReply(exchange, http::status::service_unavailable);
         co_await exchange.reply(answer);
         co_return;
     }
     if (m_options.slots > 0 && m_calls >= m_options.slots + m_options.queueLength) {
         recordExecution(exchange, "refused");
-        const auto answer = notExecutedReply(http::status::service_unavailable);
+        const auto answer = notExecutedReply(exchange, http::status::service_unavailable);
         co_await exchange.reply(answer);
         co_return;
     }
