Engines that fail at the same moment do not quarantine what their requests share

Cause: each engine that failed counted as a crash of its own against every block that its requests held, also where the requests had only waited there. Five engines in one moment were enough. Class: a common failure taken for separate evidence.

crash_moments groups crashes within 250 ms. A moment counts once, and not at all for requests without an answer where three engines or more failed. A request that breaks a second engine right after the first counts for both. Crashes from before the last clearance do not count. Blocks on which answers began lately (recent_ids) need 9 instead of 5 and are tried again after 5 s; routers tell each other so. Records now hold the sum of the evidence instead of its list.

--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -101,6 +101,7 @@
     /// A server may have executed the request, so no later refusal may state that it was not executed.
     bool m_mayHaveRun = false;
     bool m_isTrial = false; ///< The request is to show whether a quarantined block still crashes engines.
+    bool m_brokeOff = false; ///< An attempt broke off before its first event.
     bool m_answerBegan = false; ///< An engine has begun an answer, so that no block of the prompt crashes engines.
     bool m_streaming = false; ///< The head of a stream was forwarded to the caller.
     last_reason m_why;
--- a/src/gateway/block_quarantine.cpp
+++ b/src/gateway/block_quarantine.cpp
@@ -4,6 +4,7 @@
 #include "marjoramloom/core/log.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace marjoramloom {
@@ -43,7 +44,7 @@
             auto &entry = found->second;
             ++entry.record.trials;
             entry.changedAt = now;
-            entry.nextTrialAt = now + trialDelay(entry.record.trials);
+            entry.nextTrialAt = now + trialDelay(entry.record);
             log_line(log_level::warning, "block_trial").with("block", block.id).with("trials", entry.record.trials);
             if (m_publisher.onRecord) {
                 m_publisher.onRecord(entry.record);
@@ -67,7 +68,7 @@
         const auto found = m_blocks.find(block.id);
         return found != m_blocks.end()
             && (found->second.record.quarantined
-                || evidence(found->second.record) + BEGAN_ANSWER_WEIGHT >= QUARANTINE_EVIDENCE);
+                || evidence(found->second) + BEGAN_ANSWER_WEIGHT >= evidenceLimit(found->second.record));
     });
 }
 
@@ -83,14 +84,14 @@
     return longest;
 }
 
-auto block_quarantine::noteBroken(std::uint64_t engine, crash_sign sign, std::span<const prefix_block> blocks,
-                                  time_point now) -> void
+auto block_quarantine::noteBroken(std::uint64_t engine, crash_sign sign, bool repeated,
+                                  std::span<const prefix_block> blocks, time_point now) -> void
 {
     // What the others do not hear of they cannot clear, so it does not count here either.
     if (blocks.empty() || !mayReport(sign, now)) {
         return;
     }
-    auto report = crash_report{ .engine = engine, .sign = sign, .blocks = {} };
+    auto report = crash_report{ .engine = engine, .sign = sign, .repeated = repeated, .blocks = {} };
     for (const auto &block : blocks) {
         report.blocks.push_back(block.id);
     }
@@ -103,8 +104,9 @@
 auto block_quarantine::noteAnswerBegun(std::span<const prefix_block> blocks, time_point now) -> void
 {
     for (const auto &block : blocks) {
+        m_soundBlocks.note(block.id, now);
         const auto found = m_blocks.find(block.id);
-        if (found == m_blocks.end() || found->second.record.crashes.empty()) {
+        if (found == m_blocks.end() || (found->second.crashes.empty() && found->second.record.evidence == 0)) {
             continue;
         }
         clear(found->second, now);
@@ -123,29 +125,33 @@
 {
     auto &entry = track(record.block, now);
     auto &own = entry.record;
+    own.sound = own.sound || record.sound;
+    if (own.quarantined && evidence(entry) < evidenceLimit(own)) {
+        own.quarantined = false;
+        log_line(log_level::warning, "block_released")
+            .with("block", record.block)
+            .with("by", "answers at another router");
+    }
     if (record.clearances < own.clearances) {
         return;
     }
     if (record.clearances > own.clearances) {
         const auto wasQuarantined = own.quarantined;
-        own = block_record{ .block = record.block, .clearances = record.clearances, .crashes = {} };
+        own = block_record{ .block = record.block, .clearances = record.clearances, .sound = true };
+        entry.crashes.clear();
         entry.changedAt = now;
+        entry.clearedAt = now;
         if (wasQuarantined && !record.quarantined) {
             log_line(log_level::warning, "block_released").with("block", record.block).with("by", "another router");
         }
     }
-    for (const auto &[engine, sign] : record.crashes) {
-        if (own.crashes.size() < MAX_CRASHES_PER_BLOCK || own.crashes.contains(engine)) {
-            auto &known = own.crashes.try_emplace(engine, sign).first->second;
-            known = std::max(known, sign);
-        }
-    }
-    if (record.quarantined && !own.quarantined) {
+    own.evidence = std::max(own.evidence, record.evidence);
+    if (record.quarantined && !own.quarantined && evidence(entry) >= evidenceLimit(own)) {
         quarantine(entry, now);
     }
     if (record.trials > own.trials) {
         own.trials = record.trials;
-        entry.nextTrialAt = now + trialDelay(own.trials);
+        entry.nextTrialAt = now + trialDelay(own);
     }
 }
 
@@ -166,6 +172,7 @@
     auto all = std::vector<block_record>();
     for (const auto &[block, entry] : m_blocks) {
         all.push_back(entry.record);
+        all.back().evidence = evidence(entry);
     }
     return all;
 }
@@ -185,23 +192,27 @@
     if (isExplained) {
         return; // The crash says nothing about the other blocks of the prompt.
     }
-    auto strongest = std::uint64_t(0);
+    const auto moment = m_moments.note(report.engine, report.repeated, now);
+    auto strongest = std::optional<std::uint64_t>();
     auto most = std::uint32_t(0);
     for (const auto block : report.blocks) {
         auto &entry = track(block, now);
-        auto &crashes = entry.record.crashes;
-        if (crashes.size() < MAX_CRASHES_PER_BLOCK || crashes.contains(report.engine)) {
-            auto &sign = crashes.try_emplace(report.engine, report.sign).first->second;
-            sign = std::max(sign, report.sign);
+        if (m_moments.startOf(moment) < entry.clearedAt) {
+            continue; // An answer on the block began after the engine had crashed.
+        }
+        auto &sign = entry.crashes.try_emplace(moment, report.sign).first->second;
+        sign = std::max(sign, report.sign);
+        if (entry.crashes.size() > MAX_CRASHES_PER_BLOCK) {
+            entry.crashes.erase(entry.crashes.begin());
         }
         entry.changedAt = now;
-        if (const auto sum = evidence(entry.record); sum >= most) {
+        if (const auto sum = evidence(entry); sum >= evidenceLimit(entry.record) && sum >= most) {
             most = sum;
             strongest = block;
         }
     }
-    if (most >= QUARANTINE_EVIDENCE) {
-        quarantine(track(strongest, now), now);
+    if (strongest) {
+        quarantine(track(*strongest, now), now);
     }
 }
 
@@ -214,31 +225,35 @@
             .with("by", "an answer that began");
     }
     entry.record =
-        block_record{ .block = entry.record.block, .clearances = entry.record.clearances + 1, .crashes = {} };
+        block_record{ .block = entry.record.block, .clearances = entry.record.clearances + 1, .sound = true };
+    entry.crashes.clear();
     entry.changedAt = now;
+    entry.clearedAt = now;
 }
 
 auto block_quarantine::quarantine(tracked_block &entry, time_point now) -> void
 {
     entry.record.quarantined = true;
     entry.changedAt = now;
-    entry.nextTrialAt = now + trialDelay(entry.record.trials);
+    entry.nextTrialAt = now + trialDelay(entry.record);
     log_line(log_level::warning, "block_quarantined")
         .with("block", entry.record.block)
-        .with("crashes", entry.record.crashes.size())
-        .with("evidence", evidence(entry.record))
+        .with("crashes", entry.crashes.size())
+        .with("evidence", evidence(entry))
+        .with("sound_before", entry.record.sound ? "yes" : "no")
         .with("trial_in_s", toSeconds(entry.nextTrialAt - now));
 }
 
 auto block_quarantine::track(std::uint64_t block, time_point now) -> tracked_block &
 {
     const auto found = m_blocks.find(block);
-    if (found != m_blocks.end()) {
+    if (found != m_blocks.end() && !isExpired(found->second, now)) {
         return found->second;
     }
     makeRoom(now);
     auto &entry = m_blocks[block];
     entry.record.block = block;
+    entry.record.sound = m_soundBlocks.contains(block);
     entry.changedAt = now;
     return entry;
 }
@@ -246,11 +261,7 @@
 /// Removes what has expired, and the oldest entry if there is no room for another one.
 auto block_quarantine::makeRoom(time_point now) -> void
 {
-    std::erase_if(m_blocks, [&](const auto &item) {
-        const auto &entry = item.second;
-        const auto lifetime = entry.record.crashes.empty() ? CLEARANCE_LIFETIME : EVIDENCE_LIFETIME;
-        return !entry.record.quarantined && now - entry.changedAt > lifetime;
-    });
+    std::erase_if(m_blocks, [&](const auto &item) { return isExpired(item.second, now); });
     if (m_blocks.size() < MAX_BLOCKS) {
         return;
     }
@@ -275,19 +286,37 @@
     return true;
 }
 
-auto block_quarantine::evidence(const block_record &record) -> std::uint32_t
+auto block_quarantine::evidence(const tracked_block &entry) const -> std::uint32_t
 {
     auto sum = std::uint32_t(0);
-    for (const auto &[engine, sign] : record.crashes) {
-        sum += sign == crash_sign::beganAnswer ? BEGAN_ANSWER_WEIGHT : NO_ANSWER_WEIGHT;
+    for (const auto &[moment, sign] : entry.crashes) {
+        if (!m_moments.isKnown(moment)) {
+            continue;
+        }
+        if (sign == crash_sign::beganAnswer) {
+            sum += BEGAN_ANSWER_WEIGHT;
+        } else if (!m_moments.isCommonFailure(moment)) {
+            sum += NO_ANSWER_WEIGHT;
+        }
     }
-    return sum;
+    return std::max(sum, entry.record.evidence);
+}
+
+auto block_quarantine::evidenceLimit(const block_record &record) -> std::uint32_t
+{
+    return record.sound ? QUARANTINE_EVIDENCE_OF_SOUND : QUARANTINE_EVIDENCE;
+}
+
+auto block_quarantine::isExpired(const tracked_block &entry, time_point now) -> bool
+{
+    const auto lifetime = entry.crashes.empty() && entry.record.evidence == 0 ? CLEARANCE_LIFETIME : EVIDENCE_LIFETIME;
+    return !entry.record.quarantined && now - entry.changedAt > lifetime;
 }
 
-auto block_quarantine::trialDelay(std::uint32_t trials) -> duration
+auto block_quarantine::trialDelay(const block_record &record) -> duration
 {
-    auto delay = FIRST_TRIAL_DELAY;
-    for (auto trial = std::uint32_t(0); trial < trials && delay < MAX_TRIAL_DELAY; ++trial) {
+    auto delay = record.sound ? FIRST_TRIAL_DELAY_OF_SOUND : FIRST_TRIAL_DELAY;
+    for (auto trial = std::uint32_t(0); trial < record.trials && delay < MAX_TRIAL_DELAY; ++trial) {
         delay *= TRIAL_DELAY_FACTOR;
     }
     return std::min(delay, MAX_TRIAL_DELAY);
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -173,6 +173,7 @@
 {
     return { .engine = message.engine(),
              .sign = message.began() ? crash_sign::beganAnswer : crash_sign::noAnswer,
+             .repeated = message.repeated_crash(),
              .blocks = { message.blocks().begin(), message.blocks().end() } };
 }
 
@@ -180,38 +181,28 @@
 {
     message.set_engine(report.engine);
     message.set_began(report.sign == crash_sign::beganAnswer);
+    message.set_repeated_crash(report.repeated);
     message.mutable_blocks()->Add(report.blocks.begin(), report.blocks.end());
 }
 
 auto readBlockRecord(const wire::BlockRecord &message) -> block_record
 {
-    auto record = block_record{ .block = message.block(),
-                                .clearances = message.clearances(),
-                                .crashes = {},
-                                .quarantined = message.quarantined(),
-                                .trials = message.trials() };
-    for (const auto engine : message.crashed_began()) {
-        record.crashes.emplace(engine, crash_sign::beganAnswer);
-    }
-    for (const auto engine : message.crashed_waiting()) {
-        record.crashes.emplace(engine, crash_sign::noAnswer);
-    }
-    return record;
+    return { .block = message.block(),
+             .clearances = message.clearances(),
+             .evidence = message.evidence(),
+             .sound = message.sound(),
+             .quarantined = message.quarantined(),
+             .trials = message.trials() };
 }
 
 auto write(const block_record &record, wire::BlockRecord &message) -> void
 {
     message.set_block(record.block);
     message.set_clearances(record.clearances);
+    message.set_evidence(record.evidence);
+    message.set_sound(record.sound);
     message.set_quarantined(record.quarantined);
     message.set_trials(record.trials);
-    for (const auto &[engine, sign] : record.crashes) {
-        if (sign == crash_sign::beganAnswer) {
-            message.add_crashed_began(engine);
-        } else {
-            message.add_crashed_waiting(engine);
-        }
-    }
 }
 
 auto readStoreUpdate(const wire::StoreNews &message) -> store_update
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -641,7 +641,7 @@
         return;
     }
     const auto engine = server_loads::incarnationId(*attempt.chosen.server);
-    m_state.blocks.noteBroken(engine, sign, blocks, system_clock_source().now());
+    m_state.blocks.noteBroken(engine, sign, std::exchange(m_brokeOff, true), blocks, system_clock_source().now());
     log_line(log_level::info, "crash_suspect")
         .with("request", m_request.id)
         .with("server", attempt.chosen.server->id)
