A server that refused one request is not taken for full while nothing is known to run there

After each server had refused one request, callers of a router were answered 429 for 30 ms without an attempt, though the servers were empty and accepted again.

Cause: since plain services have a joint limit, a server that had just refused was left out even if no request was known to be there. Evidence: gateway_path_test, case a_request_that_all_servers_refuse_is_reported_as_not_executed, failed in 2 of 2 runs (4 of 4 calls answered 429).

Such a server now comes last, and is left out only while requests are known to be there. plain_placement_test expected a refusal for an empty full server; it now expects that it is chosen last, and a refusal as soon as one request is there. Both process tests of the service pass in 3 of 3 runs (full_service_test, gateway_path_test).

--- a/src/gateway/plain_placement.cpp
+++ b/src/gateway/plain_placement.cpp
@@ -34,18 +34,21 @@
 auto plain_placement::choose(std::span<const plain_candidate> candidates, const plain_demand &demand) const
     -> std::optional<plain_choice>
 {
-    using rank = std::tuple<bool, duration, double, bool, std::uint64_t>;
+    using rank = std::tuple<bool, bool, duration, double, bool, std::uint64_t>;
     auto best = std::optional<std::size_t>();
     auto bestRank = rank();
     for (auto index = std::size_t(0); index < candidates.size(); ++index) {
         const auto &candidate = candidates[index];
         assert(candidate.slots > 0);
-        if (candidate.full || candidate.running >= maxRunning(candidate, demand)) {
+        // A server that refuses a request though no other is known to be there may accept the next one.
+        const auto isKnownFull = candidate.full && candidate.running > 0;
+        if (isKnownFull || candidate.running >= maxRunning(candidate, demand)) {
             continue;
         }
         const auto wait = expectedWait(candidate, serviceTimeOf(candidate, demand));
         const auto usage = static_cast<double>(candidate.running) / candidate.slots;
-        const auto candidateRank = rank(candidate.avoided, wait, usage, candidate.remote, candidate.tieBreak);
+        const auto candidateRank =
+            rank(candidate.full, candidate.avoided, wait, usage, candidate.remote, candidate.tieBreak);
         if (!best || candidateRank < bestRank) {
             best = index;
             bestRank = candidateRank;
@@ -54,7 +57,7 @@
     if (!best) {
         return std::nullopt;
     }
-    return plain_choice{ .index = *best, .wait = std::get<1>(bestRank) };
+    return plain_choice{ .index = *best, .wait = std::get<duration>(bestRank) };
 }
 
 auto plain_placement::maxRunning(const plain_candidate &candidate, const plain_demand &demand) const -> std::uint32_t
--- a/tests/unit/gateway/plain_placement_test.cpp
+++ b/tests/unit/gateway/plain_placement_test.cpp
@@ -89,6 +89,8 @@
     servers[2].full = true;
     BOOST_TEST(placement.choose(servers, { .objective = 150ms })->index == 0U);
     servers[0].full = true;
+    BOOST_TEST(placement.choose(servers, { .objective = 150ms })->index == 0U);
+    servers[0].running = 1;
     BOOST_TEST(!placement.choose(servers, { .objective = 150ms }).has_value());
 }
 
