Evidence against a prefix block outlasts a failure that breaks off hundreds of requests

Cause: records were removed by age alone. Evidence: block_quarantine_test, case evidence_outlasts_a_failure_that_breaks_off_hundreds_of_other_requests, failed before. Now the oldest of those with least evidence is removed; requests that only waited in a common failure are no evidence, so their blocks go first. Whether a moment is a common failure is now decided when a crash is noted, as the evidence is looked at more often.

--- a/include/marjoramloom/gateway/crash_moments.h
+++ b/include/marjoramloom/gateway/crash_moments.h
@@ -43,10 +43,12 @@
         time_point start{};
         std::vector<std::uint64_t> engines; ///< At most MAX_ENGINES.
         bool repeated = false; ///< Of an engine that crashed after another one by the same request.
+        bool isCommonFailure = false;
     };
 
     static constexpr std::size_t MAX_ENGINES = 32;
 
+    auto findCommonFailures(time_point time) -> void;
     [[nodiscard]] auto find(std::uint64_t moment) const -> const moment_entry *;
 
     std::deque<moment_entry> m_moments; ///< In the order of their numbers.
--- a/src/gateway/block_quarantine.cpp
+++ b/src/gateway/block_quarantine.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 namespace marjoramloom {
@@ -258,18 +259,20 @@
     return entry;
 }
 
-/// Removes what has expired, and the oldest entry if there is no room for another one.
+/// Removes what has expired, and if there is no room for another entry the oldest one of those with least evidence.
 auto block_quarantine::makeRoom(time_point now) -> void
 {
     std::erase_if(m_blocks, [&](const auto &item) { return isExpired(item.second, now); });
     if (m_blocks.size() < MAX_BLOCKS) {
         return;
     }
-    const auto oldest = std::min_element(m_blocks.begin(), m_blocks.end(), [](const auto &left, const auto &right) {
-        return std::pair(left.second.record.quarantined, left.second.changedAt)
-            < std::pair(right.second.record.quarantined, right.second.changedAt);
+    const auto rank = [this](const tracked_block &entry) {
+        return std::tuple(entry.record.quarantined, evidence(entry), entry.changedAt);
+    };
+    const auto least = std::min_element(m_blocks.begin(), m_blocks.end(), [&](const auto &left, const auto &right) {
+        return rank(left.second) < rank(right.second);
     });
-    m_blocks.erase(oldest);
+    m_blocks.erase(least);
 }
 
 auto block_quarantine::mayReport(crash_sign sign, time_point now) -> bool
--- a/src/gateway/crash_moments.cpp
+++ b/src/gateway/crash_moments.cpp
@@ -20,10 +20,11 @@
     }
     if (!repeated) {
         const auto current =
-            std::find_if(m_moments.rbegin(), m_moments.rend(), [&](const auto &entry) { return !entry.repeated; });
+            std::find_if(m_moments.rbegin(), m_moments.rend(), [](const auto &entry) { return !entry.repeated; });
         if (current != m_moments.rend() && now - current->start <= LENGTH) {
             if (current->engines.size() < MAX_ENGINES) {
                 current->engines.push_back(engine);
+                findCommonFailures(current->start);
             }
             return current->number;
         }
@@ -32,9 +33,25 @@
         m_moments.pop_front();
     }
     m_moments.push_back({ .number = ++m_lastNumber, .start = now, .engines = { engine }, .repeated = repeated });
+    findCommonFailures(now);
     return m_lastNumber;
 }
 
+/// Decides again which of the moments around \p time are common failures.
+auto crash_moments::findCommonFailures(time_point time) -> void
+{
+    const auto isOlder = [&](const auto &entry, duration age) {
+        return entry.start < time - age;
+    };
+    for (auto entry = m_moments.rbegin(); entry != m_moments.rend() && !isOlder(*entry, LENGTH); ++entry) {
+        auto engines = std::size_t(0);
+        for (auto other = m_moments.rbegin(); other != m_moments.rend() && !isOlder(*other, 2 * LENGTH); ++other) {
+            engines += std::chrono::abs(other->start - entry->start) <= LENGTH ? other->engines.size() : 0;
+        }
+        entry->isCommonFailure = engines >= COMMON_FAILURE_ENGINES;
+    }
+}
+
 auto crash_moments::startOf(std::uint64_t moment) const -> time_point
 {
     const auto *entry = find(moment);
@@ -49,14 +66,7 @@
 auto crash_moments::isCommonFailure(std::uint64_t moment) const -> bool
 {
     const auto *entry = find(moment);
-    if (entry == nullptr) {
-        return false;
-    }
-    auto engines = std::size_t(0);
-    for (const auto &other : m_moments) {
-        engines += std::chrono::abs(other.start - entry->start) <= LENGTH ? other.engines.size() : 0;
-    }
-    return engines >= COMMON_FAILURE_ENGINES;
+    return entry != nullptr && entry->isCommonFailure;
 }
 
 auto crash_moments::find(std::uint64_t moment) const -> const moment_entry *
--- a/tests/unit/gateway/block_quarantine_test.cpp
+++ b/tests/unit/gateway/block_quarantine_test.cpp
@@ -357,6 +357,24 @@
     BOOST_TEST(!isAllowed(*group.routers[0], { 666 }));
 }
 
+BOOST_AUTO_TEST_CASE(evidence_outlasts_a_failure_that_breaks_off_hundreds_of_other_requests)
+{
+    auto router = block_quarantine();
+    router.noteBroken(1, crash_sign::beganAnswer, false, blocksOf({ 1, 666 }), crashTime(0));
+    router.noteBroken(2, crash_sign::beganAnswer, false, blocksOf({ 1, 666 }), crashTime(1));
+    router.noteAnswerBegun(blocksOf({ 1 }), crashTime(1) + 100ms);
+    for (auto request = std::uint64_t(0); request < 2'000; ++request) {
+        const auto block = 1'000 + request;
+        router.handleReport({ .engine = 100 + request % 40, .sign = crash_sign::noAnswer, .blocks = { 1, block } },
+                            crashTime(2));
+        // Answers to some of them begin elsewhere.
+        router.handleRecord({ .block = block, .clearances = request % 3 == 0 ? 1U : 0U }, crashTime(2));
+    }
+    router.noteBroken(3, crash_sign::beganAnswer, false, blocksOf({ 1, 666 }), crashTime(3));
+    BOOST_TEST(!isAllowed(router, { 666 }, crashTime(3)));
+    BOOST_TEST(router.records().size() <= block_quarantine::MAX_BLOCKS);
+}
+
 BOOST_AUTO_TEST_CASE(evidence_is_dropped_after_a_time)
 {
     auto router = block_quarantine();
