A quarantined block is tried again though no request with it reaches the first router

Only one router, the first in an order by the block, let a request through for a trial. A block whose callers use other routers, as one caller with kept connections does, stayed refused for good, also after its engines had been mended or when it was quarantined wrongly.

Evidence: block_quarantine_test, case a_quarantined_block_is_tried_again_though_no_request_with_it_reaches_the_first_router; with the rule as it was, the last router refuses. Now each router in the order gets its turn 2 s after the one before it. A trial is told to all routers, so that there is still one each time; routers that cannot reach each other may make one each.

--- a/include/marjoramloom/gateway/block_quarantine.h
+++ b/include/marjoramloom/gateway/block_quarantine.h
@@ -54,8 +54,8 @@
 ///
 /// The routers send each other their reports and clearances, so that each decides from the evidence of all. They
 /// compare digests of what is quarantined, which makes up for lost messages and informs routers that start or were cut
-/// off. After a growing time one router lets one request through to see whether the block still crashes engines. Not
-/// thread safe.
+/// off. After a growing time one router lets one request through to see whether the block still crashes engines: the
+/// first in an order of all routers that gets such a request in its turn. Not thread safe.
 class block_quarantine
 {
 public:
@@ -74,10 +74,11 @@
 
     auto setPublisher(publisher target) -> void;
 
-    /// Decides about a prompt with these prefix blocks. \p isTrialRouter tells whether this router lets requests with a
-    /// block through for a trial. The verdict trial counts as one.
-    auto check(std::span<const prefix_block> blocks, const std::function<bool(std::uint64_t block)> &isTrialRouter,
-               time_point now) -> verdict;
+    /// This router's place in the order of the routers that let a request with \p block through for a trial, from 0.
+    using trial_order = std::function<std::size_t(std::uint64_t block)>;
+
+    /// Decides about a prompt with these prefix blocks. The verdict trial counts as one.
+    auto check(std::span<const prefix_block> blocks, const trial_order &trialOrder, time_point now) -> verdict;
 
     /// Whether one of the blocks is quarantined.
     [[nodiscard]] auto isQuarantined(std::span<const prefix_block> blocks) const -> bool;
@@ -117,6 +118,9 @@
     /// trial.
     static constexpr duration FIRST_TRIAL_DELAY = std::chrono::seconds(20);
     static constexpr duration FIRST_TRIAL_DELAY_OF_SOUND = std::chrono::seconds(5);
+    /// If the first router in the order of trials gets no request with the block, the next one's turn comes after this
+    /// time, and so on.
+    static constexpr duration TRIAL_TURN = std::chrono::seconds(2);
 
 private:
     struct tracked_block
--- a/include/marjoramloom/gateway/placement_dispatch.h
+++ b/include/marjoramloom/gateway/placement_dispatch.h
@@ -62,8 +62,8 @@
     /// Ends a grant of this dispatcher for a request of the router with the incarnation \p router.
     auto handleRelease(std::uint64_t router, const slot_release &release) -> void;
 
-    /// Whether this router lets a request with the quarantined \p block through for a trial.
-    auto isTrialRouter(std::uint64_t block, time_point now) -> bool;
+    /// This router's place in the order of the routers that answer for trials of the quarantined \p block, from 0.
+    auto trialRank(std::uint64_t block, time_point now) -> std::size_t;
 
     /// The grants that this router holds from dispatchers.
     [[nodiscard]] auto heldGrants() const -> const held_grants &;
--- a/src/gateway/block_quarantine.cpp
+++ b/src/gateway/block_quarantine.cpp
@@ -21,8 +21,8 @@
     m_publisher = std::move(target);
 }
 
-auto block_quarantine::check(std::span<const prefix_block> blocks,
-                             const std::function<bool(std::uint64_t block)> &isTrialRouter, time_point now) -> verdict
+auto block_quarantine::check(std::span<const prefix_block> blocks, const trial_order &trialOrder, time_point now)
+    -> verdict
 {
     auto result = verdict::allowed;
     for (const auto &block : blocks) {
@@ -31,7 +31,9 @@
             continue;
         }
         // With two quarantined blocks, the outcome of a trial would say nothing about either.
-        if (result == verdict::trial || now < found->second.nextTrialAt || !isTrialRouter(block.id)) {
+        const auto overdue = now - found->second.nextTrialAt;
+        if (result == verdict::trial || overdue < duration::zero()
+            || static_cast<std::size_t>(overdue / TRIAL_TURN) < trialOrder(block.id)) {
             return verdict::refused;
         }
         result = verdict::trial;
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -296,13 +296,13 @@
 auto gateway_call::isQuarantined() -> bool
 {
     const auto now = system_clock_source().now();
-    const auto isTrialRouter = [&](std::uint64_t block) {
-        return m_dispatch.isTrialRouter(block, now);
+    const auto trialOrder = [&](std::uint64_t block) {
+        return m_dispatch.trialRank(block, now);
     };
     if (!m_route.carriesPrompt || m_isTrial || m_answerBegan) {
         return false;
     }
-    const auto verdict = m_state.blocks.check(sharedBlocks(m_request.prompt), isTrialRouter, now);
+    const auto verdict = m_state.blocks.check(sharedBlocks(m_request.prompt), trialOrder, now);
     m_isTrial = verdict == block_quarantine::verdict::trial;
     if (verdict != block_quarantine::verdict::refused) {
         return false;
--- a/src/gateway/placement_dispatch.cpp
+++ b/src/gateway/placement_dispatch.cpp
@@ -191,13 +191,13 @@
     }
 }
 
-auto placement_dispatch::isTrialRouter(std::uint64_t block, time_point now) -> bool
+auto placement_dispatch::trialRank(std::uint64_t block, time_point now) -> std::size_t
 {
     const auto group = static_cast<std::uint32_t>(block % TRIAL_GROUPS);
     const auto &order = m_state.roster.dispatchOrder(hash64("block trials"), group);
-    const auto first = std::find_if(order.begin(), order.end(),
-                                    [&](std::uint64_t router) { return m_state.roster.isResponsive(router, now); });
-    return first != order.end() && *first == m_state.roster.self();
+    const auto self = std::find(order.begin(), order.end(), m_state.roster.self());
+    return static_cast<std::size_t>(std::count_if(
+        order.begin(), self, [&](std::uint64_t router) { return m_state.roster.isResponsive(router, now); }));
 }
 
 auto placement_dispatch::heldGrants() const -> const held_grants &
--- a/tests/unit/gateway/block_quarantine_test.cpp
+++ b/tests/unit/gateway/block_quarantine_test.cpp
@@ -12,6 +12,8 @@
 using verdict = block_quarantine::verdict;
 
 constexpr auto start = time_point(100s);
+/// Place in the order of trials of a router whose turn does not come.
+constexpr auto noTurn = std::size_t(1'000'000);
 
 /// Time of the crash with this number; crashes of separate causes are a second apart.
 auto crashTime(std::uint64_t crash) -> time_point
@@ -31,7 +33,7 @@
 auto isAllowed(block_quarantine &router, std::initializer_list<std::uint64_t> ids, time_point now = start) -> bool
 {
     return router.check(
-               blocksOf(ids), [](std::uint64_t) { return false; }, now)
+               blocksOf(ids), [](std::uint64_t) { return noTurn; }, now)
         == verdict::allowed;
 }
 
@@ -316,10 +318,10 @@
     }
     const auto quarantinedAt = group.now;
     const auto always = [](std::uint64_t) {
-        return true;
+        return std::size_t(0);
     };
     const auto never = [](std::uint64_t) {
-        return false;
+        return noTurn;
     };
     auto &router = *group.routers[0];
     BOOST_TEST((router.check(blocks, always, quarantinedAt + 10s) == verdict::refused));
@@ -375,6 +377,30 @@
     BOOST_TEST(router.records().size() <= block_quarantine::MAX_BLOCKS);
 }
 
+BOOST_AUTO_TEST_CASE(a_quarantined_block_is_tried_again_though_no_request_with_it_reaches_the_first_router)
+{
+    auto group = router_group(3);
+    const auto blocks = blocksOf({ 1, 666 });
+    for (auto crash = std::uint64_t(0); crash < 3; ++crash) {
+        group.now = crashTime(crash);
+        group.routers[0]->noteBroken(crash, crash_sign::beganAnswer, false, blocks, group.now);
+    }
+    const auto quarantinedAt = group.now;
+    const auto trialRank = [](std::size_t own) {
+        return [own](std::uint64_t) {
+            return own;
+        };
+    };
+    // The caller only ever reaches the last router in the order of trials.
+    group.now = quarantinedAt + block_quarantine::FIRST_TRIAL_DELAY;
+    BOOST_TEST((group.routers[2]->check(blocks, trialRank(2), group.now) == verdict::refused));
+    group.now += 2 * block_quarantine::TRIAL_TURN;
+    BOOST_TEST((group.routers[2]->check(blocks, trialRank(2), group.now) == verdict::trial));
+    for (auto rank = std::size_t(0); rank < 3; ++rank) {
+        BOOST_TEST((group.routers[rank]->check(blocks, trialRank(rank), group.now + 1s) == verdict::refused));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(evidence_is_dropped_after_a_time)
 {
     auto router = block_quarantine();
