A router that the store does not answer gets a new configuration from another router

A router that the store refused, or that was cut off from it, learned from other routers that there is a newer configuration but had nobody to read it from: callers with a new key were answered 503 and old keys stayed in force until their confirmation expired.

Cause: updates between routers named the configuration's revision only; each router read the configuration from the store itself. Evidence: store_cut_test, case a_router_that_the_store_does_not_answer_applies_a_new_configuration_in_time, failed before at a follower and at a watcher (503 instead of 200 with the new key, 200 and 503 instead of 401 with the old one).

An update now has the configuration itself if the receiver's is older and it fits into a datagram (40 KiB); keys are validated as before. It also saves a call to the store for each follower and change. The log line configuration has its source and size.

--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -14,8 +14,8 @@
 ///
 /// A router that watches the store lists the objects of each kind once and then watches them. A long poll that ends
 /// without a change also validates the keys. A router that does not watch, or whose watch fails, gets updates from
-/// other routers, and reads from the store only a new configuration, or the list of servers where an update does not
-/// continue its own list.
+/// other routers, and reads from the store only a configuration that is too large for an update, or the list of servers
+/// where an update does not continue its own list.
 /// Not thread safe: runs on the router's only thread.
 class platform_feed
 {
@@ -49,8 +49,13 @@
     /// milliseconds.
     auto tick(time_point now) -> void;
 
-    /// An update for a router whose list of backend servers is at \p serversRevision.
-    [[nodiscard]] auto updateSince(std::uint64_t serversRevision) const -> store_update;
+    /// An update for a router whose list of backend servers is at \p serversRevision, and whose configuration is at
+    /// \p configurationRevision; 0 to leave the configuration out.
+    [[nodiscard]] auto updateSince(std::uint64_t serversRevision, std::uint64_t configurationRevision) const
+        -> store_update;
+
+    /// Revision of the configuration; 0 before one was read.
+    [[nodiscard]] auto configurationRevision() const -> std::uint64_t;
 
     /// Revision of the list of backend servers; 0 before it was read.
     [[nodiscard]] auto serversRevision() const -> std::uint64_t;
@@ -71,6 +76,8 @@
     static constexpr duration LOST_REPORT_DELAY = std::chrono::milliseconds(1'000);
     /// Changes of backend servers in one update, so that it fits well into a datagram.
     static constexpr std::size_t MAX_CHANGES_PER_UPDATE = 60;
+    /// Largest configuration in an update. It fits into a datagram together with the changes.
+    static constexpr std::size_t MAX_RELAYED_CONFIGURATION = std::size_t(40) << 10U;
 
     /// Shortest time after a failed read of what an update showed to be missing until the next one.
     static constexpr duration MISSING_READ_INTERVAL = std::chrono::milliseconds(1'000);
@@ -82,7 +89,7 @@
     auto waitForStore() -> boost::asio::awaitable<void>;
     auto onConfigurationEvent(const watch_event &event) -> void;
     auto onServerEvent(const watch_event &event) -> void;
-    auto applyConfiguration(const stored_object &object) -> bool;
+    auto applyConfiguration(const stored_object &object, std::string_view source) -> bool;
     auto applyServer(const server_change &change) -> void;
     auto listServers(last_reason &why) -> boost::asio::awaitable<bool>;
     auto listConfiguration(last_reason &why) -> boost::asio::awaitable<bool>;
@@ -97,6 +104,7 @@
     gateway_state &m_state;
     listeners m_listeners;
     std::uint64_t m_configurationRevision = 0; ///< Of the newest configuration that was applied.
+    std::string m_configuration; ///< The newest configuration that was applied, as stored.
     std::uint64_t m_newestConfigurationRevision = 0; ///< Highest revision seen, readable or not.
     std::uint64_t m_configurationWatchRevision = 0; ///< The watch continues after this one; 0 to list first.
     bool m_isNewestApplied = false; ///< The newest configuration that was seen is valid and was applied.
--- a/include/marjoramloom/gateway/store_relay.h
+++ b/include/marjoramloom/gateway/store_relay.h
@@ -49,7 +49,8 @@
     struct follower
     {
         time_point queriedAt;
-        std::uint64_t sentRevision = 0; ///< Revision of the list of backend servers that was sent to it.
+        std::uint64_t serversRevision = 0; ///< Of the list of backend servers that it has or was sent.
+        std::uint64_t configurationRevision = 0; ///< Of the configuration that it has or was sent; 0 for none.
     };
 
     /// Time between two queries; changes must be in force within two seconds also if the watchers are cut off.
@@ -62,6 +63,7 @@
     static constexpr std::size_t MAX_PENDING_QUERIES = 6;
 
     auto sendQuery(time_point now) -> void;
+    auto makeUpdate(follower &follower) const -> store_update;
 
     boost::asio::steady_timer m_timer;
     platform_feed &m_feed;
--- a/include/marjoramloom/gateway/store_update.h
+++ b/include/marjoramloom/gateway/store_update.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace marjoramloom {
@@ -15,6 +16,7 @@
 {
     std::uint64_t number = 0; ///< Repeated in the update that answers the query.
     std::uint64_t serversRevision = 0; ///< Revision of the querying router's list of backend servers.
+    std::uint64_t configurationRevision = 0; ///< Of its configuration; 0 if it has none, and is to get none.
 };
 
 /// What a router knows of the store's contents, as sent to another router.
@@ -25,6 +27,8 @@
     /// none within the keys' lifetime.
     std::optional<std::chrono::milliseconds> validationAge;
     std::uint64_t configurationRevision = 0; ///< 0 before a configuration was read.
+    /// The configuration as stored, if the receiver has an older one and it fits into a datagram.
+    std::optional<std::string> configuration;
     std::uint64_t serversBaseRevision = 0; ///< The changes start after this revision of the list of backend servers.
     std::uint64_t serversRevision = 0; ///< Revision of the list after the changes.
     std::vector<server_change> changes;
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -210,6 +210,7 @@
     auto update = store_update{ .number = message.number(),
                                 .validationAge = std::nullopt,
                                 .configurationRevision = message.configuration_revision(),
+                                .configuration = std::nullopt,
                                 .serversBaseRevision = message.servers_after(),
                                 .serversRevision = message.servers_revision(),
                                 .changes = {},
@@ -219,6 +220,9 @@
     if (message.proved()) {
         update.validationAge = std::chrono::milliseconds(message.proof_age_ms());
     }
+    if (message.has_configuration()) {
+        update.configuration = message.configuration();
+    }
     for (const auto &serverChange : message.changes()) {
         auto object = stored_object{
             .kind = {}, .name = serverChange.id(), .revision = serverChange.revision(), .value = serverChange.entry()
@@ -235,6 +239,9 @@
     message.set_proof_age_ms(
         static_cast<std::uint32_t>(update.validationAge.value_or(std::chrono::milliseconds(0)).count()));
     message.set_configuration_revision(update.configurationRevision);
+    if (update.configuration) {
+        message.set_configuration(*update.configuration);
+    }
     message.set_servers_after(update.serversBaseRevision);
     message.set_servers_revision(update.serversRevision);
     for (const auto &change : update.changes) {
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -279,6 +279,7 @@
     auto datagram = wire::RouterDatagram();
     datagram.mutable_question()->set_number(query.number);
     datagram.mutable_question()->set_servers_revision(query.serversRevision);
+    datagram.mutable_question()->set_configuration_revision(query.configurationRevision);
     send(router, datagram);
 }
 
@@ -379,9 +380,10 @@
         m_dispatch.handleRelease(datagram.sender(), readRelease(datagram.release()));
     }
     if (datagram.has_question() && m_storeHandlers.onQuery) {
-        m_storeHandlers.onQuery(
-            router,
-            { .number = datagram.question().number(), .serversRevision = datagram.question().servers_revision() });
+        m_storeHandlers.onQuery(router,
+                                { .number = datagram.question().number(),
+                                  .serversRevision = datagram.question().servers_revision(),
+                                  .configurationRevision = datagram.question().configuration_revision() });
     }
     if (datagram.has_news() && m_storeHandlers.onUpdate) {
         m_storeHandlers.onUpdate(readStoreUpdate(datagram.news()));
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -141,7 +141,7 @@
     noteOwnStoreAnswer();
     m_configurationWatchRevision = std::max(m_configurationWatchRevision, event.revision);
     if (event.kind == watch_event_kind::put && event.object.name == platform::configurationName) {
-        applyConfiguration(event.object);
+        applyConfiguration(event.object, "store");
         m_listeners.onStoreChange();
     }
     if (event.kind == watch_event_kind::bookmark && m_isNewestApplied) {
@@ -159,7 +159,7 @@
     noteOwnStoreAnswer();
     // If there is no configuration yet, the watch reports the first one.
     for (const auto &object : listed->objects) {
-        if (object.name == platform::configurationName && applyConfiguration(object)) {
+        if (object.name == platform::configurationName && applyConfiguration(object, "store")) {
             m_state.keys.noteValidation(requestedAt);
         }
     }
@@ -167,8 +167,8 @@
     co_return true;
 }
 
-/// Applies a configuration; returns false if it cannot be decoded.
-auto platform_feed::applyConfiguration(const stored_object &object) -> bool
+/// Applies a configuration that came from \p source; returns false if it cannot be decoded.
+auto platform_feed::applyConfiguration(const stored_object &object, std::string_view source) -> bool
 {
     if (object.revision < m_newestConfigurationRevision) {
         return m_isNewestApplied; // A late answer with an older configuration.
@@ -188,12 +188,15 @@
         return true; // The current configuration.
     }
     m_configurationRevision = object.revision;
+    m_configuration = object.value;
     const auto previousVersion = m_state.routes ? m_state.routes->version() : 0;
     m_state.routes = std::make_shared<const route_table>(std::move(*content));
     log_line(log_level::info, "configuration")
         .with("version", m_state.routes->version())
         .with("before", previousVersion)
         .with("revision", object.revision)
+        .with("source", source)
+        .with("bytes", object.value.size())
         .with("routes", m_state.routes->routeCount())
         .with("keys", m_state.routes->keyCount());
     m_listeners.onRoutes();
@@ -279,6 +282,11 @@
     }
 }
 
+auto platform_feed::configurationRevision() const -> std::uint64_t
+{
+    return m_configurationRevision;
+}
+
 auto platform_feed::serversRevision() const -> std::uint64_t
 {
     return m_serverChanges.revision();
@@ -289,7 +297,8 @@
     return m_storeLost;
 }
 
-auto platform_feed::updateSince(std::uint64_t serversRevision) const -> store_update
+auto platform_feed::updateSince(std::uint64_t serversRevision, std::uint64_t configurationRevision) const
+    -> store_update
 {
     auto update = store_update();
     const auto age = m_state.keys.age(boot_clock::now());
@@ -298,6 +307,10 @@
         update.validationAge = std::chrono::ceil<std::chrono::milliseconds>(age);
     }
     update.configurationRevision = m_configurationRevision;
+    const auto needsConfiguration = configurationRevision > 0 && configurationRevision < m_configurationRevision;
+    if (needsConfiguration && m_configuration.size() <= MAX_RELAYED_CONFIGURATION) {
+        update.configuration = m_configuration;
+    }
     auto changes = m_serverChanges.changesAfter(serversRevision, MAX_CHANGES_PER_UPDATE);
     update.serversBaseRevision = changes ? serversRevision : m_serverChanges.revision();
     update.serversRevision = m_serverChanges.revision();
@@ -317,6 +330,13 @@
 auto platform_feed::applyUpdate(const store_update &update, std::optional<boot_time> queriedAt) -> bool
 {
     const auto now = system_clock_source().now();
+    if (update.configuration && update.configurationRevision > m_configurationRevision) {
+        applyConfiguration({ .kind = std::string(platform::configurationKind),
+                             .name = std::string(platform::configurationName),
+                             .revision = update.configurationRevision,
+                             .value = *update.configuration },
+                           "router");
+    }
     if (update.storeLost) {
         if (!m_watching && now - m_lastAnswer > LOST_REPORT_DELAY) {
             auto why = last_reason();
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -58,7 +58,9 @@
     if (target == 0) {
         return;
     }
-    const auto query = store_query{ .number = ++m_lastQueryNumber, .serversRevision = m_feed.serversRevision() };
+    const auto query = store_query{ .number = ++m_lastQueryNumber,
+                                    .serversRevision = m_feed.serversRevision(),
+                                    .configurationRevision = m_feed.configurationRevision() };
     m_pendingQueries.emplace(query.number, boot_clock::now());
     if (m_pendingQueries.size() > MAX_PENDING_QUERIES) {
         m_pendingQueries.erase(m_pendingQueries.begin());
@@ -70,12 +72,26 @@
 
 auto store_relay::onQuery(std::uint64_t router, const store_query &query) -> void
 {
-    auto update = m_feed.updateSince(query.serversRevision);
+    auto &follower = m_followers[router];
+    follower = { .queriedAt = system_clock_source().now(),
+                 .serversRevision = query.serversRevision,
+                 .configurationRevision = query.configurationRevision };
+    auto update = makeUpdate(follower);
     update.number = query.number;
-    m_followers[router] = { system_clock_source().now(), update.serversRevision };
     m_senders.update(router, update);
 }
 
+/// An update for \p follower, which then counts as sent to it.
+auto store_relay::makeUpdate(follower &follower) const -> store_update
+{
+    auto update = m_feed.updateSince(follower.serversRevision, follower.configurationRevision);
+    follower.serversRevision = update.serversRevision;
+    if (update.configuration) {
+        follower.configurationRevision = update.configurationRevision;
+    }
+    return update;
+}
+
 auto store_relay::onUpdate(const store_update &update) -> void
 {
     const auto query = m_pendingQueries.find(update.number);
@@ -105,9 +121,7 @@
     const auto now = system_clock_source().now();
     std::erase_if(m_followers, [&](const auto &entry) { return now - entry.second.queriedAt > FOLLOWER_TIMEOUT; });
     for (auto &[router, follower] : m_followers) {
-        const auto update = m_feed.updateSince(follower.sentRevision);
-        follower.sentRevision = update.serversRevision;
-        m_senders.update(router, update);
+        m_senders.update(router, makeUpdate(follower));
     }
 }
 
