An entry of another writer does not make the other entries of the store unreadable

A list or a watch whose answer held one entry with bytes that are no UTF-8, an unpaired surrogate or deep nesting was rejected whole: a router then counted the store as failing and applied no change of any other entry (CONFIG, DRAIN).

Cause: the answer is parsed as one JSON text, by a parser that rejects such values anywhere in it. Evidence: object_format_test, case an_entry_of_another_writer_does_not_make_the_other_entries_unreadable, failed before at its first form, invalid UTF-8; the other entry was not read.

The entry itself stays known by its name, so it names no server and replaces what was there under that name.

--- a/tests/unit/platform/object_format_test.cpp
+++ b/tests/unit/platform/object_format_test.cpp
@@ -53,6 +53,33 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_of_another_writer_does_not_make_the_other_entries_unreadable)
+{
+    const auto nested = std::string(200, '[') + std::string(200, ']');
+    for (const auto &spec :
+         { std::string("\"\xff\xfe\""), std::string("{\"a\":\"\x80\"}"), nested, std::string("1e400"),
+           std::string("123456789012345678901234567890"), std::string("\"\\ud800\""),
+           std::string("\"\\udcff a \\\\ud800 \\ud83d\\ude00 \\udbffx\"") }) {
+        BOOST_TEST_CONTEXT("spec " << spec)
+        {
+            const auto strange = R"({"metadata":{"name":"strange","revision":8},"spec":)" + spec + "}";
+            const auto sound = std::string(R"({"metadata":{"name":"sound","revision":9},"spec":{"state":"ready"}})");
+            auto why = last_reason();
+            auto unreadable = std::size_t(0);
+            const auto page = platform::decodePage(
+                "servers", R"({"entries":[)" + strange + "," + sound + R"(],"at":9})", unreadable, why);
+            BOOST_REQUIRE(page.has_value());
+            BOOST_TEST(page->objects.back().name == "sound");
+            const auto batch = platform::decodeEvents(
+                "servers", R"({"events":[{"object":)" + strange + R"(},{"object":)" + sound + R"(}],"at":9})", why);
+            BOOST_REQUIRE(batch.has_value());
+            BOOST_TEST(batch->events.back().object.name == "sound");
+            // The entry itself is known by its name, so that what it replaces is not used any more.
+            BOOST_TEST(batch->events.front().object.name == "strange");
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(request_targets_contain_kind_name_and_revision)
 {
     BOOST_TEST(platform::pageTarget("servers", "") == "/v1/objects/servers");
