An endless answer of the store does not fill a router's memory

A store, or what answers in its place, could make a router keep 256 MB of one answer, four times what it may use, which ends the process.

The limit is now 16 MiB; a page has 1 MB at most.

--- a/src/store/store_connection.cpp
+++ b/src/store/store_connection.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr auto maxResponseBytes = std::uint64_t(256) << 20U;
+/// A page of a list has 1 MB at most, and a watch fetches the changes of seconds.
+constexpr auto maxResponseBytes = std::uint64_t(16) << 20U;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 auto isTimeout(const beast::error_code &error) -> bool
--- a/tests/unit/store/store_client_test.cpp
+++ b/tests/unit/store/store_client_test.cpp
@@ -126,6 +126,32 @@
     BOOST_TEST(counters.at("marjoramloom_platform_watch_redials_total").value() >= 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_endless_answer_of_the_store_does_not_fill_the_memory)
+{
+    using tcp = boost::asio::ip::tcp;
+    // The memory that a whole router may use for control.
+    constexpr auto maxBytes = std::size_t(64) << 20U;
+    auto serverContext = boost::asio::io_context();
+    auto acceptor = tcp::acceptor(serverContext, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    auto sent = std::size_t(0);
+    auto server = std::thread([&] {
+        auto error = boost::system::error_code();
+        auto socket = acceptor.accept(error);
+        const auto head = std::string("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"entries\":[");
+        boost::asio::write(socket, boost::asio::buffer(head), error);
+        const auto part = std::string(std::size_t(64) << 10U, ' ');
+        while (!error && sent < 4 * maxBytes) {
+            sent += boost::asio::write(socket, boost::asio::buffer(part), error);
+        }
+    });
+    const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    auto reader = store_client(context.get_executor(), { .addresses = { address } }, counters);
+    auto why = last_reason();
+    BOOST_TEST(!run(reader.list("kind", why)).has_value());
+    server.join();
+    BOOST_TEST(sent < maxBytes);
+}
+
 BOOST_AUTO_TEST_CASE(changes_in_quick_succession_are_fetched_together)
 {
     auto throttled = options();
