A watch of the store that worked and breaks is resumed at once

A router that watches the store itself, though it is not designated to, could apply a new configuration 2 to 4 s late when its connections to the store broke.

Cause: the pause that spares a lost store the calls of a whole fleet was made after every failure, also that of a connection which had just worked. The pause is now made only if the watch got no answer of the store since its last start: one more call for such a router when a store is lost.

--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -66,6 +66,7 @@
             co_await waitForStore();
         }
         const auto previousAnswer = m_lastAnswer;
+        const auto previousOwnAnswer = m_lastOwnAnswer;
         auto end = watch_end::broken;
         auto why = last_reason();
         if (revision == 0 && !co_await list(why)) {
@@ -80,9 +81,12 @@
         if (end == watch_end::expired) {
             revision = 0;
         } else if (end == watch_end::broken) {
-            // Ends early if the store answers another call of this router.
+            // A connection that has worked may break while the store is available, so the first retry is soon.
+            const auto hasWorked = m_lastOwnAnswer != previousOwnAnswer;
+            const auto minWait = hasWorked ? std::chrono::milliseconds(0) : m_client.watchThrottle().minRetryWait;
+            // The wait ends early if the store answers another call of this router.
             const auto failedAt = system_clock_source().now();
-            const auto retryAt = failedAt + backoff.next(m_client.watchThrottle().minRetryWait);
+            const auto retryAt = failedAt + backoff.next(minWait);
             for (auto now = failedAt; now < retryAt && m_lastOwnAnswer <= failedAt; now = system_clock_source().now()) {
                 co_await pause(std::min<duration>(retryAt - now, pauseSlice));
             }
--- a/tests/unit/gateway/platform_feed_test.cpp
+++ b/tests/unit/gateway/platform_feed_test.cpp
@@ -59,6 +59,7 @@
         std::string path; ///< Beginning of the paths that it answers.
         std::string body;
         std::chrono::milliseconds delay{};
+        bool closes = false; ///< The store then closes the connection.
     };
 
     scripted_store(boost::asio::io_context &context, std::vector<answer> answers)
@@ -108,6 +109,9 @@
                 const auto text =
                     "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(next.body.size()) + "\r\n\r\n" + next.body;
                 co_await boost::asio::async_write(socket, boost::asio::buffer(text), boost::asio::use_awaitable);
+                if (next.closes) {
+                    co_return;
+                }
             }
         } catch (const boost::system::system_error &) {
             co_return; // The router closed the connection.
@@ -260,4 +264,38 @@
     BOOST_TEST(!state.keys.isFresh(boot_clock::now()));
 }
 
+BOOST_AUTO_TEST_CASE(a_router_whose_working_watches_break_at_once_applies_a_new_configuration_in_time)
+{
+    const auto empty = R"({"entries":[],"truncated":false,"at":2})";
+    const auto nothing = R"({"events":[],"at":2})";
+    const auto change =
+        std::string(R"({"events":[{"object":{"metadata":{"name":"main","revision":8},"spec":{"version":7,"routes":[],)")
+        + R"("services":[],"tenants":[],"limits":{"max_header_bytes":16384,"max_body_bytes":100000,)"
+          R"("header_timeout_ms":2000,"idle_timeout_ms":5000}}}}],"at":8})";
+    auto store = scripted_store(context,
+                                { { "/v1/objects/config", empty },
+                                  { "/v1/objects/servers", empty },
+                                  { "/v1/objects/config", nothing, 0ms, true },
+                                  { "/v1/objects/servers", nothing, 0ms, true },
+                                  { "/v1/objects/config", change } });
+    auto storeClient =
+        store_client(context.get_executor(),
+                     { .addresses = { store.address() }, .throttle = {}, .reconnectsWatches = false }, counters);
+    auto storeFeed = platform_feed(context.get_executor(), storeClient, state,
+                                   { .onRoutes = [] {},
+                                     .onStoreChange =
+                                         [] {
+                                         } });
+    boost::asio::co_spawn(
+        context, [&storeFeed] { return storeFeed.followConfiguration(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        context, [&storeFeed] { return storeFeed.followServers(); }, boost::asio::detached);
+    storeFeed.setWatching(true, false, system_clock_source().now());
+    // The connections break at the next poll, a second after the last one.
+    constexpr auto applyBound = 2'000ms;
+    context.run_for(1'000ms + applyBound);
+    BOOST_REQUIRE(state.routes);
+    BOOST_TEST(state.routes->version() == 7U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
