Soak: callers send at their own rate, and faults come in series of up to four

Callers slept under the lock of the run, so that all of them together sent 40 requests a second. They now send 10 a second each. One fault in four is repeated on its target up to three times (one in five was repeated once).

--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -14,8 +14,9 @@
 constexpr auto meanSpacingMs = 1'200;
 constexpr auto minDurationMs = 300;
 constexpr auto maxDurationMs = 3'500;
-/// One fault in this many is repeated on the same target after its end.
-constexpr auto repeatOneIn = 5;
+/// One fault in this many begins a series on the same target: it is repeated after its end, up to this often.
+constexpr auto seriesOneIn = 4;
+constexpr auto maxRepeats = 3;
 
 } // namespace
 
@@ -35,7 +36,8 @@
                            .duration = milliseconds(draw(minDurationMs, maxDurationMs)),
                            .target = static_cast<std::uint32_t>(draw(0, 99)) };
         faults.push_back(fault);
-        if (draw(1, repeatOneIn) == 1) {
+        const auto repeats = draw(1, seriesOneIn) == 1 ? draw(1, maxRepeats) : 0;
+        for (auto repeat = 0; repeat < repeats; ++repeat) {
             fault.at += fault.duration + milliseconds(draw(0, minDurationMs));
             faults.push_back(fault);
         }
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -36,8 +36,8 @@
     std::uint32_t target = 0; ///< Index of the router or server, modulo their number.
 };
 
-/// Generates random faults that start within \p length, sorted by start: some alone, some overlapping, some repeated on
-/// one target. The same \p seed gives the same faults.
+/// Generates random faults that start within \p length, sorted by start: some alone, some overlapping, some in series
+/// on one target. The same \p seed gives the same faults.
 auto generateFaults(std::uint64_t seed, std::chrono::milliseconds length) -> std::vector<planned_fault>;
 
 } // namespace marjoramloom::soak
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -13,7 +13,7 @@
 
 /// Time that a caller waits for an answer.
 constexpr auto callTimeout = milliseconds(4'000);
-constexpr auto pauseBetweenCalls = milliseconds(25);
+constexpr auto pauseBetweenCalls = milliseconds(100);
 /// Time that the run continues after the last fault. It covers the recovery limit of the checks (recoveryLimit) and
 /// some time after it in which the fleet must serve.
 constexpr auto recoveryObservation = milliseconds(14'500);
@@ -132,8 +132,10 @@
         call.status = answer.status;
         call.complete = answer.complete;
         call.body = answer.body;
-        const auto lock = std::lock_guard(m_mutex);
-        m_history.outcomes.push_back(std::move(call));
+        {
+            const auto lock = std::lock_guard(m_mutex);
+            m_history.outcomes.push_back(std::move(call));
+        }
         std::this_thread::sleep_for(pauseBetweenCalls);
     }
 }
