--- a/tests/process/gateway/store_cut_test.cpp
+++ b/tests/process/gateway/store_cut_test.cpp
@@ -1,8 +1,12 @@
 #include "process/peer/peer_relays.h"
 #include "support/gateway_fleet.h"
+#include "support/keep_alive_client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <thread>
 
 using namespace marjoramloom::test;
 
@@ -214,4 +218,51 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_router_that_is_behind_with_its_work_applies_changes_in_time)
+{
+    const auto follower = settled(false).front();
+    const auto &router = fleet->routers()[follower];
+    constexpr auto callers = 150;
+    auto stop = std::atomic<bool>(false);
+    auto sent = std::atomic<int>(0);
+    auto threads = std::vector<std::thread>();
+    for (auto caller = 0; caller < callers; ++caller) {
+        threads.emplace_back([&, caller] {
+            auto connection = keep_alive_client(router.callers);
+            while (!stop) {
+                auto request = http_request();
+                request.target = "/open/x";
+                request.headers = { { "Host", "desk.example" },
+                                    { "X-Attempt-Id",
+                                      "flood-" + std::to_string(caller) + "-" + std::to_string(++sent) },
+                                    { "X-Deadline-Ms", "4000" } };
+                connection.call(request);
+            }
+        });
+    }
+    // The router runs for a tenth of the time, like one with a tenth of a core.
+    threads.emplace_back([&] {
+        while (!stop) {
+            constexpr auto suspendedMs = 180;
+            constexpr auto runningMs = 20;
+            router.process->signal(SIGSTOP);
+            sleepMs(suspendedMs);
+            router.process->signal(SIGCONT);
+            sleepMs(runningMs);
+        }
+    });
+    sleepMs(1'000);
+    fleet->writeConfiguration({ "key-new" });
+    fleet->writeServer(0, "draining");
+    sleepMs(drainBoundMs);
+    BOOST_TEST(logShows(follower, "event=overload overloaded=yes"));
+    BOOST_TEST(logShows(follower, "event=configuration version=2"));
+    BOOST_TEST(logShows(follower, "change=leaving server=" + fleet->servers()[0]->name()));
+    stop = true;
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    BOOST_TEST(sent > callers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
