A quarantined block stays so when its evidence is older than other evidence may be

Ten minutes after its quarantine a block that crashes engines could be sent to engines again: the moments of its crashes are forgotten then, and any record from another router released it for want of evidence. Found by reading; introduced with the moments of crashes.

Evidence: block_quarantine_test, case a_quarantined_block_stays_so_when_its_evidence_is_older_than_other_evidence_may_be, failed before. The evidence is now kept in the block's record when it is quarantined; only an answer that begins, or an answer lately at another router where the evidence is not enough for a sound block, releases it.

--- a/src/gateway/block_quarantine.cpp
+++ b/src/gateway/block_quarantine.cpp
@@ -237,6 +237,7 @@
 auto block_quarantine::quarantine(tracked_block &entry, time_point now) -> void
 {
     entry.record.quarantined = true;
+    entry.record.evidence = evidence(entry); // Outlasts the moments of the crashes.
     entry.changedAt = now;
     entry.nextTrialAt = now + trialDelay(entry.record);
     log_line(log_level::warning, "block_quarantined")
--- a/tests/unit/gateway/block_quarantine_test.cpp
+++ b/tests/unit/gateway/block_quarantine_test.cpp
@@ -343,6 +343,24 @@
     BOOST_TEST(isAllowed(*group.routers[1], { 1, 666 }));
 }
 
+BOOST_AUTO_TEST_CASE(a_quarantined_block_stays_so_when_its_evidence_is_older_than_other_evidence_may_be)
+{
+    auto router = block_quarantine();
+    for (auto crash = std::uint64_t(0); crash < 3; ++crash) {
+        router.noteBroken(crash, crash_sign::beganAnswer, false, blocksOf({ 1, 666 }), crashTime(crash));
+    }
+    const auto later = start + 3 * crash_moments::LIFETIME;
+    router.noteBroken(9, crash_sign::noAnswer, false, blocksOf({ 1, 50 }), later);
+    router.handleRecord({ .block = 666 }, later);
+    BOOST_TEST(router.quarantinedBlocks() == 1U);
+    const auto records = router.records();
+    auto other = block_quarantine();
+    for (const auto &record : records) {
+        other.handleRecord(record, later);
+    }
+    BOOST_TEST(!isAllowed(other, { 666 }, later));
+}
+
 BOOST_AUTO_TEST_CASE(memory_and_messages_are_bounded_when_thousands_of_requests_break_off)
 {
     auto group = router_group(2);
