--- a/tests/unit/gateway/block_quarantine_test.cpp
+++ b/tests/unit/gateway/block_quarantine_test.cpp
@@ -59,6 +59,15 @@
         }
     }
 
+    /// Three crashes by a prompt with these blocks, as the first router sees them.
+    auto quarantine(const std::vector<prefix_block> &blocks) -> void
+    {
+        for (auto crash = std::uint64_t(0); crash < 3; ++crash) {
+            now = crashTime(crash);
+            routers[0]->noteBroken(crash, crash_sign::beganAnswer, false, blocks, now);
+        }
+    }
+
     std::vector<std::unique_ptr<block_quarantine>> routers;
     bool lossy = false; ///< Messages are lost.
     int messages = 0;
@@ -312,10 +321,7 @@
 {
     auto group = router_group(2);
     const auto blocks = blocksOf({ 1, 666 });
-    for (auto crash = std::uint64_t(0); crash < 3; ++crash) {
-        group.now = crashTime(crash);
-        group.routers[0]->noteBroken(crash, crash_sign::beganAnswer, false, blocks, group.now);
-    }
+    group.quarantine(blocks);
     const auto quarantinedAt = group.now;
     const auto always = [](std::uint64_t) {
         return std::size_t(0);
@@ -399,10 +405,7 @@
 {
     auto group = router_group(3);
     const auto blocks = blocksOf({ 1, 666 });
-    for (auto crash = std::uint64_t(0); crash < 3; ++crash) {
-        group.now = crashTime(crash);
-        group.routers[0]->noteBroken(crash, crash_sign::beganAnswer, false, blocks, group.now);
-    }
+    group.quarantine(blocks);
     const auto quarantinedAt = group.now;
     const auto trialRank = [](std::size_t own) {
         return [own](std::uint64_t) {
