A router that has just started does not take a plain service for its own

A router that had read its configuration but not yet the list of routers counted itself as the whole fleet: it filled each plain server up to the joint limit, beside all others that did the same. Found by reading; a fleet that restarts while the store refuses registrations would overfill a service of few slots (CONFIG).

Evidence: placement_dispatch_test, case a_router_that_has_just_started_does_not_take_a_plain_service_for_its_own, failed before. Until the routers were read from the store, a router without reports of others sends one request at a time to each plain server.

--- a/include/marjoramloom/gateway/placement_dispatch.h
+++ b/include/marjoramloom/gateway/placement_dispatch.h
@@ -108,6 +108,7 @@
         -> std::optional<engine_decision>;
     auto makeLease(std::uint64_t dispatcher, const placement_answer &answer) const -> std::shared_ptr<slot_lease>;
     /// Fraction of the routers whose load this router knows, itself included.
+    [[nodiscard]] auto ownFraction() const -> double;
     [[nodiscard]] auto knownFraction() const -> double;
 
     boost::asio::any_io_executor m_executor;
--- a/include/marjoramloom/gateway/router_roster.h
+++ b/include/marjoramloom/gateway/router_roster.h
@@ -42,6 +42,13 @@
     [[nodiscard]] auto knows(std::uint64_t id) const -> bool;
     [[nodiscard]] auto others() const -> std::vector<std::uint64_t>;
 
+    /// Whether the routers were read from the store since this one started. Until then there may be any number of
+    /// others.
+    [[nodiscard]] auto isComplete() const -> bool;
+
+    /// Records that the routers were read from the store.
+    auto noteComplete() -> void;
+
     /// Adds or updates a router. Returns true if it was not known yet.
     auto put(router_identity identity) -> bool;
 
@@ -78,6 +85,7 @@
     /// By service hash plus shard index.
     std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> m_dispatchOrders;
     std::vector<std::uint64_t> m_watchOrder;
+    bool m_isComplete = false;
 };
 
 } // namespace marjoramloom
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -160,6 +160,7 @@
 auto gateway_process::components::join() -> asio::awaitable<void>
 {
     co_await discovery.join();
+    state.roster.noteComplete();
     relay.noteRoutersKnown();
     log_line(log_level::info, "joined").with("routers", state.roster.size());
     co_await discovery.pollRouters();
--- a/src/gateway/placement_dispatch.cpp
+++ b/src/gateway/placement_dispatch.cpp
@@ -46,12 +46,22 @@
         return decideEngine(m_state, query, now, why);
     }
     // Without the dispatcher's data, the other routers are assumed to use their shares of the servers.
-    const auto known = isDispatcher ? knownFraction() : 1.0 / static_cast<double>(m_state.roster.size());
+    const auto known = isDispatcher ? knownFraction() : ownFraction();
     return decidePlainServer(m_state, query, known, now, why);
 }
 
+/// The fraction of the fleet that this router is.
+auto placement_dispatch::ownFraction() const -> double
+{
+    return m_state.roster.isComplete() ? 1.0 / static_cast<double>(m_state.roster.size()) : 0.0;
+}
+
+/// The fraction of the fleet whose load this router knows.
 auto placement_dispatch::knownFraction() const -> double
 {
+    if (m_state.fleet.reportingRouters() == 0) {
+        return ownFraction();
+    }
     return static_cast<double>(m_state.fleet.reportingRouters() + 1) / static_cast<double>(m_state.roster.size());
 }
 
--- a/src/gateway/router_roster.cpp
+++ b/src/gateway/router_roster.cpp
@@ -30,6 +30,16 @@
     return m_self;
 }
 
+auto router_roster::isComplete() const -> bool
+{
+    return m_isComplete;
+}
+
+auto router_roster::noteComplete() -> void
+{
+    m_isComplete = true;
+}
+
 auto router_roster::size() const -> std::size_t
 {
     return m_routers.size();
--- a/tests/unit/gateway/placement_dispatch_test.cpp
+++ b/tests/unit/gateway/placement_dispatch_test.cpp
@@ -101,6 +101,26 @@
     BOOST_TEST(sentQueries.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_router_that_has_just_started_does_not_take_a_plain_service_for_its_own)
+{
+    auto query = makeQuery(1, 0);
+    query.plain = true;
+    auto decision = decide(query);
+    BOOST_TEST((decision && decision->chosen));
+    for (const auto &server : state.servers.usable("pool")) {
+        state.loads.at(*server).running = 1;
+    }
+    decision = decide(query);
+    BOOST_TEST((decision && !decision->chosen));
+    state.roster.noteComplete();
+    decision = decide(query);
+    BOOST_TEST((decision && decision->chosen));
+    addOtherRouters();
+    // Nobody answers its queries.
+    decision = decide(query);
+    BOOST_TEST((decision && !decision->chosen));
+}
+
 BOOST_AUTO_TEST_CASE(a_router_follows_the_placement_or_refusal_of_the_dispatcher)
 {
     addOtherRouters();
