Test of planned stops: waits until the engine that will leave is used

Trace: in the logs of two of these runs a router learns of the other one 0.5 s and more after it is ready, so that the first request of each is also the only one in that time, and all went to another engine. Nothing states that routers must know each other sooner.

--- a/tests/process/call/stop_test.cpp
+++ b/tests/process/call/stop_test.cpp
@@ -23,6 +23,16 @@
     }
 }
 
+/// Sends chats until \p engine has started some, for half a second at least. Routers that have just started may need as
+/// long until they know each other.
+auto sendChatsUntilUsed(fleet &testFleet, standin &engine) -> void
+{
+    constexpr auto maxRounds = 10;
+    for (auto round = 0; round < maxRounds && (round == 0 || startedRequests(engine) == 0); ++round) {
+        sendChatsFor(testFleet, std::chrono::milliseconds(500), "before " + std::to_string(round) + " ");
+    }
+}
+
 /// Number of requests that \p engine runs now. Its record has one entry when a request starts and one when it ends.
 auto runningRequests(standin &engine) -> std::size_t
 {
@@ -49,7 +59,7 @@
 {
     auto testFleet = fleet(oneDataCentre(4, 2, 1));
     auto &engine = *testFleet.engines().front();
-    sendChatsFor(testFleet, std::chrono::milliseconds(500), "before ");
+    sendChatsUntilUsed(testFleet, engine);
     testFleet.publishInstances({ engine.name() });
     checkNoNewWork(testFleet, engine);
 }
@@ -58,7 +68,7 @@
 {
     auto testFleet = fleet(oneDataCentre(4, 2, 1));
     auto &engine = *testFleet.engines().front();
-    sendChatsFor(testFleet, std::chrono::milliseconds(500), "before ");
+    sendChatsUntilUsed(testFleet, engine);
     testFleet.platform().setFaults(R"([{"kind":"outage"}])");
     // The engine refuses a call as leaving only once; after that, only the notice between routers keeps work away.
     engine.setFaults(R"([{"kind":"leaving","count":1,"method":"POST"}])");
