Tests that fail: servers that say that they leave, or ask for a pause, go on getting requests

Cause: neither Server-Leaving nor Retry-After of a backend server's answer is read; only the store's list ends the use of a server, and a refusal ends it for 30 ms.

The stand-in of a backend server now announces both, and fails requests on demand. Its refusals are in its record.

Evidence: server_notice_test, 24 checks fail: of 12 requests after an answer with Server-Leaving all kinds of answers let some through, also with the store down (30 of 30); a server that asked for a pause of 3 s gets far more than two requests, granted by the dispatcher too; with all servers paused, callers are told to come back after 0.3 s.

--- a/tests/standins/fault_set.cpp
+++ b/tests/standins/fault_set.cpp
@@ -41,6 +41,7 @@
     read.match = readText(from, "match");
     read.contains = readText(from, "contains");
     read.method = readText(from, "method");
+    read.value = readText(from, "value");
     read.ms = readNumber<std::int64_t>(from, "ms", 0);
     read.factor = readNumber<double>(from, "factor", 1);
     read.events = readNumber<std::uint32_t>(from, "events", 0);
--- a/tests/standins/fault_set.h
+++ b/tests/standins/fault_set.h
@@ -16,6 +16,7 @@
     close,
     refuseConnections,
     refuse,
+    fail,
     leaving,
     delay,
     freeze,
@@ -44,6 +45,7 @@
     std::string match; ///< Prefix of the key: the object's kind/name, or the request id.
     std::string contains; ///< Text that the request's body must contain.
     std::string method; ///< HTTP method; empty for any.
+    std::string value; ///< Value of the header field that announces the fault; empty for the default.
     std::int64_t ms = 0; ///< Delay, duration or lag in milliseconds.
     double factor = 1; ///< Multiplier of delays.
     std::uint32_t events = 0; ///< Number of events of the stream before it takes effect.
@@ -94,6 +96,7 @@
         row{ kind::close, "close" },
         row{ kind::refuseConnections, "refuse_connections" },
         row{ kind::refuse, "refuse" },
+        row{ kind::fail, "fail" },
         row{ kind::leaving, "leaving" },
         row{ kind::delay, "delay" },
         row{ kind::freeze, "freeze" },
--- a/tests/standins/routed_standin.cpp
+++ b/tests/standins/routed_standin.cpp
@@ -13,15 +13,6 @@
 /// Number of events in each stream.
 constexpr auto streamLength = 12;
 
-auto notExecutedReply(const http_exchange &exchange, http::status status) -> http_reply
-{
-    auto answer = http_reply();
-    answer.status = status;
-    answer.headers.emplace_back("X-Attempt-Id", exchange.header("X-Attempt-Id"));
-    answer.headers.emplace_back("X-Not-Executed", "1");
-    return answer;
-}
-
 } // namespace
 
 routed_standin::routed_standin(standin_context &shared, routed_options options)
@@ -39,9 +30,21 @@
         co_await exchange.reply(answer);
         co_return;
     }
-    if (m_shared.faults.take(fault_kind::refuse, exchange.subject(id))) {
-        const auto answer = notExecutedReply(exchange, http::status::service_unavailable);
-        co_await exchange.reply(answer);
+    if (const auto refusal = m_shared.faults.take(fault_kind::refuse, exchange.subject(id))) {
+        recordExecution(exchange, "refused");
+        auto answer = notExecutedReply(exchange, http::status::service_unavailable);
+        if (!refusal->value.empty()) {
+            answer.headers.emplace_back("Retry-After", refusal->value);
+        }
+        co_await exchange.reply(std::move(answer));
+        co_return;
+    }
+    if (m_shared.faults.take(fault_kind::fail, exchange.subject(id))) {
+        recordExecution(exchange, "started");
+        auto answer = http_reply();
+        answer.status = http::status::internal_server_error;
+        answer.headers = answerHeaders(exchange);
+        co_await exchange.reply(std::move(answer));
         co_return;
     }
     if (m_options.slots > 0 && m_calls >= m_options.slots + m_options.queueLength) {
@@ -130,9 +133,24 @@
     }
 }
 
-auto routed_standin::answerHeaders(const http_exchange &exchange) const -> header_list
+auto routed_standin::answerHeaders(const http_exchange &exchange) -> header_list
 {
-    return { { "X-Attempt-Id", exchange.header("X-Attempt-Id") }, { "X-Response-Seal", "seal-" + m_options.name } };
+    auto headers = header_list{ { "X-Attempt-Id", exchange.header("X-Attempt-Id") },
+                                { "X-Response-Seal", "seal-" + m_options.name } };
+    if (const auto leaving = m_shared.faults.take(fault_kind::leaving, exchange.subject(headers.front().second))) {
+        headers.emplace_back("Server-Leaving", leaving->value.empty() ? "1" : leaving->value);
+    }
+    return headers;
+}
+
+/// An answer that states that the request was not executed.
+auto routed_standin::notExecutedReply(const http_exchange &exchange, http::status status) -> http_reply
+{
+    auto answer = http_reply();
+    answer.status = status;
+    answer.headers = answerHeaders(exchange);
+    answer.headers.emplace_back("X-Not-Executed", "1");
+    return answer;
 }
 
 auto routed_standin::recordExecution(const http_exchange &exchange, std::string state) -> void
--- a/tests/standins/routed_standin.h
+++ b/tests/standins/routed_standin.h
@@ -31,7 +31,8 @@
 private:
     using header_list = std::vector<std::pair<std::string, std::string>>;
 
-    auto answerHeaders(const http_exchange &exchange) const -> header_list;
+    auto answerHeaders(const http_exchange &exchange) -> header_list;
+    auto notExecutedReply(const http_exchange &exchange, http::status status) -> http_reply;
     auto recordExecution(const http_exchange &exchange, std::string state) -> void;
     auto answerCall(http_exchange &exchange) -> void_awaitable;
     auto reserveSlot() -> std::int64_t;
