Test that fails: an odd entry in the list of servers keeps routers from following it

Cause: the answer of the store is one JSON text, which is rejected as a whole beyond 1,000 levels; the port of an address and the number of slots are not checked; an unreadable entry is relayed although it may be larger than a datagram.

The stand-in of the store now keeps values of any depth.

Evidence: odd_entry_test: after an entry of 3,000 levels no router applies a change of another server, and a router that starts does not get ready.

--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -16,10 +16,19 @@
 constexpr auto maxWait = std::chrono::milliseconds(30'000);
 constexpr auto objectsPath = std::string_view("/v1/objects/");
 
+/// The store keeps values that are nested deeper than its readers may expect.
+auto valueOptions() -> json::parse_options
+{
+    constexpr auto maxDepth = std::size_t(20'000);
+    auto options = json::parse_options();
+    options.max_depth = maxDepth;
+    return options;
+}
+
 auto toJson(const object_write &object) -> json::object
 {
     auto error = boost::system::error_code();
-    auto spec = json::parse(object.value, error);
+    auto spec = json::parse(object.value, error, {}, valueOptions());
     const auto revision = object.revision;
     return json::object{
         { "metadata", json::object{ { "name", object.name }, { "revision", revision } } },
@@ -48,7 +57,7 @@
 {
     auto requested = write_request();
     auto error = boost::system::error_code();
-    const auto parsed = json::parse(body, error);
+    const auto parsed = json::parse(body, error, {}, valueOptions());
     const auto *object = error ? nullptr : parsed.if_object();
     if (object == nullptr) {
         return requested;
