Test of requests that come late in a planned stop

Another operator lost requests that came late in the grace of a planned stop. The test sends requests that may not be repeated on open and new connections until the process is gone; each one that a server ran was answered.

--- a/tests/process/gateway/gateway_path_test.cpp
+++ b/tests/process/gateway/gateway_path_test.cpp
@@ -1,9 +1,12 @@
 #include "support/gateway_fleet.h"
+#include "support/keep_alive_client.h"
 
 #include "marjoramloom/core/hash.h"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <set>
 #include <thread>
 
 using namespace marjoramloom::test;
@@ -267,6 +270,58 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(requests_late_in_a_planned_stop_are_not_passed_on_and_then_cut)
+{
+    constexpr auto callers = 6;
+    auto fleet = gateway_fleet({ .routers = 1, .callMs = 250 });
+    auto &router = fleet.routers().front();
+    auto answered = std::vector<std::set<std::string>>(callers);
+    auto sent = std::vector<std::vector<std::string>>(callers);
+    auto stopped = std::atomic<bool>(false);
+    auto threads = std::vector<std::thread>();
+    for (auto caller = std::size_t(0); caller < callers; ++caller) {
+        threads.emplace_back([&, caller] {
+            // Callers use their open connections, and new ones, until the process is gone.
+            auto connection = keep_alive_client(router.callers);
+            while (!stopped) {
+                auto request = http_request();
+                request.method = "POST";
+                request.target = "/post/x";
+                const auto id = std::to_string(caller) + "-" + std::to_string(sent[caller].size());
+                request.headers = { { "Host", "desk.example" },
+                                    { "X-Attempt-Id", id },
+                                    { "X-Deadline-Ms", "4000" },
+                                    { "Authorization", "Bearer key-alpha" } };
+                sent[caller].push_back(id);
+                if (connection.call(request).complete) {
+                    answered[caller].insert(id);
+                } else {
+                    sleepMs(20);
+                }
+            }
+        });
+    }
+    sleepMs(500);
+    router.process->signal(SIGTERM);
+    BOOST_TEST(router.process->waitForExit(9'000).value_or(-1) == 0);
+    stopped = true;
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    auto executed = std::set<std::string>();
+    for (const auto &server : fleet.servers()) {
+        for (const auto &entry : server->record()) {
+            executed.insert(std::string(entry.at("request_id").as_string()));
+        }
+    }
+    BOOST_TEST(executed.size() > callers);
+    for (auto caller = std::size_t(0); caller < callers; ++caller) {
+        for (const auto &id : sent[caller]) {
+            BOOST_TEST((!executed.contains(id) || answered[caller].contains(id)), id);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_suspended_or_killed_dispatcher_does_not_delay_requests_for_long)
 {
     auto fleet = gateway_fleet({ .routers = 3 });
