Servers that say that they leave, or ask for a pause, get no more requests

Cause: only the store's list of servers ended the use of one, so a server that left while the store was away or slow went on getting requests; a server that turned requests away got them again after 30 ms, from each router and by each dispatcher's grant.

Change: the head of every answer of a server is read for its statement about itself, late answers to earlier requests included; only 421 is not, as another process sends it. Server-Leaving ends the use of that incarnation for good (server_directory), also if its entry expires and comes back; its idle connections are closed, and load reports tell dispatchers of it until the list does. Retry-After on 503 keeps this router from the server for that long, at most ten minutes, on the clock that counts suspensions (server_pauses); placement queries name paused servers as refusing ones, so that no dispatcher grants them. If all servers of a service are paused, requests are refused at once with the shortest of the times. A shard whose engines are all paused is skipped. Malformed values are logged and counted.

--- a/include/marjoramloom/call/connection_pool.h
+++ b/include/marjoramloom/call/connection_pool.h
@@ -28,6 +28,9 @@
     /// last answer did not end cleanly is closed instead.
     auto giveBack(std::shared_ptr<http_connection> connection, std::size_t idleLimit = MAX_IDLE_PER_PEER) -> void;
 
+    /// Closes the idle connections to \p peer.
+    auto closeIdle(const std::string &peer) -> void;
+
 private:
     /// A pooled connection and the time since which it has been idle.
     struct idle_connection
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -74,6 +74,10 @@
     auto noteBroken(const send_attempt &attempt, crash_sign sign) -> void;
     auto noteAnswerBegun() -> void;
     auto noteServerFailed(const listed_server &server) -> void;
+    auto noteServerNotice(const listed_server &server, const boost::beast::http::response_header<> &head) -> void;
+    auto excludePausedServers(placement_query &query) const -> void;
+    auto timeToUsableServer() const -> duration;
+    auto keepConnection(std::shared_ptr<http_connection> connection, const listed_server &server) -> void;
     auto noteServerFull(const chosen_server &chosen) -> void;
     auto noteServed(const send_attempt &attempt) -> void;
     auto refuse(unsigned status, std::string_view reason) -> boost::asio::awaitable<void>;
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include "marjoramloom/gateway/router_roster.h"
 #include "marjoramloom/gateway/server_directory.h"
 #include "marjoramloom/gateway/server_loads.h"
+#include "marjoramloom/gateway/server_pauses.h"
 #include "marjoramloom/gateway/slot_grants.h"
 #include "marjoramloom/gateway/store_contact.h"
 
@@ -76,6 +77,7 @@
     store_contact storeContact;
     server_directory servers;
     server_loads loads;
+    server_pauses pauses;
     router_roster roster;
     fleet_loads fleet;
     pending_placements placements;
@@ -96,6 +98,9 @@
     latency_histogram answerLatency; ///< From the arrival of a request to its final answer.
     counter &answeredRequests; ///< Requests that were answered by a backend server.
     counter &fullServerAnswers; ///< Refusals by backend servers that were full.
+    counter &leavingNotices; ///< Servers that stated that they leave before the list of servers said so.
+    counter &pauseNotices; ///< Answers by which servers asked for a pause.
+    counter &malformedNotices; ///< Answers in which a server's statement about itself was unreadable.
     counter &quarantinedRequests; ///< Requests kept from the engines for a block that crashes them.
     counter &truncatedStreams; ///< Streams that ended before their last event.
     counter &abandonedRequests; ///< Requests whose callers disconnected before the router processed them.
--- a/include/marjoramloom/gateway/server_directory.h
+++ b/include/marjoramloom/gateway/server_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramloom/core/clock.h"
+#include "marjoramloom/core/enum_names.h"
 #include "marjoramloom/gateway/listed_server.h"
 
 #include <functional>
@@ -14,11 +15,29 @@
 
 namespace marjoramloom {
 
+/// How this router learned from a server's own statement that it leaves.
+enum class leaving_source {
+    answer, ///< From an answer of the server to this router.
+    router, ///< From another router, which got such an answer.
+};
+
+template<>
+struct enum_names<leaving_source>
+{
+    static constexpr std::array table{
+        enum_name<leaving_source>{ leaving_source::answer, "leaving by its answer" },
+        enum_name<leaving_source>{ leaving_source::router, "leaving by another router" },
+    };
+};
+
 /// The backend servers that may be used, from the platform's list of them.
 ///
 /// Each entry of the list is a lease, which also expires while the store that holds it is unavailable. Entries that
 /// disappear during or shortly after an outage of the store therefore stay in use until the servers have had time to
-/// renew them. Not thread safe.
+/// renew them.
+///
+/// A server that leaves also says so in its answers. That ends the use of its incarnation for good, whatever the list
+/// says: the list may be outdated, or its entry may disappear and come back around an outage. Not thread safe.
 class server_directory
 {
 public:
@@ -64,6 +83,18 @@
     /// incarnation of it is listed.
     auto noteMisdirected(const listed_server &server) -> void;
 
+    /// Records that the server with the id \p incarnation (see server_loads::incarnationId()) stated that it leaves. It
+    /// need not be in the list. Returns whether that was not known yet.
+    auto noteLeaving(std::uint64_t incarnation, leaving_source source, time_point now) -> bool;
+
+    /// Up to \p limit servers that stated that they leave, although the list has them as accepting requests.
+    [[nodiscard]] auto leavingAheadOfList(std::size_t limit) const -> std::vector<std::uint64_t>;
+
+    /// A statement that a server leaves is remembered for at least this long after the server was last listed.
+    static constexpr duration LEAVING_MEMORY = std::chrono::minutes(10);
+    /// Beyond this number of such statements, the oldest are forgotten.
+    static constexpr std::size_t MAX_LEAVING_SERVERS = 4'096;
+
     /// The servers of \p service that accept new requests. The reference is valid until the next change.
     [[nodiscard]] auto usable(const std::string &service) const -> const std::vector<server_ptr> &;
 
@@ -84,6 +115,7 @@
     {
         server_ptr server;
         bool misdirected = false;
+        bool statedLeaving = false; ///< It is in m_statedLeaving.
         /// Set if the lease expired in the store: the entry is removed at this time.
         std::optional<time_point> expiredKeptUntil;
     };
@@ -91,8 +123,11 @@
     [[nodiscard]] auto mayBeRenewed(time_point now) const -> bool;
     auto removeEntry(const std::string &id, std::string_view change) -> void;
     auto rebuildIndexes() -> void;
+    auto forgetOldStatements(time_point now) -> void;
 
     listener m_onChange;
+    /// By incarnation, when a server that stated that it leaves was last listed or, if it was not, stated it.
+    std::unordered_map<std::uint64_t, time_point> m_statedLeaving;
     std::map<std::string, entry> m_entries;
     std::unordered_map<std::string, std::vector<server_ptr>> m_usableByService;
     std::unordered_map<std::uint64_t, server_ptr> m_usableByIncarnation;
--- a/src/call/connection_pool.cpp
+++ b/src/call/connection_pool.cpp
@@ -42,4 +42,10 @@
     }
 }
 
+auto connection_pool::closeIdle(const std::string &peer) -> void
+{
+    const auto lock = std::lock_guard(m_mutex);
+    m_idle.erase(peer);
+}
+
 } // namespace marjoramloom
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -201,8 +201,10 @@
             || !mayRetry(outcome)) {
             break;
         }
-        auto &tried = outcome == attempt_outcome::notRun ? m_fullServers : m_failedServers;
-        tried.insert(server_loads::incarnationId(*chosen->server));
+        const auto incarnation = server_loads::incarnationId(*chosen->server);
+        const auto isPaused = m_state.pauses.remaining(incarnation, boot_clock::now()) > duration::zero();
+        auto &tried = outcome == attempt_outcome::notRun || isPaused ? m_fullServers : m_failedServers;
+        tried.insert(incarnation);
     }
     if (outcome == attempt_outcome::callerDisconnected) {
         logCompletion("caller left", 0);
@@ -220,7 +222,9 @@
 {
     auto why = last_reason();
     auto chosen = std::optional<chosen_server>();
-    if (m_service->engine && m_route.carriesPrompt) {
+    if (timeToUsableServer() > duration::zero()) {
+        why.fail(failure_kind::unavailable, "choose server", m_service->name, "every server asked for a pause");
+    } else if (m_service->engine && m_route.carriesPrompt) {
         chosen = co_await chooseEngineForPrompt(why);
     } else {
         chosen = co_await choosePlainServerForRequest(why);
@@ -233,16 +237,17 @@
 
 auto gateway_call::chooseEngineForPrompt(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
 {
-    const auto query = placement_query{ .service = m_service->name,
-                                        .shard = shardOf(m_state.servers.usable(m_service->name), m_request.prompt),
-                                        .prompt = m_request.prompt,
-                                        .account = m_accountId,
-                                        .objective = m_route.latencyObjective,
-                                        .failedServers = m_failedServers,
-                                        .fullServers = m_fullServers,
-                                        .plain = false,
-                                        .dataCentre = {},
-                                        .alreadySent = m_sendCount > 0 };
+    auto query = placement_query{ .service = m_service->name,
+                                  .shard = shardOf(m_state.servers.usable(m_service->name), m_request.prompt),
+                                  .prompt = m_request.prompt,
+                                  .account = m_accountId,
+                                  .objective = m_route.latencyObjective,
+                                  .failedServers = m_failedServers,
+                                  .fullServers = m_fullServers,
+                                  .plain = false,
+                                  .dataCentre = {},
+                                  .alreadySent = m_sendCount > 0 };
+    excludePausedServers(query);
     auto decision = co_await m_dispatch.decide(query, why);
     if (decision && decision->chosen) {
         co_return std::move(decision->chosen);
@@ -259,21 +264,64 @@
 auto gateway_call::choosePlainServerForRequest(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
 {
     const auto shards = shardCount(m_state.servers.usable(m_service->name).size());
-    const auto query = placement_query{ .service = m_service->name,
-                                        .shard = { .index = static_cast<std::uint32_t>(hash64(m_request.id) % shards),
-                                                   .count = shards },
-                                        .prompt = {},
-                                        .account = m_account.empty() ? 0 : m_accountId,
-                                        .objective = m_route.latencyObjective,
-                                        .failedServers = m_failedServers,
-                                        .fullServers = m_fullServers,
-                                        .plain = true,
-                                        .dataCentre = m_state.dataCentre,
-                                        .alreadySent = m_sendCount > 0 };
+    auto query = placement_query{ .service = m_service->name,
+                                  .shard = { .index = static_cast<std::uint32_t>(hash64(m_request.id) % shards),
+                                             .count = shards },
+                                  .prompt = {},
+                                  .account = m_account.empty() ? 0 : m_accountId,
+                                  .objective = m_route.latencyObjective,
+                                  .failedServers = m_failedServers,
+                                  .fullServers = m_fullServers,
+                                  .plain = true,
+                                  .dataCentre = m_state.dataCentre,
+                                  .alreadySent = m_sendCount > 0 };
+    excludePausedServers(query);
     auto decision = co_await m_dispatch.decide(query, why);
     co_return decision ? std::move(decision->chosen) : std::nullopt;
 }
 
+/// Excludes the servers that asked this router for a pause. If none is left in the shard of \p query, the query becomes
+/// one for all servers of the service.
+auto gateway_call::excludePausedServers(placement_query &query) const -> void
+{
+    if (m_state.pauses.size() == 0) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    const auto exclude = [&] {
+        auto isAnyLeft = false;
+        for (const auto &server : m_state.servers.usable(query.service)) {
+            const auto incarnation = server_loads::incarnationId(*server);
+            const auto isPaused = m_state.pauses.remaining(incarnation, now) > duration::zero();
+            if (isPaused && query.shard.contains(server->id)) {
+                query.fullServers.insert(incarnation);
+            }
+            isAnyLeft = isAnyLeft || (!isPaused && query.shard.contains(server->id));
+        }
+        return isAnyLeft;
+    };
+    if (!exclude()) {
+        query.shard = {};
+        exclude();
+    }
+}
+
+/// How much longer all servers of the service that accept new requests have asked this router for a pause; 0 if one has
+/// not, or if there is none.
+auto gateway_call::timeToUsableServer() const -> duration
+{
+    const auto &servers = m_state.servers.usable(m_service->name);
+    if (m_state.pauses.size() < servers.size()) {
+        return duration::zero();
+    }
+    auto incarnations = std::vector<std::uint64_t>();
+    incarnations.reserve(servers.size());
+    for (const auto &server : servers) {
+        incarnations.push_back(server_loads::incarnationId(*server));
+    }
+    return m_state.pauses.remainingForAll(incarnations, boot_clock::now());
+}
+
 auto gateway_call::mayRetry(attempt_outcome outcome) -> bool
 {
     if (remainingTime() <= answerMargin || m_control->cancelled()) {
@@ -327,7 +375,7 @@
         co_return m_control->cancelled() ? attempt_outcome::callerDisconnected : attempt_outcome::notSent;
     }
     if (!canStillSend(chosen, why)) {
-        m_state.connections.giveBack(std::move(connection), m_state.maxIdleConnections(*m_service));
+        keepConnection(std::move(connection), *chosen.server);
         m_why = why;
         co_return why.kind == failure_kind::cancelled ? attempt_outcome::callerDisconnected : attempt_outcome::notSent;
     }
@@ -358,13 +406,23 @@
     }
     if (outcome == attempt_outcome::answered || outcome == attempt_outcome::notRun
         || outcome == attempt_outcome::failed) {
-        m_state.connections.giveBack(std::move(connection), m_state.maxIdleConnections(*m_service));
+        keepConnection(std::move(connection), *chosen.server);
     } else {
         connection->interrupt();
     }
     co_return outcome;
 }
 
+/// Keeps \p connection for further requests unless \p server takes none.
+auto gateway_call::keepConnection(std::shared_ptr<http_connection> connection, const listed_server &server) -> void
+{
+    if (m_state.servers.isUsable(server)) {
+        m_state.connections.giveBack(std::move(connection), m_state.maxIdleConnections(*m_service));
+    } else {
+        connection->interrupt();
+    }
+}
+
 auto gateway_call::openConnection(const chosen_server &chosen, last_reason &why)
     -> asio::awaitable<std::shared_ptr<http_connection>>
 {
@@ -400,6 +458,9 @@
         why.fail(failure_kind::unavailable, "send request", chosen.server->id, "a block of the prompt crashes engines");
     } else if (!m_state.servers.isUsable(*chosen.server)) {
         why.fail(failure_kind::leaving, "send request", chosen.server->id, "the server is leaving or gone");
+    } else if (m_state.pauses.remaining(server_loads::incarnationId(*chosen.server), boot_clock::now())
+               > duration::zero()) {
+        why.fail(failure_kind::unavailable, "send request", chosen.server->id, "the server asked for a pause");
     } else {
         return true;
     }
@@ -471,6 +532,7 @@
         if (!co_await attempt.connection->readHead(remainingTime(), m_why)) {
             co_return false;
         }
+        noteServerNotice(*attempt.chosen.server, attempt.connection->head());
         const auto answeredId = platform::answeredRequestId(attempt.connection->head());
         if (answeredId == m_request.id || (answeredId.empty() && !attempt.onReusedConnection)) {
             co_return true;
@@ -657,6 +719,37 @@
     m_state.blocks.noteAnswerBegun(sharedBlocks(m_request.prompt), system_clock_source().now());
 }
 
+/// Records what the server states about itself in \p head, which may be that of a late answer to an earlier request. An
+/// answer with status 421 comes from another process at the server's address.
+auto gateway_call::noteServerNotice(const listed_server &server, const http::response_header<> &head) -> void
+{
+    if (head.result() == http::status::misdirected_request) {
+        return;
+    }
+    const auto notice = platform::decodeServerNotice(head);
+    const auto incarnation = server_loads::incarnationId(server);
+    if (!notice.malformedField.empty()) {
+        m_state.malformedNotices.add();
+        log_line(log_level::warning, "server_notice_malformed")
+            .with("request", m_request.id)
+            .with("server", server.id)
+            .with("field", notice.malformedField);
+    }
+    if (notice.leaving
+        && m_state.servers.noteLeaving(incarnation, leaving_source::answer, system_clock_source().now())) {
+        m_state.leavingNotices.add();
+    }
+    if (notice.pause) {
+        m_state.pauses.note(incarnation, *notice.pause, boot_clock::now());
+        m_state.pauseNotices.add();
+        log_line(log_level::info, "server_pause")
+            .with("request", m_request.id)
+            .with("server", server.id)
+            .with("asked_ms", toSeconds(*notice.pause) * 1e3)
+            .with("kept_ms", toSeconds(m_state.pauses.remaining(incarnation, boot_clock::now())) * 1e3);
+    }
+}
+
 /// Records a refusal by a server that is full, which is no failure of the server.
 auto gateway_call::noteServerFull(const chosen_server &chosen) -> void
 {
@@ -703,7 +796,9 @@
 {
     logCompletion(reason, status);
     m_state.counters.at("marjoramloom_refused_total", "status=\"" + std::to_string(status) + "\"").add();
-    const auto unservableFor = m_state.blocks.timeToTrial(sharedBlocks(m_request.prompt), system_clock_source().now());
+    const auto timeToTrial = m_state.blocks.timeToTrial(sharedBlocks(m_request.prompt), system_clock_source().now());
+    const auto timeToServer = m_service != nullptr ? timeToUsableServer() : duration::zero();
+    const auto unservableFor = std::max(timeToTrial, timeToServer);
     auto answer = makeErrorReply(m_state, m_request, status, reason, unservableFor);
     co_await m_exchange.reply(std::move(answer));
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -31,6 +31,9 @@
         if (!servers.isListed(server)) {
             loads.forget(server);
         }
+        if (!servers.isUsable(server)) {
+            connections.closeIdle(server.address);
+        }
     })
     , roster(std::move(self))
     , accounts(fleet)
@@ -40,12 +43,16 @@
     , answerLatency(registry, "marjoramloom_answer_seconds", "")
     , answeredRequests(registry.at("marjoramloom_answered_total"))
     , fullServerAnswers(registry.at("marjoramloom_server_full_total"))
+    , leavingNotices(registry.at("marjoramloom_server_notices_total", "notice=\"leaving\""))
+    , pauseNotices(registry.at("marjoramloom_server_notices_total", "notice=\"pause\""))
+    , malformedNotices(registry.at("marjoramloom_server_notices_total", "notice=\"malformed\""))
     , quarantinedRequests(registry.at("marjoramloom_requests_quarantined_total"))
     , truncatedStreams(registry.at("marjoramloom_answers_cut_total"))
     , abandonedRequests(registry.at("marjoramloom_abandoned_total"))
 {
     registry.setGauge("marjoramloom_blocks_quarantined", "",
                       [this] { return static_cast<double>(blocks.quarantinedBlocks()); });
+    registry.setGauge("marjoramloom_servers_paused", "", [this] { return static_cast<double>(pauses.size()); });
 }
 
 auto gateway_state::applySettings(const gateway_settings &newSettings) -> void
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t maxProbedDispatchers = 3;
 /// Datagrams that are read without returning to the event loop.
 constexpr std::size_t maxDatagramsPerBatch = 64;
+/// Servers in a report that stated that they leave.
+constexpr std::size_t maxLeavingServers = 64;
 constexpr auto maxDatagramBytes = std::size_t(64) << 10U;
 
 } // namespace
@@ -236,6 +238,9 @@
             write(prefill, *report.add_reads());
         }
     }
+    for (const auto server : m_state.servers.leavingAheadOfList(maxLeavingServers)) {
+        report.add_leaving_servers(server);
+    }
     for (const auto &[dispatcher, sequence] : m_dispatch.lastSequences()) {
         auto *placementHeard = report.add_heard();
         placementHeard->set_dispatcher(dispatcher);
@@ -400,6 +405,9 @@
         m_state.roster.noteStopping(router, now);
         return;
     }
+    for (const auto server : report.leaving_servers()) {
+        m_state.servers.noteLeaving(server, leaving_source::router, now);
+    }
     auto snapshot = readReport(incarnation, report);
     subtractGrants(incarnation, report, snapshot, now);
     if (m_state.fleet.update(std::move(snapshot), now)) {
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -414,6 +414,7 @@
     }
     limitRenewals(now);
     m_state.servers.tick(now);
+    m_state.pauses.tick(boot_clock::now());
 }
 
 auto platform_feed::noteOwnStoreAnswer() -> void
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -43,6 +43,7 @@
     // An incarnation that drains never accepts requests again; an older entry of it may arrive late.
     server.draining = server.draining || (isSameIncarnation && current.server->draining);
     current.misdirected = isSameIncarnation && current.misdirected;
+    current.statedLeaving = m_statedLeaving.contains(server_loads::incarnationId(server));
     current.expiredKeptUntil.reset();
     current.server = std::make_shared<const listed_server>(std::move(server));
     rebuildIndexes();
@@ -124,6 +125,7 @@
     for (const auto &id : expired) {
         removeEntry(id, "not renewed");
     }
+    forgetOldStatements(now);
 }
 
 auto server_directory::noteMisdirected(const listed_server &server) -> void
@@ -136,6 +138,41 @@
     }
 }
 
+auto server_directory::noteLeaving(std::uint64_t incarnation, leaving_source source, time_point now) -> bool
+{
+    if (!m_statedLeaving.emplace(incarnation, now).second) {
+        return false;
+    }
+    if (m_statedLeaving.size() > MAX_LEAVING_SERVERS) {
+        m_statedLeaving.erase(
+            std::min_element(m_statedLeaving.begin(), m_statedLeaving.end(),
+                             [](const auto &left, const auto &right) { return left.second < right.second; }));
+    }
+    for (auto &[id, current] : m_entries) {
+        if (server_loads::incarnationId(*current.server) == incarnation) {
+            current.statedLeaving = true;
+            rebuildIndexes();
+            m_onChange(*current.server, nameOf(source));
+            break;
+        }
+    }
+    return true;
+}
+
+auto server_directory::leavingAheadOfList(std::size_t limit) const -> std::vector<std::uint64_t>
+{
+    auto servers = std::vector<std::uint64_t>();
+    if (m_statedLeaving.empty()) {
+        return servers;
+    }
+    for (const auto &[id, current] : m_entries) {
+        if (current.statedLeaving && !current.server->draining && servers.size() < limit) {
+            servers.push_back(server_loads::incarnationId(*current.server));
+        }
+    }
+    return servers;
+}
+
 auto server_directory::usable(const std::string &service) const -> const std::vector<server_ptr> &
 {
     static const auto noServers = std::vector<server_ptr>();
@@ -147,7 +184,7 @@
 {
     const auto found = m_entries.find(server.id);
     return found != m_entries.end() && found->second.server->isSameIncarnation(server)
-        && !found->second.server->draining && !found->second.misdirected
+        && !found->second.server->draining && !found->second.misdirected && !found->second.statedLeaving
         && found->second.server->service == server.service;
 }
 
@@ -182,12 +219,26 @@
     m_onChange(*server, change);
 }
 
+/// Forgets the statements of servers that have not been listed for LEAVING_MEMORY.
+auto server_directory::forgetOldStatements(time_point now) -> void
+{
+    if (m_statedLeaving.empty()) {
+        return;
+    }
+    for (const auto &[id, current] : m_entries) {
+        if (current.statedLeaving) {
+            m_statedLeaving[server_loads::incarnationId(*current.server)] = now;
+        }
+    }
+    std::erase_if(m_statedLeaving, [&](const auto &statement) { return now - statement.second > LEAVING_MEMORY; });
+}
+
 auto server_directory::rebuildIndexes() -> void
 {
     m_usableByService.clear();
     m_usableByIncarnation.clear();
     for (const auto &[id, current] : m_entries) {
-        if (!current.server->draining && !current.misdirected) {
+        if (!current.server->draining && !current.misdirected && !current.statedLeaving) {
             m_usableByService[current.server->service].push_back(current.server);
             m_usableByIncarnation.emplace(server_loads::incarnationId(*current.server), current.server);
         }
--- a/tests/process/gateway/server_notice_test.cpp
+++ b/tests/process/gateway/server_notice_test.cpp
@@ -107,6 +107,26 @@
     BOOST_TEST(served("after", 30) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_router_learns_of_a_leaving_server_from_the_router_that_got_its_answer)
+{
+    auto fleet = gateway_fleet({ .routers = 2 });
+    fleet.store().setFaults(R"([{"kind":"outage","match":"/v1/"},{"kind":"outage"}])");
+    auto &server = *fleet.servers().front();
+    server.setFaults(R"([{"kind":"leaving"}])");
+    for (auto number = 0; number < 20; ++number) {
+        fleet.call(fleet.routers().front(), "/open/x", "first-" + std::to_string(number));
+    }
+    const auto before = server.record().size();
+    BOOST_TEST(before > 0U);
+    // Routers report to each other several times a second.
+    sleepMs(changeMs);
+    for (auto number = 0; number < 20; ++number) {
+        const auto id = "second-" + std::to_string(number);
+        BOOST_TEST(fleet.call(fleet.routers().back(), "/open/x", id).status == 200U);
+    }
+    BOOST_TEST(server.record().size() == before);
+}
+
 BOOST_AUTO_TEST_CASE(a_server_that_asks_for_a_pause_gets_at_most_two_requests_until_its_end)
 {
     auto fleet = gateway_fleet({ .routers = 1 });
--- a/tests/unit/gateway/server_directory_test.cpp
+++ b/tests/unit/gateway/server_directory_test.cpp
@@ -1,5 +1,7 @@
 #include "marjoramloom/gateway/server_directory.h"
 
+#include "marjoramloom/gateway/server_loads.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace marjoramloom;
@@ -108,4 +110,63 @@
     BOOST_TEST(usable() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_server_that_states_that_it_leaves_is_unusable_whatever_the_list_says)
+{
+    directory.replaceAll({ makeServer("a"), makeServer("b") }, now);
+    const auto leaving = server_loads::incarnationId(makeServer("a"));
+    BOOST_TEST(directory.noteLeaving(leaving, leaving_source::answer, now));
+    BOOST_TEST(!directory.noteLeaving(leaving, leaving_source::router, now));
+    BOOST_TEST(usable() == 1U);
+    BOOST_TEST(!directory.isUsable(makeServer("a")));
+    BOOST_TEST(directory.findUsable(leaving) == nullptr);
+    BOOST_TEST(directory.leavingAheadOfList(8).size() == 1U);
+    // Its entry changes, expires in an outage and comes back.
+    auto changed = makeServer("a");
+    changed.slots = 9;
+    directory.put(changed, now);
+    BOOST_TEST(usable() == 1U);
+    directory.remove("a", now);
+    directory.put(makeServer("a"), now + 3s);
+    BOOST_TEST(usable() == 1U);
+    // Once the list says so, other routers need not be told.
+    directory.put(makeServer("a", 1, true), now + 4s);
+    BOOST_TEST(directory.leavingAheadOfList(8).empty());
+    // A new incarnation at the same address, and another server there, are usable.
+    directory.put(makeServer("a", 2), now + 5s);
+    directory.put(makeServer("c"), now + 5s);
+    BOOST_TEST(usable() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_to_leave_outlasts_a_suspension_and_is_known_before_the_entry)
+{
+    const auto leaving = server_loads::incarnationId(makeServer("a"));
+    BOOST_TEST(directory.noteLeaving(leaving, leaving_source::router, now));
+    directory.replaceAll({ makeServer("a"), makeServer("b") }, now);
+    BOOST_TEST(usable() == 1U);
+    // While the server is listed, no time ends the statement.
+    now += 10 * server_directory::LEAVING_MEMORY;
+    directory.tick(now);
+    BOOST_TEST(usable() == 1U);
+    directory.remove("a", now);
+    now += server_directory::LEAVING_MEMORY;
+    directory.tick(now);
+    directory.put(makeServer("a"), now);
+    BOOST_TEST(usable() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(statements_to_leave_are_forgotten_in_time_and_bounded_in_number)
+{
+    const auto leaving = server_loads::incarnationId(makeServer("a"));
+    BOOST_TEST(directory.noteLeaving(leaving, leaving_source::answer, now));
+    directory.tick(now + server_directory::LEAVING_MEMORY + 1ms);
+    BOOST_TEST(directory.noteLeaving(leaving, leaving_source::answer, now));
+    for (auto server = std::uint64_t(1); server <= 2 * server_directory::MAX_LEAVING_SERVERS; ++server) {
+        now += 1ms;
+        directory.noteLeaving(server, leaving_source::router, now);
+    }
+    // The oldest one made room for newer ones.
+    BOOST_TEST(directory.noteLeaving(leaving, leaving_source::answer, now));
+    BOOST_TEST(!directory.noteLeaving(2 * server_directory::MAX_LEAVING_SERVERS, leaving_source::answer, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/platform/header_format_test.cpp
+++ b/tests/unit/platform/header_format_test.cpp
@@ -105,4 +105,49 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_servers_statements_about_itself_are_decoded)
+{
+    const auto decode = [](http::status status, const char *name, const char *value) {
+        auto head = platform::answer_head();
+        head.result(status);
+        head.set(name, value);
+        return platform::decodeServerNotice(head);
+    };
+    const auto unavailable = http::status::service_unavailable;
+    for (const auto status : { http::status::ok, http::status::internal_server_error, unavailable }) {
+        const auto notice = decode(status, "server-leaving", " 1 ");
+        BOOST_TEST(notice.leaving);
+        BOOST_TEST(notice.malformedField.empty());
+    }
+    for (const auto *value : { "0", "2", "true", "-1", "1,1", "" }) {
+        const auto notice = decode(http::status::ok, "Server-Leaving", value);
+        BOOST_TEST(!notice.leaving, value);
+        BOOST_TEST(notice.malformedField == "Server-Leaving", value);
+    }
+    BOOST_TEST((decode(unavailable, "Retry-After", "3").pause == duration(std::chrono::seconds(3))));
+    BOOST_TEST((decode(unavailable, "Retry-After", "0.25").pause == duration(std::chrono::milliseconds(250))));
+    BOOST_TEST((decode(unavailable, "Retry-After", "0").pause == duration::zero()));
+    BOOST_TEST((*decode(unavailable, "Retry-After", "1e300").pause > std::chrono::hours(1)));
+    for (const auto *value :
+         { "-3", "nan", "inf", "1e999", "soon", "3s", "", "0x10", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+        const auto notice = decode(unavailable, "Retry-After", value);
+        BOOST_TEST(!notice.pause.has_value(), value);
+        BOOST_TEST(notice.malformedField == "Retry-After", value);
+    }
+    // Only a server that turns requests away asks for a pause.
+    BOOST_TEST(!decode(http::status::ok, "Retry-After", "3").pause.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_of_several_pauses_counts)
+{
+    auto head = platform::answer_head();
+    head.result(http::status::service_unavailable);
+    head.insert("Retry-After", "1");
+    head.insert("Retry-After", "soon");
+    head.insert("Retry-After", "2");
+    const auto notice = platform::decodeServerNotice(head);
+    BOOST_TEST((notice.pause == duration(std::chrono::seconds(2))));
+    BOOST_TEST(notice.malformedField == "Retry-After");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
