An odd entry of another writer keeps no router from following the list of servers

Cause: an answer of the store with one entry nested deeper than 1,000 levels, or a number whose exponent boost.json does not read, was rejected as a whole, so that routers followed no further change and a starting one never got ready. An unreadable entry was relayed as it was, and one larger than a datagram kept every update from its followers.

Unreadable entries are relayed as removals, and an update's entries are bounded in bytes as well.

--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/platform_feed.h
@@ -76,6 +76,8 @@
     static constexpr duration LOST_REPORT_DELAY = std::chrono::milliseconds(1'000);
     /// Changes of backend servers in one update, so that it fits well into a datagram.
     static constexpr std::size_t MAX_CHANGES_PER_UPDATE = 60;
+    /// Limit on the entries in an update, which fits into a datagram together with a configuration.
+    static constexpr std::size_t MAX_CHANGE_BYTES_PER_UPDATE = std::size_t(16) << 10U;
     /// Largest configuration in an update. It fits into a datagram together with the changes.
     static constexpr std::size_t MAX_RELAYED_CONFIGURATION = std::size_t(40) << 10U;
 
--- a/include/marjoramloom/gateway/server_change_log.h
+++ b/include/marjoramloom/gateway/server_change_log.h
@@ -36,9 +36,12 @@
     /// The log is complete up to this revision.
     [[nodiscard]] auto revision() const -> std::uint64_t;
 
-    /// The first changes after revision \p after, in order and at most \p limit; nothing if the log does not reach back
-    /// that far.
-    [[nodiscard]] auto changesAfter(std::uint64_t after, std::size_t limit) const
+    /// Revision of the last change in the log; 0 if there is none.
+    [[nodiscard]] auto newestChange() const -> std::uint64_t;
+
+    /// The first changes after revision \p after, in order, at most \p limit and with entries of at most \p maxBytes
+    /// together, but at least one if there is one; nothing if the log does not reach back that far.
+    [[nodiscard]] auto changesAfter(std::uint64_t after, std::size_t limit, std::size_t maxBytes) const
         -> std::optional<std::vector<server_change>>;
 
 private:
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -272,18 +272,23 @@
         return; // Already applied from another source.
     }
     const auto now = system_clock_source().now();
-    m_serverChanges.add(change);
-    if (change.removed) {
-        m_state.servers.remove(change.object.name, now);
-        return;
-    }
     auto why = last_reason();
-    if (auto server = platform::decodeServer(change.object, why)) {
+    auto server = change.removed ? std::nullopt : platform::decodeServer(change.object, why);
+    if (server) {
+        m_serverChanges.add(change);
         m_state.servers.put(std::move(*server), now);
-    } else {
+        return;
+    }
+    if (!change.removed) {
         log_line(log_level::warning, "server_unreadable").with("server", change.object.name).with("reason", why.text());
-        m_state.servers.remove(change.object.name, now);
     }
+    // An unreadable entry names no server, so other routers are only told that there is none. It may be too large for a
+    // datagram.
+    auto removal = change;
+    removal.removed = true;
+    removal.object.value.clear();
+    m_serverChanges.add(std::move(removal));
+    m_state.servers.remove(change.object.name, now);
 }
 
 auto platform_feed::configurationRevision() const -> std::uint64_t
@@ -315,10 +320,10 @@
     if (needsConfiguration && m_configuration.size() <= MAX_RELAYED_CONFIGURATION) {
         update.configuration = m_configuration;
     }
-    auto changes = m_serverChanges.changesAfter(serversRevision, MAX_CHANGES_PER_UPDATE);
+    auto changes = m_serverChanges.changesAfter(serversRevision, MAX_CHANGES_PER_UPDATE, MAX_CHANGE_BYTES_PER_UPDATE);
     update.serversBaseRevision = changes ? serversRevision : m_serverChanges.revision();
     update.serversRevision = m_serverChanges.revision();
-    if (changes && changes->size() == MAX_CHANGES_PER_UPDATE) {
+    if (changes && !changes->empty() && changes->back().object.revision < m_serverChanges.newestChange()) {
         update.serversRevision = changes->back().object.revision;
     }
     if (changes) {
--- a/src/gateway/server_change_log.cpp
+++ b/src/gateway/server_change_log.cpp
@@ -31,17 +31,28 @@
     return m_revision;
 }
 
-auto server_change_log::changesAfter(std::uint64_t after, std::size_t limit) const
+auto server_change_log::newestChange() const -> std::uint64_t
+{
+    return m_changes.empty() ? 0 : m_changes.back().object.revision;
+}
+
+auto server_change_log::changesAfter(std::uint64_t after, std::size_t limit, std::size_t maxBytes) const
     -> std::optional<std::vector<server_change>>
 {
     if (after < m_startRevision) {
         return std::nullopt;
     }
     auto changes = std::vector<server_change>();
+    auto bytes = std::size_t(0);
     for (const auto &change : m_changes) {
-        if (change.object.revision > after && changes.size() < limit) {
-            changes.push_back(change);
+        if (change.object.revision <= after) {
+            continue;
+        }
+        bytes += change.object.value.size();
+        if (changes.size() == limit || (!changes.empty() && bytes > maxBytes)) {
+            break;
         }
+        changes.push_back(change);
     }
     return changes;
 }
--- a/tests/unit/platform/object_format_test.cpp
+++ b/tests/unit/platform/object_format_test.cpp
@@ -56,10 +56,18 @@
 BOOST_AUTO_TEST_CASE(an_entry_of_another_writer_does_not_make_the_other_entries_unreadable)
 {
     const auto nested = std::string(200, '[') + std::string(200, ']');
-    for (const auto &spec :
-         { std::string("\"\xff\xfe\""), std::string("{\"a\":\"\x80\"}"), nested, std::string("1e400"),
-           std::string("123456789012345678901234567890"), std::string("\"\\ud800\""),
-           std::string("\"\\udcff a \\\\ud800 \\ud83d\\ude00 \\udbffx\"") }) {
+    const auto nestedDeeply = R"({"a":)" + std::string(5'000, '[') + R"("]","\"[")" + std::string(5'000, ']') + "}";
+    const auto nestedObjects = [] {
+        auto text = std::string("{}");
+        for (auto level = 0; level < 5'000; ++level) {
+            text.insert(0, R"({"b":)").append("}");
+        }
+        return text;
+    }();
+    for (const auto &spec : { std::string("\"\xff\xfe\""), std::string("{\"a\":\"\x80\"}"), nested,
+                              std::string("1e400"), std::string("[-1e99999999999999999999,1E+5]"), nestedDeeply,
+                              nestedObjects, std::string("123456789012345678901234567890"), std::string("\"\\ud800\""),
+                              std::string("\"\\udcff a \\\\ud800 \\ud83d\\ude00 \\udbffx\"") }) {
         BOOST_TEST_CONTEXT("spec " << spec)
         {
             const auto strange = R"({"metadata":{"name":"strange","revision":8},"spec":)" + spec + "}";
