Large prompts of a small account are not refused in a crest that others cause

Cause: a prompt whose own prefill takes most of the objective could wait 0.35 of the objective at an engine, less than the queue that short prompts of any account may fill.

Change: an account with less than half of an even share of the work may wait the whole objective. It answers the load of one account with large prompts beside a crest of others; other accounts and plain services are decided as before.

An account with much work is refused as before, and a small one too if it would wait past the objective.

--- a/include/marjoramloom/gateway/admission_policy.h
+++ b/include/marjoramloom/gateway/admission_policy.h
@@ -9,14 +9,17 @@
 /// It protects against accounts that suddenly send many times their usual load, so that all accounts together exceed
 /// the engines' prefill capacity. The queue wait that a request may face shrinks with its account's recent share of the
 /// fleet's work. As queues grow, the accounts with the largest shares are refused first, until the shares are equal; an
-/// account with little load is refused last. Thread safe: stateless.
+/// account with little load is refused last. Its large prompts may wait for the whole objective: they would otherwise
+/// be refused whenever the short prompts of others, which may wait longer, fill the queues. Thread safe: stateless.
 class admission_policy
 {
 public:
     /// Longest expected queue wait at an engine with which a request is still accepted. \p objective is the latency
     /// objective of the first event, \p prefillTime the expected prefill time of the request's own prompt, and
-    /// \p accountShare its account's recent share of all work, from 0 to 1.
-    [[nodiscard]] auto maxWait(duration objective, duration prefillTime, double accountShare) const -> duration;
+    /// \p accountShare its account's recent share of all work, from 0 to 1; \p evenShare the share that each account
+    /// would have if all had the same, or 0 if that does not matter.
+    [[nodiscard]] auto maxWait(duration objective, duration prefillTime, double accountShare, double evenShare) const
+        -> duration;
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/fleet_loads.h
+++ b/include/marjoramloom/gateway/fleet_loads.h
@@ -54,6 +54,9 @@
     /// Load that the other routers put on the engine incarnation \p server.
     [[nodiscard]] auto loadOnEngine(std::uint64_t server) const -> engine_load;
 
+    /// Number of accounts with tokens in the reports of the other routers.
+    [[nodiscard]] auto accountCount() const -> std::size_t;
+
     /// Tokens that the other routers sent to engines for an account.
     [[nodiscard]] auto tokensOfAccount(std::uint64_t account) const -> account_tokens;
 
--- a/src/gateway/account_usage.cpp
+++ b/src/gateway/account_usage.cpp
@@ -29,6 +29,15 @@
     return allTokens == 0 ? 0 : static_cast<double>(started) / static_cast<double>(allTokens);
 }
 
+auto account_usage::evenShare() const -> double
+{
+    auto accounts = m_fleet.accountCount();
+    for (const auto &[account, tokens] : m_localTokensByAccount) {
+        accounts += m_fleet.tokensOfAccount(account).startedTokens == 0 ? 1 : 0;
+    }
+    return accounts == 0 ? 0 : 1.0 / static_cast<double>(accounts);
+}
+
 auto account_usage::localAccountTokens(time_point now) -> std::vector<account_tokens>
 {
     auto shares = std::vector<account_tokens>();
--- a/src/gateway/admission_policy.cpp
+++ b/src/gateway/admission_policy.cpp
@@ -12,14 +12,21 @@
 /// Fraction of the objective that a prompt may wait even if its own prefill takes longer than the objective; otherwise
 /// the largest prompts would never be served.
 constexpr double minWaitFraction = 0.35;
+/// An account is small if its share is below this fraction of an even one.
+constexpr double smallAccountFraction = 0.5;
+/// The same for prompts of small accounts.
+constexpr double minWaitFractionOfSmallAccounts = 1.0;
 
 } // namespace
 
-auto admission_policy::maxWait(duration objective, duration prefillTime, double accountShare) const -> duration
+auto admission_policy::maxWait(duration objective, duration prefillTime, double accountShare, double evenShare) const
+    -> duration
 {
+    const auto isSmall = accountShare < smallAccountFraction * evenShare;
+    const auto minFraction = isSmall ? minWaitFractionOfSmallAccounts : minWaitFraction;
     const auto waitFactor = std::max(1 - waitReductionPerShare * accountShare, minWaitFactor);
     const auto timeForWaiting =
-        std::max<duration>(objective - prefillTime, std::chrono::duration_cast<duration>(objective * minWaitFraction));
+        std::max<duration>(objective - prefillTime, std::chrono::duration_cast<duration>(objective * minFraction));
     return std::chrono::duration_cast<duration>(timeForWaiting * waitFactor);
 }
 
--- a/src/gateway/engine_decision.cpp
+++ b/src/gateway/engine_decision.cpp
@@ -19,7 +19,9 @@
     }
     const auto accountShare = state.accounts.fleetShare(query.account, now);
     const auto prefillTime = chosen->firstEvent - chosen->wait;
-    if (!query.alreadySent && chosen->wait > state.admission.maxWait(query.objective, prefillTime, accountShare)) {
+    const auto evenShare = state.accounts.evenShare();
+    const auto maxWait = state.admission.maxWait(query.objective, prefillTime, accountShare, evenShare);
+    if (!query.alreadySent && chosen->wait > maxWait) {
         why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
         return engine_decision{ .chosen = std::nullopt, .allEnginesFull = false };
     }
--- a/src/gateway/fleet_loads.cpp
+++ b/src/gateway/fleet_loads.cpp
@@ -59,6 +59,11 @@
     return found == m_accounts.end() ? account_tokens{ account, 0 } : found->second;
 }
 
+auto fleet_loads::accountCount() const -> std::size_t
+{
+    return m_accounts.size();
+}
+
 auto fleet_loads::startedTokens() const -> std::uint64_t
 {
     return m_startedTokens;
--- a/src/gateway/plain_placement.cpp
+++ b/src/gateway/plain_placement.cpp
@@ -64,7 +64,7 @@
 {
     const auto serviceTime = serviceTimeOf(candidate, demand);
     const auto planned = std::chrono::duration_cast<duration>(demand.objective * plannedFraction);
-    const auto maxWait = m_admission.maxWait(planned, serviceTime, demand.accountShare);
+    const auto maxWait = m_admission.maxWait(planned, serviceTime, demand.accountShare, 0);
     const auto queued = static_cast<std::uint32_t>(maxWait * candidate.slots / serviceTime);
     const auto accepted = std::min(candidate.slots + queued, candidate.acceptedRequests);
     if (demand.knownFraction >= sufficientFraction) {
--- a/tests/unit/gateway/fleet_loads_test.cpp
+++ b/tests/unit/gateway/fleet_loads_test.cpp
@@ -52,6 +52,7 @@
     BOOST_TEST(usage.fleetShare(7, now) == 0.25);
     fleet.update(makeReport(1, 1, 0, 400), now);
     BOOST_TEST(usage.fleetShare(7, now) == 0.625);
+    BOOST_TEST(usage.evenShare() == 0.5);
     BOOST_TEST(usage.fleetShare(7, now + 3s) == 1.0); // The local window has passed; the report does not expire here.
     BOOST_TEST(usage.localAccountTokens(now + 3s).empty());
 }
@@ -59,11 +60,12 @@
 BOOST_AUTO_TEST_CASE(the_allowed_wait_shrinks_with_the_share_of_an_account_but_never_to_zero)
 {
     const auto policy = admission_policy();
-    BOOST_TEST((policy.maxWait(400ms, 100ms, 0.0) > policy.maxWait(400ms, 100ms, 0.2)));
-    BOOST_TEST((policy.maxWait(400ms, 100ms, 0.2) > policy.maxWait(400ms, 100ms, 0.35)));
+    constexpr auto evenShare = 0.1;
+    BOOST_TEST((policy.maxWait(400ms, 100ms, 0.0, evenShare) > policy.maxWait(400ms, 100ms, 0.2, evenShare)));
+    BOOST_TEST((policy.maxWait(400ms, 100ms, 0.2, evenShare) > policy.maxWait(400ms, 100ms, 0.35, evenShare)));
     // Idle engines serve even an account with all of the work, and prompts whose prefill exceeds the objective.
-    BOOST_TEST((policy.maxWait(400ms, 100ms, 1.0) > 0ms));
-    BOOST_TEST((policy.maxWait(400ms, 900ms, 0.0) > 0ms));
+    BOOST_TEST((policy.maxWait(400ms, 100ms, 1.0, evenShare) > 0ms));
+    BOOST_TEST((policy.maxWait(400ms, 900ms, 0.0, evenShare) > 0ms));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
