Soak: servers that say that they leave, and servers that ask for a pause

Both are drawn beside the other faults. The checks hold whatever else happens, but for stops, kills and suspensions of the router: a server gets nothing from a router that passed on its statement to leave 3 s before, and at most two requests in a pause. A server leaves once at a time.

--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -118,6 +118,73 @@
     }
 }
 
+auto isInterrupted(const run_history &history, std::size_t router, const time_span &when) -> bool
+{
+    const auto [first, last] = history.interruptions.equal_range(router);
+    return std::any_of(first, last, [&](const auto &entry) { return when.overlaps(entry.second, milliseconds(0)); });
+}
+
+/// Requests in the execution record of a server, by router.
+using calls_by_router = std::map<std::size_t, std::vector<const outcome *>>;
+
+auto callsAt(const run_history &history, const std::string &server, std::string_view state) -> calls_by_router
+{
+    auto callsById = std::map<std::string, const outcome *>();
+    for (const auto &call : history.outcomes) {
+        callsById.emplace(call.id, &call);
+    }
+    auto calls = calls_by_router();
+    for (const auto &entry : history.records.at(server)) {
+        const auto call = callsById.find(std::string(entry.at("request_id").as_string()));
+        if (call != callsById.end() && entry.at("state").as_string() == state) {
+            calls[call->second->router].push_back(call->second);
+        }
+    }
+    return calls;
+}
+
+/// A router that has passed on an answer of a leaving server sends it nothing more, whether other faults overlap or
+/// not.
+auto checkAnnouncedLeaving(const run_history &history, std::vector<std::string> &violations) -> void
+{
+    for (const auto &[server, leaving] : history.saysLeaving) {
+        for (const auto &[router, calls] : callsAt(history, server, "started")) {
+            auto passedOnAt = milliseconds::max();
+            for (const auto *call : calls) {
+                if (call->sentAt > leaving.from && call->status == 200 && call->complete) {
+                    passedOnAt = std::min(passedOnAt, call->endedAt);
+                }
+            }
+            for (const auto *call : calls) {
+                if (passedOnAt < leaving.until && call->sentAt > passedOnAt + leavingLimit
+                    && call->sentAt < leaving.until && !isInterrupted(history, router, { passedOnAt, call->sentAt })) {
+                    violations.push_back(describe(*call, "reached " + server + ", which had said that it leaves"));
+                }
+            }
+        }
+    }
+}
+
+/// A server that asked a router for a pause gets at most two of its requests from half a second later to the end.
+auto checkPauses(const run_history &history, std::vector<std::string> &violations) -> void
+{
+    constexpr auto reactionTime = milliseconds(500);
+    constexpr auto maxRequests = 2;
+    for (const auto &[server, entries] : history.records) {
+        for (const auto &[router, refused] : callsAt(history, server, "refused")) {
+            for (const auto *first : refused) {
+                const auto end = first->sentAt + pauseLength;
+                const auto late = std::count_if(refused.begin(), refused.end(), [&](const auto *call) {
+                    return call->sentAt > first->endedAt + reactionTime && call->endedAt < end;
+                });
+                if (late > maxRequests && !isInterrupted(history, router, { first->sentAt, end })) {
+                    violations.push_back(describe(*first, server + " asked for a pause and got further requests"));
+                }
+            }
+        }
+    }
+}
+
 auto checkStops(const run_history &history, std::vector<std::string> &violations) -> void
 {
     const auto executions = countExecutions(history);
@@ -158,6 +225,8 @@
     auto violations = std::vector<std::string>();
     checkAnswers(history, violations);
     checkLeavingServers(history, violations);
+    checkAnnouncedLeaving(history, violations);
+    checkPauses(history, violations);
     checkStops(history, violations);
     checkRecovery(history, violations);
     return violations;
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -10,6 +10,9 @@
 
 using std::chrono::milliseconds;
 
+/// Pause that servers ask for.
+constexpr auto pauseLength = milliseconds(2'000);
+
 /// One request of a caller and its result. Times are relative to the start of the run.
 struct outcome
 {
@@ -44,6 +47,9 @@
     std::map<std::string, std::vector<boost::json::object>> records; ///< By server, its execution record.
     std::map<std::string, milliseconds> revokedAt; ///< By key, when the store acknowledged its removal.
     std::multimap<std::string, time_span> leaving; ///< By server, from the write of its draining entry to its return.
+    /// By server, when it said in all answers that it leaves, while the store listed it as ready.
+    std::multimap<std::string, time_span> saysLeaving;
+    std::multimap<std::size_t, time_span> interruptions; ///< By router, when it was stopped, killed or suspended.
     std::multimap<std::size_t, time_span> stops; ///< By router, its planned stops.
     std::vector<time_span> disturbances; ///< Unplanned faults of routers, servers and the store.
     milliseconds faultsEnd{ 0 };
@@ -51,7 +57,8 @@
 
 /// Returns a line for each violated guarantee; empty if there are none. Checked are: answers are complete and belong to
 /// their request, non-repeatable requests are executed at most once and never if reported as not run, revoked keys and
-/// leaving servers get no new requests, planned stops interrupt no request, and the fleet recovers after the faults.
+/// leaving servers get no new requests, servers that ask for a pause get none but a few, planned stops interrupt no
+/// request, and the fleet recovers after the faults.
 auto findViolations(const run_history &history) -> std::vector<std::string>;
 
 } // namespace marjoramloom::soak
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -23,6 +23,8 @@
     serverAnswersLost, ///< Answers of a server on open connections are lost; its requests arrive.
     serverReset, ///< Connections to a server are reset.
     serverLeaves, ///< A server is listed as draining; at the end it is listed as ready, as a new incarnation.
+    serverSaysLeaving, ///< A server says in its answers that it leaves; at the end it is listed as a new incarnation.
+    serverAsksPause, ///< A server refuses all requests and asks for a pause by Retry-After.
     keyRevoked, ///< The key of a client account is replaced.
     configurationChange, ///< A new configuration version with the same content is written.
 };
@@ -48,12 +50,21 @@
     using kind = marjoramloom::soak::fault_kind;
     using row = enum_name<kind>;
     static constexpr std::array table{
-        row{ kind::pauseRouter, "pause_router" },   row{ kind::killRouter, "kill_router" },
-        row{ kind::stopRouter, "stop_router" },     row{ kind::reloadRouter, "reload_router" },
-        row{ kind::storeOutage, "store_outage" },   row{ kind::storeSilent, "store_silent" },
-        row{ kind::storeReset, "store_reset" },     row{ kind::serverPaused, "server_paused" },
-        row{ kind::serverSilent, "server_silent" }, row{ kind::serverAnswersLost, "server_answers_lost" },
-        row{ kind::serverReset, "server_reset" },   row{ kind::serverLeaves, "server_leaves" },
-        row{ kind::keyRevoked, "key_revoked" },     row{ kind::configurationChange, "configuration_change" },
+        row{ kind::pauseRouter, "pause_router" },
+        row{ kind::killRouter, "kill_router" },
+        row{ kind::stopRouter, "stop_router" },
+        row{ kind::reloadRouter, "reload_router" },
+        row{ kind::storeOutage, "store_outage" },
+        row{ kind::storeSilent, "store_silent" },
+        row{ kind::storeReset, "store_reset" },
+        row{ kind::serverPaused, "server_paused" },
+        row{ kind::serverSilent, "server_silent" },
+        row{ kind::serverAnswersLost, "server_answers_lost" },
+        row{ kind::serverReset, "server_reset" },
+        row{ kind::serverLeaves, "server_leaves" },
+        row{ kind::serverSaysLeaving, "server_says_leaving" },
+        row{ kind::serverAsksPause, "server_asks_pause" },
+        row{ kind::keyRevoked, "key_revoked" },
+        row{ kind::configurationChange, "configuration_change" },
     };
 };
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -42,6 +42,7 @@
 auto isPlannedOperation(fault_kind kind) -> bool
 {
     return kind == fault_kind::stopRouter || kind == fault_kind::reloadRouter || kind == fault_kind::serverLeaves
+        || kind == fault_kind::serverSaysLeaving || kind == fault_kind::serverAsksPause
         || kind == fault_kind::keyRevoked || kind == fault_kind::configurationChange;
 }
 
@@ -190,6 +191,8 @@
     case fault_kind::serverAnswersLost:
     case fault_kind::serverReset:
     case fault_kind::serverLeaves:
+    case fault_kind::serverSaysLeaving:
+    case fault_kind::serverAsksPause:
         beginServerFault(fault, server);
         break;
     case fault_kind::keyRevoked:
@@ -204,6 +207,10 @@
 auto soak_run::beginRouterFault(const planned_fault &fault, std::size_t index) -> void
 {
     auto &process = *m_fleet->routers()[index].process;
+    if (fault.kind != fault_kind::reloadRouter) {
+        m_history.interruptions.emplace(
+            index, time_span{ elapsed(), elapsed() + fault.duration + milliseconds(stopTimeoutMs) });
+    }
     switch (fault.kind) {
     case fault_kind::pauseRouter:
         if (m_routerPauses[index]++ == 0) {
@@ -242,7 +249,22 @@
     case fault_kind::serverReset:
         m_relays.reset(server.address());
         break;
+    case fault_kind::serverAsksPause:
+        ++m_asksPause[index];
+        applyNotices(index);
+        break;
+    case fault_kind::serverSaysLeaving:
+        // A server leaves once at a time, and a suspended one says nothing.
+        if (m_serverPauses[index] == 0 && m_leavingSince.emplace(index, fault.at).second) {
+            ++m_saysLeaving[index];
+            applyNotices(index);
+            m_history.saysLeaving.emplace(server.name(), time_span{ elapsed(), elapsed() + fault.duration });
+        }
+        break;
     default:
+        if (!m_leavingSince.emplace(index, fault.at).second) {
+            break;
+        }
         m_fleet->writeServer(index, "draining", m_serverIncarnations[index]);
         m_history.leaving.emplace(server.name(), time_span{ elapsed(), elapsed() + fault.duration });
         break;
@@ -278,19 +300,67 @@
     case fault_kind::storeSilent:
         m_routerStores[index]->resume(m_storeAddress);
         break;
+    default:
+        endServerFault(fault, server);
+        break;
+    }
+}
+
+auto soak_run::endServerFault(const planned_fault &fault, std::size_t index) -> void
+{
+    const auto leaving = m_leavingSince.find(index);
+    const auto ownsLeaving = leaving != m_leavingSince.end() && leaving->second == fault.at;
+    switch (fault.kind) {
     case fault_kind::serverPaused:
-        if (--m_serverPauses[server] == 0) {
-            m_fleet->servers()[server]->process().signal(SIGCONT);
+        if (--m_serverPauses[index] == 0) {
+            m_fleet->servers()[index]->process().signal(SIGCONT);
+            applyNotices(index);
         }
         break;
     case fault_kind::serverLeaves:
-        m_fleet->writeServer(server, "ready", ++m_serverIncarnations[server]);
+        if (ownsLeaving) {
+            listAnew(index);
+        }
+        break;
+    case fault_kind::serverSaysLeaving:
+        if (ownsLeaving) {
+            --m_saysLeaving[index];
+            applyNotices(index);
+            listAnew(index);
+        }
+        break;
+    case fault_kind::serverAsksPause:
+        --m_asksPause[index];
+        applyNotices(index);
         break;
     default:
         break;
     }
 }
 
+auto soak_run::listAnew(std::size_t index) -> void
+{
+    m_leavingSince.erase(index);
+    m_fleet->writeServer(index, "ready", ++m_serverIncarnations[index]);
+}
+
+auto soak_run::applyNotices(std::size_t index) -> void
+{
+    if (m_serverPauses[index] > 0) {
+        return; // A suspended process does not answer.
+    }
+    auto faults = std::string();
+    if (m_saysLeaving[index] > 0) {
+        faults += R"({"kind":"leaving"})";
+    }
+    if (m_asksPause[index] > 0) {
+        const auto seconds = std::chrono::duration<double>(pauseLength).count();
+        faults += faults.empty() ? "" : ",";
+        faults += R"({"kind":"refuse","value":")" + std::to_string(seconds) + R"("})";
+    }
+    m_fleet->servers()[index]->setFaults("[" + faults + "]");
+}
+
 auto soak_run::restoreFleet() -> void
 {
     m_fleet->store().setFaults("[]");
