Events that arrive together are forwarded together; a router with much load waits for several

Cause: each event of a stream was read, checked and written alone. Events before a missing one in the same read were lost.

Change: the events that one read brings are forwarded by one write, and also those before a failure.

Measured: the process tests of streams and the tests of gateway pass.

--- a/include/marjoramloom/call/http_connection.h
+++ b/include/marjoramloom/call/http_connection.h
@@ -57,6 +57,9 @@
         -> boost::asio::awaitable<bool>;
 
     /// Head of the answer, valid until the next send(). Precondition: readHead() succeeded.
+    /// The bytes that were received and not parsed yet, with the framing of the answer. Valid until the next call.
+    [[nodiscard]] auto bufferedInput() const -> std::string_view;
+
     [[nodiscard]] auto head() const -> const boost::beast::http::response_header<> &;
 
     /// Maximum idle time after which the connection may be reused; 0 if it may not be reused.
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -64,7 +64,11 @@
     auto sendAndReadAnswer(send_attempt &attempt) -> boost::asio::awaitable<attempt_outcome>;
     auto readMatchingHead(send_attempt &attempt) -> boost::asio::awaitable<bool>;
     auto relayStream(send_attempt &attempt) -> boost::asio::awaitable<attempt_outcome>;
-    auto relayEvents(send_attempt &attempt, std::string_view bytes) -> boost::asio::awaitable<attempt_outcome>;
+    auto readStream(send_attempt &attempt) -> boost::asio::awaitable<attempt_outcome>;
+    static auto isEventBuffered(const send_attempt &attempt) -> bool;
+    auto waitForEvents(const send_attempt &attempt) const -> boost::asio::awaitable<void>;
+    auto takeEvents(send_attempt &attempt, std::string_view bytes) -> bool;
+    auto relayEvents(send_attempt &attempt) -> boost::asio::awaitable<bool>;
     auto startStreaming(const send_attempt &attempt) -> void;
     auto relayCompleteAnswer(send_attempt &attempt) -> boost::asio::awaitable<attempt_outcome>;
     auto canStillSend(const chosen_server &chosen, last_reason &why) -> bool;
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -6,6 +6,7 @@
 #include "marjoramloom/gateway/account_usage.h"
 #include "marjoramloom/gateway/admission_policy.h"
 #include "marjoramloom/gateway/block_quarantine.h"
+#include "marjoramloom/gateway/event_batching.h"
 #include "marjoramloom/gateway/event_loop_delay.h"
 #include "marjoramloom/gateway/fleet_loads.h"
 #include "marjoramloom/gateway/gateway_retry_budget.h"
@@ -86,6 +87,7 @@
     std::vector<prefill_record> unreportedPrefills; ///< Not yet sent to the other routers.
     std::size_t running = 0; ///< Requests that are being forwarded.
     std::size_t bufferedAnswerBytes = 0; ///< Size of the answers that are being read before they are forwarded.
+    event_batching eventBatching;
     prompt_placement placement;
     plain_placement plainPlacement;
     slot_grants slotGrants;
--- a/src/call/http_connection.cpp
+++ b/src/call/http_connection.cpp
@@ -174,6 +174,11 @@
     }
 }
 
+auto http_connection::bufferedInput() const -> std::string_view
+{
+    return { static_cast<const char *>(m_buffer.data().data()), m_buffer.size() };
+}
+
 auto http_connection::head() const -> const http::response_header<> &
 {
     assert(m_parser && m_parser->is_header_done());
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -6,7 +6,11 @@
 #include "marjoramloom/gateway/event_splitter.h"
 #include "platform/header_format.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cassert>
+#include <utility>
 
 namespace marjoramloom {
 
@@ -26,6 +30,8 @@
 constexpr auto answerMargin = std::chrono::milliseconds(15);
 /// Limit of all answers together that are not event streams; they are buffered completely before they are forwarded.
 constexpr auto maxBufferedBytes = std::size_t(16) << 20U;
+/// Events are forwarded at the latest once they take this much memory.
+constexpr auto maxEventBatchBytes = std::size_t(16) << 10U;
 /// Limits for the rest of an answer that is dropped so that its connection can be reused.
 constexpr auto maxSkippedBytes = std::size_t(256) << 10U;
 constexpr auto maxSkipTime = std::chrono::milliseconds(100);
@@ -137,6 +143,7 @@
     time_point sentAt;
     bool onReusedConnection = false; ///< The connection has carried other requests.
     bool receivedEvent = false;
+    std::string unsentEvents; ///< Complete events that were not forwarded yet.
 };
 
 gateway_call::gateway_call(gateway_state &state, placement_dispatch &dispatch, http_exchange &exchange,
@@ -385,7 +392,8 @@
                                  .splitter = {},
                                  .sentAt = system_clock_source().now(),
                                  .onReusedConnection = connection->anythingSent(),
-                                 .receivedEvent = false };
+                                 .receivedEvent = false,
+                                 .unsentEvents = {} };
     m_firstEventLatency = {};
     const auto listener = m_control->addListener([connection] { connection->interrupt(); });
     if (m_sendCount++ == 0) {
@@ -590,8 +598,27 @@
 }
 
 auto gateway_call::relayStream(send_attempt &attempt) -> asio::awaitable<attempt_outcome>
+{
+    const auto outcome = co_await readStream(attempt);
+    // Events that arrived before a failure are forwarded, as the next attempt continues after them.
+    if (outcome != attempt_outcome::callerDisconnected && !co_await relayEvents(attempt)) {
+        co_return attempt_outcome::callerDisconnected;
+    }
+    if (outcome != attempt_outcome::answered) {
+        co_return outcome;
+    }
+    startStreaming(attempt);
+    m_state.loads.noteSuccess(*attempt.chosen.server);
+    noteAnswered(attempt.connection->status());
+    co_await m_exchange.finishRelay();
+    co_return attempt_outcome::answered;
+}
+
+/// Reads and forwards the stream. At its end, or at a failure, some events may still have to be forwarded.
+auto gateway_call::readStream(send_attempt &attempt) -> asio::awaitable<attempt_outcome>
 {
     while (true) {
+        co_await waitForEvents(attempt);
         const auto part = co_await attempt.connection->readPart(remainingTime(), m_why);
         if (!part) {
             noteServerFailed(*attempt.chosen.server);
@@ -601,15 +628,18 @@
         if (part->empty()) {
             break;
         }
-        const auto outcome = co_await relayEvents(attempt, *part);
+        const auto isValid = takeEvents(attempt, *part);
         if (attempt.splitter.isEventTooLong()) {
             m_why.fail(failure_kind::protocolViolation, "read answer", attempt.chosen.server->id,
                        "an event over the size limit");
             noteServerFailed(*attempt.chosen.server);
+        }
+        if (!isValid || attempt.splitter.isEventTooLong()) {
             co_return attempt_outcome::incomplete;
         }
-        if (outcome != attempt_outcome::answered) {
-            co_return outcome;
+        const auto isBatchComplete = !isEventBuffered(attempt) || attempt.unsentEvents.size() >= maxEventBatchBytes;
+        if (isBatchComplete && !co_await relayEvents(attempt)) {
+            co_return attempt_outcome::callerDisconnected;
         }
     }
     if (attempt.splitter.hasPartialEvent()) {
@@ -622,13 +652,30 @@
                    "closed without going on with the stream");
         co_return attempt_outcome::incomplete;
     }
-    startStreaming(attempt);
-    m_state.loads.noteSuccess(*attempt.chosen.server);
-    noteAnswered(attempt.connection->status());
-    co_await m_exchange.finishRelay();
     co_return attempt_outcome::answered;
 }
 
+/// Whether the end of another event was received and not read yet. The rest of a chunk's frame alone is not waited for.
+auto gateway_call::isEventBuffered(const send_attempt &attempt) -> bool
+{
+    return attempt.connection->bufferedInput().find("\n\n") != std::string_view::npos;
+}
+
+/// On a router with much load, waits for further events so that they are read together. The first event is read at
+/// once.
+auto gateway_call::waitForEvents(const send_attempt &attempt) const -> asio::awaitable<void>
+{
+    if (!attempt.receivedEvent || isEventBuffered(attempt)) {
+        co_return;
+    }
+    const auto wait = m_state.eventBatching.wait(m_state.running, m_state.settings.cores, m_route.eventGapObjective);
+    if (wait > duration::zero()) {
+        auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::min(wait, remainingTime()));
+        auto error = boost::system::error_code();
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
 /// Forwards the head of the answer, unless that of an earlier attempt was already forwarded.
 auto gateway_call::startStreaming(const send_attempt &attempt) -> void
 {
@@ -642,16 +689,16 @@
     m_streaming = true;
 }
 
-/// Forwards complete events to the caller. Returns answered if the stream can continue.
-auto gateway_call::relayEvents(send_attempt &attempt, std::string_view bytes) -> asio::awaitable<attempt_outcome>
+/// Takes the complete events in \p bytes over for the caller. Returns false, with the reason in m_why, if the stream
+/// cannot continue; the events before that are taken over.
+auto gateway_call::takeEvents(send_attempt &attempt, std::string_view bytes) -> bool
 {
-    auto events = std::string();
     for (auto &event : attempt.splitter.feed(bytes)) {
         if (m_streaming && !attempt.receivedEvent && !event.id) {
             // An engine that does not know how to go on may report that as an event.
             m_why.fail(failure_kind::protocolViolation, "read answer", attempt.chosen.server->id,
                        "does not go on with the stream");
-            co_return attempt_outcome::incomplete;
+            return false;
         }
         if (!attempt.receivedEvent) {
             attempt.receivedEvent = true;
@@ -666,16 +713,22 @@
         if (event.id && m_lastEventId && *event.id != *m_lastEventId + 1) {
             m_why.fail(failure_kind::protocolViolation, "read answer", attempt.chosen.server->id,
                        "an event is missing");
-            co_return attempt_outcome::incomplete;
+            return false;
         }
         m_lastEventId = event.id ? event.id : m_lastEventId;
-        events += event.bytes;
+        attempt.unsentEvents += event.bytes;
     }
-    if (events.empty()) {
-        co_return attempt_outcome::answered;
+    return true;
+}
+
+/// Forwards the events that were taken over. Returns false if the caller has disconnected.
+auto gateway_call::relayEvents(send_attempt &attempt) -> asio::awaitable<bool>
+{
+    if (attempt.unsentEvents.empty()) {
+        co_return true;
     }
     startStreaming(attempt);
-    co_return co_await m_exchange.relayChunk(events) ? attempt_outcome::answered : attempt_outcome::callerDisconnected;
+    co_return co_await m_exchange.relayChunk(std::exchange(attempt.unsentEvents, {}));
 }
 
 /// Counts a failed attempt, with the reason in m_why, as a failure of the server. If the caller has disconnected, the
