--- a/tests/unit/gateway/fleet_loads_test.cpp
+++ b/tests/unit/gateway/fleet_loads_test.cpp
@@ -57,6 +57,20 @@
     BOOST_TEST(usage.localAccountTokens(now + 3s).empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_router_that_starts_after_the_time_of_day_went_back_is_heard)
+{
+    auto fleet = fleet_loads();
+    const auto now = time_point(100s);
+    // Incarnations begin with the time of day of the start, but say nothing about the order of starts.
+    constexpr auto before = std::uint64_t(1'000'000);
+    constexpr auto after = std::uint64_t(400);
+    BOOST_TEST(fleet.update(makeReport(before, 50, 1, 0), now));
+    BOOST_TEST(fleet.update(makeReport(after, 1, 1, 0), now));
+    fleet.removeRouter(before);
+    BOOST_TEST(fleet.update(makeReport(after, 2, 1, 0), now));
+    BOOST_TEST(fleet.reportingRouters() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(the_allowed_wait_shrinks_with_the_share_of_an_account_but_never_to_zero)
 {
     const auto policy = admission_policy();
