Prompts leave a quarter of an engine's slots free beyond sixteen

Cause: in crests all 64 slots of an engine are taken, its steps lengthen with each request, and the longest streams run into their callers' deadlines: half of the cut streams of hoi-dap had run for over 10.8 of 12 s, with a median of 2.7 s for those served.

Change: prompt_placement takes an engine for full at three quarters of its slots, but not below sixteen requests. It answers crests of prompts with streams of very different length; what is refused is refused at once.

--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/prompt_placement.cpp
@@ -14,6 +14,17 @@
 /// Advantage of the home engine over equal ones, as requests of other routers have probably filled its prefix cache.
 constexpr auto homeAdvantage = std::chrono::milliseconds(15);
 
+/// Up to this number of requests, the steps of an engine hardly lengthen with each one more.
+constexpr std::uint32_t shortStepRequests = 16;
+/// Fraction of the slots that prompts may take beyond that. With all of them taken, the steps of an engine get so long
+/// that the longest streams miss their callers' deadlines.
+constexpr double usableSlotFraction = 0.75;
+
+auto usableSlots(std::uint32_t slots) -> std::uint32_t
+{
+    return std::min(slots, std::max(shortStepRequests, static_cast<std::uint32_t>(slots * usableSlotFraction)));
+}
+
 auto prefillTime(std::uint64_t tokens, double tokensPerMs) -> duration
 {
     const auto length = std::chrono::duration<double, std::milli>(static_cast<double>(tokens) / tokensPerMs);
@@ -38,7 +49,7 @@
     auto bestCost = duration::max();
     for (auto index = std::size_t(0); index < candidates.size(); ++index) {
         const auto &candidate = candidates[index];
-        if (candidate.running >= candidate.slots) {
+        if (candidate.running >= usableSlots(candidate.slots)) {
             continue;
         }
         auto cost = expectedFirstEvent(candidate, promptTokens);
--- a/tests/unit/gateway/placement_test.cpp
+++ b/tests/unit/gateway/placement_test.cpp
@@ -51,6 +51,57 @@
     BOOST_TEST(!placement.choose(std::vector{ full }, 2'000).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(in_a_crest_the_longest_streams_still_end_before_their_deadlines)
+{
+    constexpr auto deadline = 12.0;
+    constexpr auto ordinaryTokens = 290.0;
+    constexpr auto longTokens = 1'160.0;
+    constexpr auto tick = 0.01;
+    // Each request lengthens the steps of its engine, which produce a token for every request.
+    const auto stepSeconds = [](std::size_t running) {
+        return 0.0034 + 0.00013 * static_cast<double>(running);
+    };
+    struct stream
+    {
+        double tokensLeft;
+        double age = 0;
+        bool isLong;
+    };
+    auto running = std::vector<stream>();
+    auto longEnded = 0;
+    auto longMissed = 0;
+    for (auto arrival = 0; arrival < 6'000; ++arrival) {
+        // More prompts arrive than the engine can take; every tenth asks for a long answer.
+        const auto isLong = arrival % 10 == 0;
+        const auto engine = engine_candidate{ .running = static_cast<std::uint32_t>(running.size()), .slots = 64 };
+        if (placement.choose(std::vector{ engine }, 800)) {
+            running.push_back({ .tokensLeft = isLong ? longTokens : ordinaryTokens, .isLong = isLong });
+        }
+        const auto produced = tick / stepSeconds(running.size());
+        for (auto &each : running) {
+            each.tokensLeft -= produced;
+            each.age += tick;
+        }
+        std::erase_if(running, [&](const stream &each) {
+            longEnded += each.isLong && each.tokensLeft <= 0 ? 1 : 0;
+            longMissed += each.isLong && each.tokensLeft > 0 && each.age >= deadline ? 1 : 0;
+            return each.tokensLeft <= 0 || each.age >= deadline;
+        });
+    }
+    BOOST_TEST(longEnded > 0);
+    BOOST_TEST(longMissed == 0);
+}
+
+BOOST_AUTO_TEST_CASE(all_slots_of_an_engine_with_few_are_used)
+{
+    for (const auto slots : { 1U, 8U, 16U }) {
+        BOOST_TEST(
+            placement.choose(std::vector{ engine_candidate{ .running = slots - 1, .slots = slots } }, 800).has_value());
+        BOOST_TEST(
+            !placement.choose(std::vector{ engine_candidate{ .running = slots, .slots = slots } }, 800).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(blocks_are_evicted_in_least_recently_used_order)
 {
     auto cache = prefix_cache_estimate();
