--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -24,6 +24,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <string>
 #include <sys/prctl.h>
@@ -512,13 +513,29 @@
         return m_listener.port();
     }
     /// The engine's entry in the store.
-    auto entry(const std::string &service, const std::string &zone, int slots) -> json::object
+    auto entry(const std::string &service, const std::string &zone, int slots, const std::string &state = "ready")
+        -> json::object
     {
         return json::object{ { "service", service }, { "address", m_listener.address() },
                              { "zone", zone },       { "version", "v1" },
-                             { "slots", slots },     { "state", "ready" },
+                             { "slots", slots },     { "state", state },
                              { "cold_left_ms", 0 },  { "sequence", ++m_sequence },
-                             { "born", m_born } };
+                             { "born", m_born.load() } };
+    }
+    /// Ends this boot and starts another one at once, under the same id and at the same address.
+    auto startAgain() -> void
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        m_born = unixMs();
+        m_sequence = 0;
+        for (const auto descriptor : m_open) {
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+    /// From now on the engine says in all its answers that it leaves.
+    auto leave() -> void
+    {
+        m_leaving = true;
     }
     /// How often the request \p id was run here.
     auto runs(const std::string &id) -> int
@@ -543,11 +560,18 @@
 private:
     auto serve(channel &client) -> void
     {
-        while (const auto request = readMessage(client)) {
-            if (!answer(client, *request)) {
-                return;
-            }
+        {
+            const auto lock = std::lock_guard(m_mutex);
+            m_open.insert(client.descriptor());
+        }
+        auto isOpen = true;
+        while (isOpen) {
+            const auto request = readMessage(client);
+            isOpen = request && answer(client, *request);
         }
+        const auto lock = std::lock_guard(m_mutex);
+        m_open.erase(client.descriptor());
+        client.close();
     }
     auto answer(channel &client, const message &request) -> bool
     {
@@ -557,16 +581,18 @@
         if (isOther || (!version.empty() && version != std::to_string(weightVersion))) {
             m_record.add(m_id + " answers 421 to " + id + (isOther ? " (another instance)" : " (another version)"));
             return client.write("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + m_id + "\r\nX-Attempt-Id: " + id
-                                + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+                                + "\r\nX-Not-Executed: 1\r\n" + (m_leaving ? "Server-Leaving: 1\r\n" : "")
+                                + "Content-Length: 0\r\n\r\n");
         }
         {
             const auto lock = std::lock_guard(m_mutex);
             ++m_runs[id];
         }
-        m_record.add(m_id + " runs " + id);
+        m_record.add(m_id + " runs " + id + (m_leaving ? " (leaving)" : ""));
         sleepMs(m_workMs);
         const auto common = "X-Attempt-Id: " + id + "\r\nX-Response-Seal: seal." + m_id
-            + "\r\nX-Weight-Versions: " + std::to_string(weightVersion) + "\r\nKeep-Alive: timeout=10\r\n";
+            + "\r\nX-Weight-Versions: " + std::to_string(weightVersion) + "\r\nKeep-Alive: timeout=10\r\n"
+            + (m_leaving ? "Server-Leaving: 1\r\n" : "");
         if (request.field("x-prompt-prefix").empty()) {
             const auto body = bodyFor(id);
             return client.write("HTTP/1.1 200 OK\r\n" + common + "Content-Length: " + std::to_string(body.size())
@@ -595,10 +621,12 @@
     std::string m_id;
     run_record &m_record;
     int m_workMs;
-    std::int64_t m_born;
+    std::atomic<std::int64_t> m_born;
+    std::atomic<bool> m_leaving = false;
+    std::set<int> m_open; ///< Descriptors of the open channels.
     std::mutex m_mutex;
     std::map<std::string, int> m_runs;
-    int m_sequence = 0;
+    std::atomic<int> m_sequence = 0;
     listener m_listener;
 };
 
