--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,5 @@
-// A client sends a request whose X-Prompt-Prefix has many parts, within the manifest's max_header_bytes. The requests of
-// other clients must not be cut by it.
+// A client sends a request whose X-Prompt-Prefix has many parts, within the manifest's max_header_bytes. The requests
+// of other clients must not be cut by it.
 
 #include "../standins/prompt_play.h"
 
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -471,7 +471,8 @@
         }
         const auto known = objects.find(name);
         if (method == "POST") {
-            return known != objects.end() ? answer{ 409, known->second } : answer{ 200, write(kind, name, spec, false) };
+            return known != objects.end() ? answer{ 409, known->second }
+                                          : answer{ 200, write(kind, name, spec, false) };
         }
         if (known == objects.end()) {
             return { 404, json::object() };
@@ -516,10 +517,10 @@
     auto entry(const std::string &service, const std::string &zone, int slots, const std::string &state = "ready")
         -> json::object
     {
-        return json::object{ { "service", service }, { "address", m_listener.address() },
-                             { "zone", zone },       { "version", "v1" },
-                             { "slots", slots },     { "state", state },
-                             { "cold_left_ms", 0 },  { "sequence", ++m_sequence },
+        return json::object{ { "service", service },   { "address", m_listener.address() },
+                             { "zone", zone },         { "version", "v1" },
+                             { "slots", slots },       { "state", state },
+                             { "cold_left_ms", 0 },    { "sequence", ++m_sequence },
                              { "born", m_born.load() } };
     }
     /// Ends this boot and starts another one at once, under the same id and at the same address.
@@ -771,18 +772,12 @@
 inline auto route(const std::string &prefix, const std::string &kind, const std::string &service, int attempts,
                   bool anonymous, bool prompt, int timeoutMs) -> json::object
 {
-    return json::object{ { "name", "route" + prefix },
-                         { "host", hostName },
-                         { "path_prefix", prefix },
-                         { "route_kind", kind },
-                         { "service", service },
-                         { "timeout_ms", timeoutMs },
-                         { "slo_ms", prompt ? 400 : 150 },
-                         { "itl_target_ms", 200 },
-                         { "max_attempts", attempts },
-                         { "priority", 1 },
-                         { "anonymous", anonymous },
-                         { "sticky", prompt },
+    return json::object{ { "name", "route" + prefix },     { "host", hostName },
+                         { "path_prefix", prefix },        { "route_kind", kind },
+                         { "service", service },           { "timeout_ms", timeoutMs },
+                         { "slo_ms", prompt ? 400 : 150 }, { "itl_target_ms", 200 },
+                         { "max_attempts", attempts },     { "priority", 1 },
+                         { "anonymous", anonymous },       { "sticky", prompt },
                          { "resumable", prompt } };
 }
 
@@ -799,10 +794,11 @@
                        route("/orders/", "non_idempotent", "order-desk", 1, true, false, 1'500),
                        route("/lookups/", "idempotent", "order-desk", 2, true, false, 1'500) } },
         { "services",
-          json::array{ json::object{ { "name", "loom-pool" },
-                                     { "max_conns", 370 },
-                                     { "backend", json::object{ { "slots", 64 }, { "kv_capacity", 304'154 } } } },
-                       json::object{ { "name", "order-desk" }, { "max_conns", 110 }, { "health_path", "/healthz" } } } },
+          json::array{
+              json::object{ { "name", "loom-pool" },
+                            { "max_conns", 370 },
+                            { "backend", json::object{ { "slots", 64 }, { "kv_capacity", 304'154 } } } },
+              json::object{ { "name", "order-desk" }, { "max_conns", 110 }, { "health_path", "/healthz" } } } },
         { "limits",
           json::object{ { "max_header_bytes", 16'384 },
                         { "max_body_bytes", 4'194'304 },
--- a/review/standins/prompt_play.h
+++ b/review/standins/prompt_play.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Play of the cases in which one client's prompt ends routers: other clients send orders on kept channels meanwhile, and
-// must get their answers.
+// Play of the cases in which one client's prompt ends routers: other clients send orders on kept channels meanwhile,
+// and must get their answers.
 
 #include "deployment.h"
 
@@ -63,7 +63,9 @@
     sleepMs(1'000);
 
     const auto start = steady::now();
-    const auto at = [&](int milliseconds) { return start + std::chrono::milliseconds(milliseconds); };
+    const auto at = [&](int milliseconds) {
+        return start + std::chrono::milliseconds(milliseconds);
+    };
     auto counter = std::atomic<int>(0);
     auto served = std::atomic<int>(0);
     auto asked = std::atomic<int>(0);
@@ -88,9 +90,9 @@
                 const auto id = attemptId(++counter);
                 ++asked;
                 record.add("order " + id + " is sent to " + through->name());
-                const auto answer = exchange(*kept, "POST", "/orders/2f",
-                                             { { "X-Attempt-Id", id }, { "X-Deadline-Ms", "1500" } },
-                                             std::string(600, 'o'));
+                const auto answer =
+                    exchange(*kept, "POST", "/orders/2f", { { "X-Attempt-Id", id }, { "X-Deadline-Ms", "1500" } },
+                             std::string(600, 'o'));
                 record.add("order " + id + (answer ? " gets " + std::to_string(answer->status()) : ": channel closed"));
                 if (answer) {
                     served += answer->status() == 200 ? 1 : 0;
@@ -107,8 +109,8 @@
         });
     }
 
-    // The client with the long prompt. After a closed channel it tries once more, at another router: streams that may be
-    // resumed may be repeated after any failure.
+    // The client with the long prompt. After a closed channel it tries once more, at another router: streams that may
+    // be resumed may be repeated after any failure.
     std::this_thread::sleep_until(at(troubleAtMs));
     auto prompts = std::string();
     for (const auto &through : routers) {
@@ -123,8 +125,7 @@
                                  std::string(2'000, 'p'));
         const auto result = answer ? std::to_string(answer->status()) : std::string("channel closed");
         record.add("prompt " + id + " with a list of parts of " + std::to_string(options.prefix.size()) + " bytes, '"
-                   + options.prefix.substr(0, 80) + "', by " + through->name()
-                   + ": " + result);
+                   + options.prefix.substr(0, 80) + "', by " + through->name() + ": " + result);
         prompts += (prompts.empty() ? "" : ", ") + result;
         if (answer) {
             break;
@@ -150,9 +151,9 @@
         ended += each->isRunning() ? 0 : 1;
     }
     const auto result = std::to_string(asked.load()) + " orders, " + std::to_string(served.load()) + " served; "
-        + std::to_string(passedOn) + " were passed on to a sound engine and then lost with their kept channel; prompt: "
-        + prompts + "; " + std::to_string(ended) + " of " + std::to_string(routers.size())
-        + " routers have ended by themselves";
+        + std::to_string(passedOn)
+        + " were passed on to a sound engine and then lost with their kept channel; prompt: " + prompts + "; "
+        + std::to_string(ended) + " of " + std::to_string(routers.size()) + " routers have ended by themselves";
     record.add(result);
     std::printf("%s\n", result.c_str());
     if (served < 50) {
