A request with a field that cannot be decoded no longer ends the router

Callers saw: after one request such as a prompt with block ids of 128 bits, or X-Deadline-Ms "abc", the router answered 400 and its process ended with SIGABRT.

Cause: gateway_handler passed a braced list to refuse() within a co_await expression. g++ 12 copies such a temporary of an aggregate type bytewise into the coroutine's frame and destroys it, so that a string frees memory that was never allocated.

Evidence: a program of 15 lines with such a call stops under the address sanitizer in the temporary's destructor ("attempting free on address which was not malloc()-ed"), and runs with a named type in place of the list. Of all co_await expressions in src/, include/ and platform/ this was the only one with a braced list of an aggregate type.

The raw connection and the scripted server of two tests moved to tests/support.

--- a/src/gateway/gateway_handler.cpp
+++ b/src/gateway/gateway_handler.cpp
@@ -32,7 +32,9 @@
     auto why = last_reason();
     auto request = platform::decodeRequest(exchange.request().base(), why);
     if (!request) {
-        co_await refuse(exchange, {}, badRequest, why.detail);
+        auto undecoded = routed_request();
+        undecoded.id = platform::requestId(exchange.request().base());
+        co_await refuse(exchange, undecoded, badRequest, why.detail);
         co_return;
     }
     request->arrived = boot_clock::now();
--- a/tests/process/gateway/faulty_answer_test.cpp
+++ b/tests/process/gateway/faulty_answer_test.cpp
@@ -1,120 +1,12 @@
 #include "support/gateway_fleet.h"
+#include "support/scripted_server.h"
 
-#include <atomic>
-#include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
-#include <functional>
-#include <mutex>
-#include <thread>
 
 using namespace marjoramloom::test;
-using tcp = boost::asio::ip::tcp;
 
 namespace {
 
-enum class connection_end {
-    keep,
-    close,
-    reset,
-};
-
-/// What a scripted_server does with one request.
-struct scripted_answer
-{
-    std::string bytes;
-    connection_end end = connection_end::keep;
-};
-
-/// Answers each request by the bytes that a script returns for the request's id.
-class scripted_server
-{
-public:
-    using script = std::function<scripted_answer(const std::string &id)>;
-
-    explicit scripted_server(script answerFor)
-        : m_answerFor(std::move(answerFor))
-        , m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-    {
-        boost::asio::co_spawn(m_context, acceptAll(), boost::asio::detached);
-        m_thread = std::thread([this] { m_context.run(); });
-    }
-
-    ~scripted_server()
-    {
-        m_context.stop();
-        m_thread.join();
-    }
-
-    scripted_server(const scripted_server &) = delete;
-    auto operator=(const scripted_server &) -> scripted_server & = delete;
-
-    [[nodiscard]] auto address() const -> std::string
-    {
-        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-    }
-
-    /// Requests that came on a connection that had carried another one before.
-    std::atomic<int> onKeptConnection = 0;
-    std::atomic<int> requests = 0;
-
-private:
-    auto acceptAll() -> boost::asio::awaitable<void>
-    {
-        while (true) {
-            auto socket = co_await m_acceptor.async_accept(boost::asio::use_awaitable);
-            boost::asio::co_spawn(m_context, serve(std::move(socket)), boost::asio::detached);
-        }
-    }
-
-    auto serve(tcp::socket socket) -> boost::asio::awaitable<void>
-    {
-        constexpr auto headEnd = "\r\n\r\n";
-        auto received = std::string();
-        try {
-            for (auto number = 0;; ++number) {
-                const auto size = co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(received),
-                                                                         headEnd, boost::asio::use_awaitable);
-                const auto head = received.substr(0, size);
-                received.erase(0, size);
-                ++requests;
-                onKeptConnection += number > 0 ? 1 : 0;
-                const auto answer = m_answerFor(fieldOf(head, "X-Attempt-Id: "));
-                co_await boost::asio::async_write(socket, boost::asio::buffer(answer.bytes),
-                                                  boost::asio::use_awaitable);
-                if (answer.end == connection_end::reset) {
-                    co_await pauseBeforeReset();
-                    socket.set_option(boost::asio::socket_base::linger(true, 0));
-                }
-                if (answer.end != connection_end::keep) {
-                    socket.close();
-                    co_return;
-                }
-            }
-        } catch (const boost::system::system_error &) {
-            co_return; // The router closed the connection.
-        }
-    }
-
-    /// Lets the router read what was written, which a reset would discard.
-    auto pauseBeforeReset() -> boost::asio::awaitable<void>
-    {
-        auto timer = boost::asio::steady_timer(m_context, std::chrono::milliseconds(100));
-        co_await timer.async_wait(boost::asio::use_awaitable);
-    }
-
-    static auto fieldOf(const std::string &head, const std::string &name) -> std::string
-    {
-        const auto at = head.find(name);
-        return at == std::string::npos ? std::string()
-                                       : head.substr(at + name.size(), head.find("\r\n", at) - at - name.size());
-    }
-
-    script m_answerFor;
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-    std::thread m_thread;
-};
-
 auto headOf(const std::string &id, const std::string &fields, const std::string &status = "200 OK") -> std::string
 {
     const auto idField = id.empty() ? std::string() : "X-Attempt-Id: " + id + "\r\n";
--- /dev/null
+++ b/tests/process/gateway/odd_request_test.cpp
@@ -0,0 +1,112 @@
+#include "support/gateway_fleet.h"
+#include "support/keep_alive_client.h"
+#include "support/raw_connection.h"
+#include "support/scripted_server.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace marjoramloom::test;
+
+namespace {
+
+constexpr auto requestStart = "POST /talk/x HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-alpha\r\n"
+                              "Connection: close\r\nX-Attempt-Id: odd\r\n";
+
+/// A complete request to the route of streams with the additional head \p fields.
+auto requestWith(const std::string &fields) -> std::string
+{
+    return requestStart + fields + "Content-Length: 0\r\n\r\n";
+}
+
+auto answerTo(const std::string &id) -> scripted_answer
+{
+    return { "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok" };
+}
+
+/// One router before one server, and a client whose connection to the router stays open.
+class observed_router
+{
+public:
+    explicit observed_router(const gateway_plan &plan = {})
+        : m_server(answerTo)
+        , m_fleet(withOneServer(plan))
+        , m_client(router().callers)
+    {
+    }
+
+    auto router() -> router_handle &
+    {
+        return m_fleet.routers().front();
+    }
+
+    /// Sends \p bytes on a connection of its own. Returns the answer, up to the end of the connection.
+    auto send(const std::string &bytes) -> std::string
+    {
+        auto connection = raw_connection(router().callers);
+        connection.send(bytes);
+        return connection.readAll();
+    }
+
+    /// Whether the router runs and answers the client's next request on the connection that is open.
+    auto servesClient() -> bool
+    {
+        auto request = http_request();
+        request.target = "/read/x";
+        request.headers = { { "Host", "desk.example" },
+                            { "X-Attempt-Id", "client-" + std::to_string(++m_requests) },
+                            { "Authorization", "Bearer key-alpha" } };
+        const auto answer = m_client.call(request);
+        return answer.status == 200 && router().process->running();
+    }
+
+    /// Value of the field \p name in the last request that send() sent and the router forwarded.
+    auto lastForwardedField(const std::string &name) -> std::string
+    {
+        return m_server.lastField("odd", name);
+    }
+
+private:
+    auto withOneServer(gateway_plan plan) -> gateway_plan
+    {
+        plan.routers = 1;
+        plan.servers = 1;
+        plan.listedServerAddress = [this](const std::string &) {
+            return m_server.address();
+        };
+        return plan;
+    }
+
+    scripted_server m_server;
+    gateway_fleet m_fleet;
+    keep_alive_client m_client;
+    int m_requests = 0;
+};
+
+auto hasStatus(const std::string &answer, const std::string &status) -> bool
+{
+    return answer.starts_with("HTTP/1.1 " + status + " ");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(odd_request_test)
+
+// The refusal of a request with a field that could not be decoded ended the router's process.
+BOOST_AUTO_TEST_CASE(a_field_that_cannot_be_decoded_is_refused_and_ends_no_process)
+{
+    auto observed = observed_router();
+    BOOST_TEST(observed.servesClient());
+    for (const auto *field : { "X-Deadline-Ms: abc", "X-Deadline-Ms: -5", "Last-Event-Id: abc", "X-Token-Usage: 1460",
+                               "X-Token-Usage: 1460.0,80", "X-Prompt-Prefix: 5c1e07a2:800,,91bd3f06:410",
+                               "X-Prompt-Prefix: 5c1e07a2", "X-Prompt-Prefix: zz:1" }) {
+        BOOST_TEST_CONTEXT(field)
+        {
+            const auto answer = observed.send(requestWith(field + std::string("\r\n")));
+            BOOST_TEST(hasStatus(answer, "400"));
+            BOOST_TEST(answer.find("X-Attempt-Id: odd\r\n") != std::string::npos);
+            BOOST_REQUIRE(observed.servesClient());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/router/bad_input_test.cpp
+++ b/tests/process/router/bad_input_test.cpp
@@ -1,54 +1,13 @@
-#include "marjoramloom/core/endpoint.h"
 #include "support/fleet.h"
+#include "support/raw_connection.h"
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace marjoramloom::test;
-using boost::asio::ip::tcp;
 
 namespace {
 
-/// A client connection that can send arbitrary bytes.
-class raw_connection
-{
-public:
-    explicit raw_connection(const std::string &address)
-        : m_socket(m_context)
-    {
-        auto why = marjoramloom::last_reason();
-        m_socket.connect(*marjoramloom::parseEndpoint(address, why));
-    }
-
-    auto send(const std::string &bytes) -> void
-    {
-        boost::asio::write(m_socket, boost::asio::buffer(bytes));
-    }
-
-    auto closeSending() -> void
-    {
-        m_socket.shutdown(tcp::socket::shutdown_send);
-    }
-
-    /// Reads until the server closes the connection.
-    auto readAll() -> std::string
-    {
-        auto bytes = std::string();
-        auto error = boost::system::error_code();
-        boost::asio::read(m_socket, boost::asio::dynamic_buffer(bytes), error);
-        return bytes;
-    }
-
-private:
-    boost::asio::io_context m_context;
-    tcp::socket m_socket;
-};
-
 auto contains(const std::string &text, const std::string &part) -> bool
 {
     return text.find(part) != std::string::npos;
