--- a/tests/unit/platform/header_format_test.cpp
+++ b/tests/unit/platform/header_format_test.cpp
@@ -38,6 +38,44 @@
     BOOST_TEST(request->prompt.parts[1].tokens == 410U);
 }
 
+// Prompts whose blocks have ids of 128 bits were refused with 400.
+BOOST_AUTO_TEST_CASE(block_ids_of_any_length_are_read)
+{
+    const auto idOf = [](const std::string &id) {
+        auto head = platform::request_head();
+        head.set("X-Prompt-Prefix", id + ":800");
+        auto why = last_reason();
+        const auto request = platform::decodeRequest(head, why);
+        BOOST_REQUIRE_MESSAGE(request.has_value(), id);
+        return request->prompt.parts.at(0).id;
+    };
+    const auto longId = std::string("5c1e07a291bd3f06e4402b7d8a91c3f0");
+    BOOST_TEST(idOf("5c1e07a2") == 0x5c1e07a2U);
+    BOOST_TEST(idOf("00000000000000000000005c1E07a2") == 0x5c1e07a2U);
+    BOOST_TEST(idOf(longId) == idOf("5C1E07A291BD3F06E4402B7D8A91C3F0"));
+    BOOST_TEST(idOf(longId) == idOf("0000" + longId));
+    BOOST_TEST(idOf(longId) != idOf("6" + longId.substr(1)));
+    BOOST_TEST(idOf(longId) != idOf(longId.substr(0, longId.size() - 1) + "1"));
+    BOOST_TEST(idOf("0000") == 0U);
+}
+
+// Requests whose callers gave their time with a fraction, or waited longer than 49 days, were refused with 400.
+BOOST_AUTO_TEST_CASE(the_callers_time_may_have_a_fraction_and_be_long)
+{
+    const auto timeOf = [](const std::string &value) {
+        auto head = platform::request_head();
+        head.set("X-Deadline-Ms", value);
+        auto why = last_reason();
+        const auto request = platform::decodeRequest(head, why);
+        BOOST_REQUIRE_MESSAGE(request.has_value(), value);
+        return request->callerTimeout.value().count();
+    };
+    BOOST_TEST(timeOf("1500.9") == 1'500);
+    BOOST_TEST(timeOf("0") == 0);
+    BOOST_TEST(timeOf("5000000000") == 24 * 3'600'000);
+    BOOST_TEST(timeOf("1e300") == 24 * 3'600'000);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_fields_are_refused)
 {
     for (const auto &[name, value] :
