A long header field, or another exception in an asynchronous operation, no longer ends the router

Callers saw: one request with a field over 65,533 bytes, within the configured limit of the head, ended the router's process, and its retry the next one.

Cause: the HTTP library's container of fields throws for a longer value, from within an asynchronous read. The exception passes by the connection's try block and leaves io_context::run(). A long trailer did the same, and the frame of a chunk and the trailers were buffered without a limit.

Such fields are now taken from the head before it is parsed; they are decoded where the router uses them and forwarded unchanged, so the configured limit holds as it is. Frames and trailers have a limit. Both kinds of router run their event loop and background tasks by core/event_loop, which logs and counts an exception, ends only the operation that it left, and starts a background task again; counts of connections and running requests are released with their coroutine.

--- a/include/marjoramloom/call/http_connection.h
+++ b/include/marjoramloom/call/http_connection.h
@@ -33,8 +33,10 @@
     /// Opens the connection. If it returns false (why: notSent), nothing was sent.
     auto connect(duration limit, last_reason &why) -> boost::asio::awaitable<bool>;
 
-    /// Sends all of \p message. Precondition: the connection is open and the previous answer ended cleanly.
-    auto send(const request &message, duration limit, last_reason &why) -> boost::asio::awaitable<bool>;
+    /// Sends all of \p message, and \p extraFields, which are complete header lines, after its fields. Preconditions:
+    /// the connection is open and the previous answer ended cleanly; \p message is not chunked.
+    auto send(const request &message, duration limit, last_reason &why, std::string extraFields = {})
+        -> boost::asio::awaitable<bool>;
 
     /// Reads the head of the answer, and skips interim (1xx) answers. Precondition: send() succeeded.
     auto readHead(duration limit, last_reason &why) -> boost::asio::awaitable<bool>;
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/gateway_call.h
@@ -6,6 +6,7 @@
 #include "marjoramloom/gateway/placement_dispatch.h"
 #include "marjoramloom/gateway/server_choice.h"
 #include "marjoramloom/router/http_exchange.h"
+#include "platform/header_format.h"
 
 #include <memory>
 #include <set>
@@ -72,7 +73,8 @@
     auto startStreaming(const send_attempt &attempt) -> void;
     auto relayCompleteAnswer(send_attempt &attempt) -> boost::asio::awaitable<attempt_outcome>;
     auto canStillSend(const chosen_server &chosen, last_reason &why) -> bool;
-    auto makeUpstreamRequest(const chosen_server &chosen) const -> http_connection::request;
+    auto addedFields(const chosen_server &chosen) const -> platform::forwarding_headers;
+    auto makeUpstreamRequest(const platform::forwarding_headers &added) const -> http_connection::request;
     auto mayRetry(attempt_outcome outcome) -> bool;
     auto isQuarantined() -> bool;
     auto noteBroken(const send_attempt &attempt, crash_sign sign) -> void;
--- a/include/marjoramloom/router/http_exchange.h
+++ b/include/marjoramloom/router/http_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramloom/core/clock.h"
+#include "marjoramloom/core/header_field.h"
 #include "marjoramloom/core/last_reason.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -37,12 +38,16 @@
 public:
     using request_type = boost::beast::http::request<boost::beast::http::string_body>;
 
-    /// Preconditions: \p stream and \p buffer outlive the exchange.
+    /// Preconditions: \p stream and \p buffer outlive the exchange. \p longFields are the fields that \p request could
+    /// not hold.
     http_exchange(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, request_type request,
-                  std::string peer, duration writeTimeout);
+                  std::string peer, duration writeTimeout, long_fields longFields = {});
 
     [[nodiscard]] auto request() const -> const request_type &;
 
+    /// Fields of the request that are too long for request().
+    [[nodiscard]] auto longFields() const -> const long_fields &;
+
     /// Path and query of the request.
     [[nodiscard]] auto target() const -> std::string_view;
 
@@ -109,6 +114,7 @@
     boost::beast::tcp_stream &m_stream;
     boost::beast::flat_buffer &m_buffer;
     request_type m_request;
+    long_fields m_longFields;
     std::string m_peer;
     duration m_writeTimeout;
     bool m_answered = false;
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -23,9 +23,31 @@
 constexpr int listenBacklog = 128;
 /// Connections accepted in one iteration of the event loop, so that an overloaded server still accepts new connections.
 constexpr std::size_t maxAcceptBatch = 128;
+/// Limit of the bytes that are buffered for the parser after a head: the frame of a chunk, or the trailers.
+constexpr std::size_t maxFramingBytes = 48U << 10U;
 /// Delay after a failed accept, for example when no file descriptor is free.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
+/// Counts an open connection for as long as the object lives.
+class connection_count
+{
+public:
+    explicit connection_count(std::atomic<std::size_t> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~connection_count()
+    {
+        --m_count;
+    }
+    connection_count(const connection_count &) = delete;
+    auto operator=(const connection_count &) -> connection_count & = delete;
+
+private:
+    std::atomic<std::size_t> &m_count;
+};
+
 template<http_handler Handler>
 http_server<Handler>::http_server(boost::asio::io_context &context, Handler &handler, counter_registry &counters,
                                   std::string name, http_limits limits, session_concurrency concurrency)
@@ -145,7 +167,8 @@
 template<http_handler Handler>
 auto http_server<Handler>::serve(tcp::socket socket) -> boost::asio::awaitable<void>
 {
-    ++m_connections;
+    // An exception within an operation of the library ends this coroutine without resuming it.
+    const auto counted = connection_count(m_connections);
     auto error = boost::system::error_code();
     socket.set_option(tcp::no_delay(true), error);
     const auto remote = socket.remote_endpoint(error);
@@ -158,7 +181,6 @@
         log_line(log_level::error, "session_failed").with("peer", peer).with("detail", failure.what());
     }
     stream.socket().shutdown(tcp::socket::shutdown_both, error);
-    --m_connections;
 }
 
 template<http_handler Handler>
@@ -220,14 +242,25 @@
         co_await rejectRequest(stream, buffer, peer, error);
         co_return false;
     }
-    co_await boost::beast::http::async_read(stream, buffer, parser,
-                                            boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    auto longFields = takeLongFields(buffer);
+    parser.eager(true);
+    buffer.consume(parser.put(buffer.data(), error));
+    if (error == boost::beast::http::error::need_more) {
+        error = {};
+    }
+    if (!error && !parser.is_done()) {
+        // Bounds the frames of chunks and the trailers, which the library buffers as a whole.
+        buffer.max_size(std::max(buffer.size(), maxFramingBytes));
+        co_await boost::beast::http::async_read(stream, buffer, parser,
+                                                boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        buffer.max_size(std::numeric_limits<std::size_t>::max());
+    }
     stream.expires_never();
     if (error) {
         co_await rejectRequest(stream, buffer, peer, error);
         co_return false;
     }
-    auto exchange = http_exchange(stream, buffer, parser.release(), peer, m_limits.idleTimeout);
+    auto exchange = http_exchange(stream, buffer, parser.release(), peer, m_limits.idleTimeout, std::move(longFields));
     if (m_stopping || m_connections > m_limits.maxKeepAliveConnections) {
         exchange.closeAfterAnswer();
     }
--- a/include/marjoramloom/router/request_head.h
+++ b/include/marjoramloom/router/request_head.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "marjoramloom/core/header_field.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
 #include <string_view>
 
 namespace marjoramloom {
@@ -16,4 +19,8 @@
 /// of the body. Thread safe.
 auto checkRequestHead(std::string_view bytes) -> head_state;
 
+/// Removes the fields that are too long for Boost.Beast's container of fields from the head at the start of \p buffer,
+/// and returns them. Precondition: the head is complete and valid. Thread safe for different buffers.
+auto takeLongFields(boost::beast::flat_buffer &buffer) -> long_fields;
+
 } // namespace marjoramloom
--- a/src/call/http_connection.cpp
+++ b/src/call/http_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <cassert>
 #include <netinet/tcp.h>
 
@@ -13,6 +14,32 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+namespace {
+
+/// Formats the head of \p message with \p extraFields. Unlike the library's serializer, this sets no limit to a field.
+auto formatHead(const http_connection::request &message, std::string_view extraFields) -> std::string
+{
+    auto text = std::string();
+    const auto append = [&](boost::beast::string_view part) {
+        text.append(part.data(), part.size());
+    };
+    append(message.method_string());
+    text += ' ';
+    append(message.target());
+    text += " HTTP/1.1\r\n";
+    for (const auto &field : message) {
+        append(field.name_string());
+        text += ": ";
+        append(field.value());
+        text += "\r\n";
+    }
+    text += extraFields;
+    text += "\r\n";
+    return text;
+}
+
+} // namespace
+
 http_connection::http_connection(const asio::any_io_executor &executor, std::string peer)
     : m_peer(std::move(peer))
     , m_socket(executor)
@@ -56,14 +83,18 @@
     co_return true;
 }
 
-auto http_connection::send(const request &message, duration limit, last_reason &why) -> asio::awaitable<bool>
+auto http_connection::send(const request &message, duration limit, last_reason &why, std::string extraFields)
+    -> asio::awaitable<bool>
 {
+    assert(!message.chunked());
     auto error = error_code();
+    const auto head = formatHead(message, extraFields);
+    const auto buffers = std::array{ asio::buffer(head), asio::buffer(message.body()) };
     m_anythingSent = true;
     m_expectsNoBody = message.method() == http::verb::head;
     m_parser.reset();
     m_timeout->arm(limit);
-    co_await http::async_write(m_socket, message, asio::redirect_error(asio::use_awaitable, error));
+    co_await asio::async_write(m_socket, buffers, asio::redirect_error(asio::use_awaitable, error));
     m_timeout->disarm();
     if (error) {
         fail("send request", error, why);
--- a/src/gateway/gateway_call.cpp
+++ b/src/gateway/gateway_call.cpp
@@ -475,13 +475,9 @@
     return false;
 }
 
-auto gateway_call::makeUpstreamRequest(const chosen_server &chosen) const -> http_connection::request
+/// The fields that the router sets in the request to the chosen server.
+auto gateway_call::addedFields(const chosen_server &chosen) const -> platform::forwarding_headers
 {
-    const auto &original = m_exchange.request();
-    auto request = http_connection::request();
-    request.version(11);
-    request.method_string(original.method_string());
-    request.target(original.target());
     auto added = platform::forwarding_headers();
     added.serverId = chosen.server->id;
     added.account = m_account;
@@ -489,6 +485,16 @@
     if (m_lastEventId != m_request.lastEventId) {
         added.resumeAfter = m_lastEventId;
     }
+    return added;
+}
+
+auto gateway_call::makeUpstreamRequest(const platform::forwarding_headers &added) const -> http_connection::request
+{
+    const auto &original = m_exchange.request();
+    auto request = http_connection::request();
+    request.version(11);
+    request.method_string(original.method_string());
+    request.target(original.target());
     platform::copyRequestFields(original.base(), added, request);
     request.body() = original.body();
     const auto hadBody = original.find(http::field::content_length) != original.end() || original.chunked();
@@ -501,8 +507,11 @@
 auto gateway_call::sendAndReadAnswer(send_attempt &attempt) -> asio::awaitable<attempt_outcome>
 {
     const auto &server = *attempt.chosen.server;
-    const auto request = makeUpstreamRequest(attempt.chosen);
-    if (!co_await attempt.connection->send(request, remainingTime(), m_why) || !co_await readMatchingHead(attempt)) {
+    const auto added = addedFields(attempt.chosen);
+    const auto request = makeUpstreamRequest(added);
+    auto longFields = platform::formatLongFields(m_exchange.request().base(), m_exchange.longFields(), added);
+    if (!co_await attempt.connection->send(request, remainingTime(), m_why, std::move(longFields))
+        || !co_await readMatchingHead(attempt)) {
         noteServerFailed(server);
         noteBroken(attempt, crash_sign::noAnswer);
         co_return attempt_outcome::incomplete;
--- a/src/gateway/gateway_handler.cpp
+++ b/src/gateway/gateway_handler.cpp
@@ -19,6 +19,26 @@
 constexpr unsigned notFound = 404;
 constexpr unsigned unavailable = 503;
 
+/// Counts a request that is being forwarded for as long as the object lives.
+class running_request
+{
+public:
+    explicit running_request(gateway_state &state)
+        : m_state(state)
+    {
+        ++m_state.running;
+    }
+    ~running_request()
+    {
+        --m_state.running;
+    }
+    running_request(const running_request &) = delete;
+    auto operator=(const running_request &) -> running_request & = delete;
+
+private:
+    gateway_state &m_state;
+};
+
 } // namespace
 
 gateway_handler::gateway_handler(gateway_state &state, placement_dispatch &dispatch)
@@ -30,7 +50,7 @@
 auto gateway_handler::handle(http_exchange &exchange) -> asio::awaitable<void>
 {
     auto why = last_reason();
-    auto request = platform::decodeRequest(exchange.request().base(), why);
+    auto request = platform::decodeRequest(exchange.request().base(), exchange.longFields(), why);
     if (!request) {
         auto undecoded = routed_request();
         undecoded.id = platform::requestId(exchange.request().base());
@@ -99,9 +119,8 @@
     auto call =
         gateway_call(m_state, m_dispatch, exchange, std::move(request), m_state.routes, route, std::move(account));
     auto control = call_control::make(co_await asio::this_coro::executor);
-    ++m_state.running;
+    const auto counted = running_request(m_state);
     co_await (call.run(control) || cancelOnCallerDisconnect(exchange, control));
-    --m_state.running;
 }
 
 auto gateway_handler::refuse(http_exchange &exchange, const routed_request &request, unsigned status,
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "marjoramloom/gateway/gateway_process.h"
 
+#include "marjoramloom/core/event_loop.h"
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/gateway/gateway_handler.h"
 #include "marjoramloom/gateway/load_exchange.h"
@@ -10,8 +11,6 @@
 #include "marjoramloom/peer/member.h"
 #include "marjoramloom/router/http_server.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -239,8 +238,7 @@
     log_line(log_level::info, "stop_begins").with("running", state.running);
     state.stopping = true;
     refreshReadiness();
-    asio::co_spawn(
-        context, [this] { return discovery.unregister(); }, asio::detached);
+    runTask(context.get_executor(), "unregister", counters, [this] { return discovery.unregister(); });
     auto timer = asio::steady_timer(context, acceptTimeAfterStop);
     co_await timer.async_wait(asio::use_awaitable);
     // Requests that arrive from now on might not finish before the process is killed.
@@ -283,27 +281,21 @@
 auto gateway_process::run() -> void
 {
     auto &components = *m_components;
-    asio::co_spawn(
-        components.context, [&components] { return components.feed.followConfiguration(); }, asio::detached);
-    asio::co_spawn(
-        components.context, [&components] { return components.feed.followServers(); }, asio::detached);
-    asio::co_spawn(
-        components.context, [&components] { return components.join(); }, asio::detached);
-    asio::co_spawn(
-        components.context, [&components] { return components.relay.run(); }, asio::detached);
-    asio::co_spawn(
-        components.context, [&components] { return components.exchange.sendReports(); }, asio::detached);
-    asio::co_spawn(
-        components.context, [&components] { return components.exchange.receive(); }, asio::detached);
-    asio::co_spawn(
-        components.context, [&components] { return components.tickLoop(); }, asio::detached);
-    asio::co_spawn(
-        components.context, [&components] { return components.measureLoopDelay(); }, asio::detached);
-    asio::co_spawn(
-        components.context, [&components] { return components.waitForStop(); }, asio::detached);
-    asio::co_spawn(
-        components.context, [&components] { return components.waitForReload(); }, asio::detached);
-    components.context.run();
+    const auto executor = components.context.get_executor();
+    const auto runAlways = [&](std::string name, std::function<asio::awaitable<void>()> task) {
+        runTask(executor, std::move(name), components.counters, std::move(task));
+    };
+    runAlways("configuration", [&components] { return components.feed.followConfiguration(); });
+    runAlways("servers", [&components] { return components.feed.followServers(); });
+    runAlways("discovery", [&components] { return components.join(); });
+    runAlways("relay", [&components] { return components.relay.run(); });
+    runAlways("reports", [&components] { return components.exchange.sendReports(); });
+    runAlways("datagrams", [&components] { return components.exchange.receive(); });
+    runAlways("ticks", [&components] { return components.tickLoop(); });
+    runAlways("loop delay", [&components] { return components.measureLoopDelay(); });
+    runAlways("stop", [&components] { return components.waitForStop(); });
+    runAlways("reload", [&components] { return components.waitForReload(); });
+    runEventLoop(components.context, components.counters);
     log_line(log_level::info, "stopped").with("instance", components.config.instance);
 }
 
--- a/src/gateway/platform_feed.cpp
+++ b/src/gateway/platform_feed.cpp
@@ -1,12 +1,11 @@
 #include "marjoramloom/gateway/platform_feed.h"
 
+#include "marjoramloom/core/event_loop.h"
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/store/retry_backoff.h"
 #include "platform/configuration_format.h"
 #include "platform/server_format.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -383,8 +382,8 @@
     m_needsServers = m_needsServers || (!isListContinued && update.serversRevision > 0);
     m_needsConfiguration = m_needsConfiguration || !hasNewestConfiguration;
     if ((m_needsServers || m_needsConfiguration) && !m_isReadingMissing && now >= m_nextMissingRead) {
-        asio::co_spawn(
-            m_executor, [this] { return readMissing(); }, asio::detached);
+        m_isReadingMissing = true;
+        runTask(m_executor, "missing changes", m_state.counters, [this] { return readMissing(); });
     }
     return isListContinued && hasNewestConfiguration;
 }
--- a/src/router/http_exchange.cpp
+++ b/src/router/http_exchange.cpp
@@ -70,10 +70,11 @@
 } // namespace
 
 http_exchange::http_exchange(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, request_type request,
-                             std::string peer, duration writeTimeout)
+                             std::string peer, duration writeTimeout, long_fields longFields)
     : m_stream(stream)
     , m_buffer(buffer)
     , m_request(std::move(request))
+    , m_longFields(std::move(longFields))
     , m_peer(std::move(peer))
     , m_writeTimeout(writeTimeout)
     , m_reusable(m_request.keep_alive())
@@ -85,6 +86,11 @@
     return m_request;
 }
 
+auto http_exchange::longFields() const -> const long_fields &
+{
+    return m_longFields;
+}
+
 auto http_exchange::target() const -> std::string_view
 {
     const auto target = m_request.target();
--- a/src/router/request_head.cpp
+++ b/src/router/request_head.cpp
@@ -3,6 +3,9 @@
 #include "marjoramloom/core/text.h"
 
 #include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <cassert>
+#include <string>
 
 namespace marjoramloom {
 
@@ -76,6 +79,14 @@
     return fields.add(line.substr(0, colon), trimmed(line.substr(colon + 1)));
 }
 
+/// Longest name, and longest value, that boost::beast::http::fields holds; it throws an exception for longer ones.
+constexpr std::size_t maxContainerText = 65'533;
+
+auto isTooLong(const header_field &field) -> bool
+{
+    return field.name.size() > maxContainerText || field.value.size() > maxContainerText;
+}
+
 } // namespace
 
 auto checkRequestHead(std::string_view bytes) -> head_state
@@ -107,4 +118,38 @@
     }
 }
 
+auto takeLongFields(boost::beast::flat_buffer &buffer) -> long_fields
+{
+    auto taken = long_fields();
+    if (buffer.size() <= maxContainerText) {
+        return taken;
+    }
+    auto bytes = std::string_view(static_cast<const char *>(buffer.data().data()), buffer.size());
+    auto rest = std::string();
+    while (true) {
+        const auto lineSize = bytes.find("\r\n") + 2;
+        assert(lineSize >= 2 && lineSize <= bytes.size());
+        const auto line = bytes.substr(0, lineSize - 2);
+        if (line.empty()) {
+            break;
+        }
+        const auto colon = std::min(line.find(':'), line.size());
+        auto field = header_field{ .name = std::string(line.substr(0, colon)),
+                                   .value = std::string(trimmed(line.substr(std::min(colon + 1, line.size())))) };
+        const auto isField = !rest.empty(); // The first line is the request line.
+        if (isField && isTooLong(field)) {
+            taken.push_back(std::move(field));
+        } else {
+            rest += bytes.substr(0, lineSize);
+        }
+        bytes.remove_prefix(lineSize);
+    }
+    if (!taken.empty()) {
+        rest += bytes;
+        buffer.clear();
+        buffer.commit(boost::asio::buffer_copy(buffer.prepare(rest.size()), boost::asio::buffer(rest)));
+    }
+    return taken;
+}
+
 } // namespace marjoramloom
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -9,6 +9,7 @@
 #include "marjoramloom/contract/configuration_watcher.h"
 #include "marjoramloom/contract/operator_api.h"
 #include "marjoramloom/core/counters.h"
+#include "marjoramloom/core/event_loop.h"
 #include "marjoramloom/core/hash.h"
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/peer/configuration_relay.h"
@@ -22,8 +23,6 @@
 #include "marjoramloom/router/status_report.h"
 #include "marjoramloom/store/store_client.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -324,23 +323,18 @@
 auto router_process::run() -> void
 {
     auto &all = *m_components;
-    asio::co_spawn(
-        all.strand, [&all] { return all.tickLoop(); }, asio::detached);
-    asio::co_spawn(
-        all.strand, [&all] { return all.waitForStop(); }, asio::detached);
-    asio::co_spawn(
-        all.strand, [&all] { return all.servers.pollInstances(); }, asio::detached);
-    asio::co_spawn(
-        all.context, [&all] { return all.watcher.run(); }, asio::detached);
-    asio::co_spawn(
-        all.context, [&all] { return all.compactor.run(); }, asio::detached);
-    asio::co_spawn(
-        all.context, [&all] { return all.orders.run(); }, asio::detached);
+    const auto executor = all.context.get_executor();
+    runTask(all.strand, "ticks", all.counters, [&all] { return all.tickLoop(); });
+    runTask(all.strand, "stop", all.counters, [&all] { return all.waitForStop(); });
+    runTask(all.strand, "instances", all.counters, [&all] { return all.servers.pollInstances(); });
+    runTask(executor, "configuration", all.counters, [&all] { return all.watcher.run(); });
+    runTask(executor, "compaction", all.counters, [&all] { return all.compactor.run(); });
+    runTask(executor, "orders", all.counters, [&all] { return all.orders.run(); });
     auto threads = std::vector<std::thread>();
     for (auto index = std::uint32_t(1); index < all.config.threads; ++index) {
-        threads.emplace_back([&all] { all.context.run(); });
+        threads.emplace_back([&all] { runEventLoop(all.context, all.counters); });
     }
-    all.context.run();
+    runEventLoop(all.context, all.counters);
     for (auto &thread : threads) {
         thread.join();
     }
--- a/tests/process/gateway/endless_answer_test.cpp
+++ b/tests/process/gateway/endless_answer_test.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
-#include <fstream>
 #include <thread>
 
 using namespace marjoramloom::test;
@@ -107,20 +106,6 @@
     std::thread m_thread;
 };
 
-auto peakMemoryKb(const router_handle &router) -> long
-{
-    auto status = std::ifstream("/proc/" + std::to_string(router.process->id()) + "/status");
-    auto word = std::string();
-    while (status >> word) {
-        if (word == "VmHWM:") {
-            auto kilobytes = 0L;
-            status >> kilobytes;
-            return kilobytes;
-        }
-    }
-    return 0;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(endless_answer_test)
@@ -162,7 +147,7 @@
                 BOOST_TEST(isTrue, "status " << status);
                 BOOST_TEST(waits[index].count() <= decisionTimeMs);
             }
-            BOOST_TEST(peakMemoryKb(router) <= memoryLimitKb);
+            BOOST_TEST(router.process->peakMemoryKb() <= memoryLimitKb);
             BOOST_TEST(fleet.readLog(router).find("event=server_failed") != std::string::npos);
         }
     }
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -4,9 +4,11 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <fstream>
 #include <poll.h>
 #include <spawn.h>
 #include <stdexcept>
+#include <string>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -152,4 +154,18 @@
     return false;
 }
 
+auto child_process::peakMemoryKb() const -> long
+{
+    auto status = std::ifstream("/proc/" + std::to_string(m_pid) + "/status");
+    auto word = std::string();
+    while (status >> word) {
+        if (word == "VmHWM:") {
+            auto kilobytes = 0L;
+            status >> kilobytes;
+            return kilobytes;
+        }
+    }
+    return 0;
+}
+
 } // namespace marjoramloom::test
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -44,6 +44,9 @@
 
     [[nodiscard]] auto running() -> bool;
 
+    /// Most memory that the process has had resident, in kilobytes; 0 if it has exited.
+    [[nodiscard]] auto peakMemoryKb() const -> long;
+
     /// Process id; still the same after the exit.
     [[nodiscard]] auto id() const -> pid_t
     {
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -145,7 +145,7 @@
                                      { "max_conns", 100 },
                                      { "backend", json::object{ { "slots", 8 }, { "kv_capacity", 50'000 } } } } } },
         { "limits",
-          json::object{ { "max_header_bytes", 16'384 },
+          json::object{ { "max_header_bytes", m_plan.headerBytes },
                         { "max_body_bytes", 100'000 },
                         { "header_timeout_ms", 2'000 },
                         { "idle_timeout_ms", 5'000 } } },
--- a/tests/unit/platform/header_format_test.cpp
+++ b/tests/unit/platform/header_format_test.cpp
@@ -24,7 +24,7 @@
     head.set("X-Token-Usage", "1460,80");
     head.set("X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
     auto why = last_reason();
-    const auto request = platform::decodeRequest(head, why);
+    const auto request = platform::decodeRequest(head, {}, why);
     BOOST_REQUIRE(request.has_value());
     BOOST_TEST(request->id == "r-1");
     BOOST_TEST(request->path == "/a/b");
@@ -45,7 +45,7 @@
         auto head = platform::request_head();
         head.set("X-Prompt-Prefix", id + ":800");
         auto why = last_reason();
-        const auto request = platform::decodeRequest(head, why);
+        const auto request = platform::decodeRequest(head, {}, why);
         BOOST_REQUIRE_MESSAGE(request.has_value(), id);
         return request->prompt.parts.at(0).id;
     };
@@ -66,7 +66,7 @@
         auto head = platform::request_head();
         head.set("X-Deadline-Ms", value);
         auto why = last_reason();
-        const auto request = platform::decodeRequest(head, why);
+        const auto request = platform::decodeRequest(head, {}, why);
         BOOST_REQUIRE_MESSAGE(request.has_value(), value);
         return request->callerTimeout.value().count();
     };
@@ -84,7 +84,7 @@
         auto head = platform::request_head();
         head.set(name, value);
         auto why = last_reason();
-        BOOST_TEST(!platform::decodeRequest(head, why).has_value(), name);
+        BOOST_TEST(!platform::decodeRequest(head, {}, why).has_value(), name);
         BOOST_TEST((why.kind == failure_kind::invalidInput));
     }
 }
