Endless frames of the store's answers do not fill the memory

What could be seen: an answer of the store whose chunk extension or trailer does not end was kept whole until the call's time limit. At a gigabit a second that is more than the 88 MB of a small router, whose process then ends with all its requests.

Cause: the buffer for the parser had no limit. It is 64 KiB now, as for connections to servers; bodies are read beside it.

--- a/include/marjoramloom/store/store_connection.h
+++ b/include/marjoramloom/store/store_connection.h
@@ -54,9 +54,12 @@
     auto exchangeOnStrand(http_request request, std::chrono::milliseconds limit, sent_state &sent, last_reason &why)
         -> boost::asio::awaitable<std::optional<http_response>>;
 
+    /// Limit of the bytes that are buffered for the parser: heads, chunk headers and trailers must be shorter.
+    static constexpr std::size_t MAX_BUFFERED_BYTES = 64 * 1024;
+
     std::string m_address;
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{ MAX_BUFFERED_BYTES };
 };
 
 } // namespace marjoramloom
--- a/tests/process/gateway/endless_answer_test.cpp
+++ b/tests/process/gateway/endless_answer_test.cpp
@@ -1,4 +1,5 @@
 #include "support/gateway_fleet.h"
+#include "support/raw_connection.h"
 
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
@@ -106,6 +107,13 @@
     std::thread m_thread;
 };
 
+/// A complete request to \p path with an id of its own.
+auto requestFor(const std::string &path, int number) -> std::string
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-alpha\r\nX-Attempt-Id: many-"
+        + std::to_string(number) + "\r\nX-Deadline-Ms: 4000\r\n\r\n";
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(endless_answer_test)
@@ -153,4 +161,62 @@
     }
 }
 
+// Bytes without end from a faulty server must not fill the memory, however many requests it answers at once.
+BOOST_AUTO_TEST_CASE(many_endless_answers_at_once_cost_bounded_memory_and_others_are_served)
+{
+    constexpr auto concurrentRequests = 120;
+    for (const auto &form : answerForms()) {
+        BOOST_TEST_CONTEXT(form.name)
+        {
+            auto server = endless_server(form);
+            auto plan = gateway_plan();
+            plan.routers = 1;
+            plan.servers = 1;
+            plan.listedServerAddress = [&](const std::string &) {
+                return server.address();
+            };
+            auto fleet = gateway_fleet(std::move(plan));
+            auto &router = fleet.routers().front();
+            auto callers = std::vector<std::unique_ptr<raw_connection>>();
+            for (auto index = 0; index < concurrentRequests; ++index) {
+                callers.push_back(std::make_unique<raw_connection>(router.callers));
+                callers.back()->send(requestFor(form.path, index));
+            }
+            const auto other = fleet.call(router, "/no-such-route/", "other");
+            BOOST_TEST(other.status == 404U);
+            for (auto &caller : callers) {
+                BOOST_TEST(caller->read(8).starts_with("HTTP/1.1"));
+            }
+            BOOST_TEST(router.process->running());
+            BOOST_TEST(router.process->peakMemoryKb() <= memoryLimitKb);
+        }
+    }
+}
+
+// A caller that does not read, behind a server that sends a stream without end, must not fill the memory.
+BOOST_AUTO_TEST_CASE(callers_that_do_not_read_an_endless_stream_cost_bounded_memory)
+{
+    constexpr auto concurrentRequests = 120;
+    auto server = endless_server({ "events", "/talk/x",
+                                   "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+                                   "data: " + std::string(300, 'a') + "\n\n" });
+    auto plan = gateway_plan();
+    plan.routers = 1;
+    plan.servers = 1;
+    plan.listedServerAddress = [&](const std::string &) {
+        return server.address();
+    };
+    auto fleet = gateway_fleet(std::move(plan));
+    auto &router = fleet.routers().front();
+    auto callers = std::vector<std::unique_ptr<raw_connection>>();
+    for (auto index = 0; index < concurrentRequests; ++index) {
+        callers.push_back(std::make_unique<raw_connection>(router.callers));
+        callers.back()->send(requestFor("/talk/x", index));
+    }
+    sleepMs(3'000);
+    BOOST_TEST(fleet.call(router, "/no-such-route/", "other").status == 404U);
+    BOOST_TEST(router.process->running());
+    BOOST_TEST(router.process->peakMemoryKb() <= memoryLimitKb);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/store/store_client_test.cpp
+++ b/tests/unit/store/store_client_test.cpp
@@ -152,6 +152,38 @@
     BOOST_TEST(sent < maxBytes);
 }
 
+// The frame of a chunk, and the trailers, of the store's answers were buffered without a limit.
+BOOST_AUTO_TEST_CASE(endless_frames_of_the_store_do_not_fill_the_memory)
+{
+    using tcp = boost::asio::ip::tcp;
+    constexpr auto maxBytes = std::size_t(8) << 20U; // Of one connection, with the buffers of its sockets.
+    const auto ok = std::string("HTTP/1.1 200 OK\r\n");
+    const auto chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto &start : { ok + "X-Filler: ", chunked + "1;", chunked + "0\r\nX-Filler: ", std::string() }) {
+        BOOST_TEST_CONTEXT("answer that begins with " << start)
+        {
+            auto serverContext = boost::asio::io_context();
+            auto acceptor = tcp::acceptor(serverContext, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+            auto sent = std::size_t(0);
+            auto server = std::thread([&] {
+                auto error = boost::system::error_code();
+                auto socket = acceptor.accept(error);
+                boost::asio::write(socket, boost::asio::buffer(start), error);
+                const auto part = std::string(std::size_t(64) << 10U, 'a');
+                while (!error && sent < 4 * maxBytes) {
+                    sent += boost::asio::write(socket, boost::asio::buffer(part), error);
+                }
+            });
+            const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+            auto reader = store_client(context.get_executor(), { .addresses = { address } }, counters);
+            auto why = last_reason();
+            BOOST_TEST(!run(reader.list("kind", why)).has_value());
+            server.join();
+            BOOST_TEST(sent < maxBytes);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(changes_in_quick_succession_are_fetched_together)
 {
     auto throttled = options();
