A router that falls behind limits its new connections instead of refusing all of them

connection_pacing limits the rate of new connections by the delay of the event loop: it falls while most timers are late and grows while none is. A connection that is refused is closed before it is registered with the event loop.

--- a/include/marjoramloom/gateway/event_loop_delay.h
+++ b/include/marjoramloom/gateway/event_loop_delay.h
@@ -41,6 +41,18 @@
         return m_nextFiring;
     }
 
+    /// Delay of the timer when it last fired.
+    [[nodiscard]] auto lastDelay() const -> duration
+    {
+        return m_lastDelay;
+    }
+
+    /// Records that the router refuses some connections because all of them would delay its event loop.
+    auto noteCapacityExceeded(time_point now) -> void
+    {
+        m_refuseConnectionsUntil = now + RECOVERY_TIME;
+    }
+
     /// Whether new connections should be refused, so that they go to other routers.
     [[nodiscard]] auto shouldRefuseConnections(time_point now) const -> bool
     {
--- a/include/marjoramloom/gateway/gateway_state.h
+++ b/include/marjoramloom/gateway/gateway_state.h
@@ -6,6 +6,7 @@
 #include "marjoramloom/gateway/account_usage.h"
 #include "marjoramloom/gateway/admission_policy.h"
 #include "marjoramloom/gateway/block_quarantine.h"
+#include "marjoramloom/gateway/connection_pacing.h"
 #include "marjoramloom/gateway/event_batching.h"
 #include "marjoramloom/gateway/event_loop_delay.h"
 #include "marjoramloom/gateway/fleet_loads.h"
@@ -74,6 +75,7 @@
     bool stopping = false; ///< The process stops: callers' connections are closed after the next answer.
     bool rejectingRequests = false; ///< The stop is so far advanced that new requests are rejected.
     event_loop_delay loopDelay;
+    connection_pacing pacing;
     key_freshness keys;
     store_contact storeContact;
     server_directory servers;
--- a/include/marjoramloom/gateway/router_roster.h
+++ b/include/marjoramloom/gateway/router_roster.h
@@ -40,6 +40,10 @@
     [[nodiscard]] auto self() const -> std::uint64_t;
     [[nodiscard]] auto size() const -> std::size_t; ///< This router included.
     [[nodiscard]] auto knows(std::uint64_t id) const -> bool;
+
+    /// Whether most other known routers of the same data centre have less processor time than this one.
+    [[nodiscard]] auto isLargerThanMost() const -> bool;
+
     [[nodiscard]] auto others() const -> std::vector<std::uint64_t>;
 
     /// Whether the routers were read from the store since this one started. Until then there may be any number of
--- a/include/marjoramloom/router/http_server.h
+++ b/include/marjoramloom/router/http_server.h
@@ -100,6 +100,7 @@
     std::function<bool()> m_connectionGate;
     counter &m_refusedConnections;
     tcp::acceptor m_acceptor;
+    tcp m_protocol = tcp::v4();
     std::atomic<bool> m_stopping = false;
     std::atomic<std::size_t> m_connections = 0;
 };
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -12,6 +12,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <cerrno>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace marjoramloom {
 
@@ -77,6 +80,7 @@
     }
     if (!error) {
         m_acceptor.listen(listenBacklog, error);
+        m_protocol = endpoint->protocol();
     }
     if (error) {
         return why.fail(failure_kind::unavailable, "listen", address, error.message());
@@ -122,20 +126,20 @@
     auto pause = boost::asio::steady_timer(m_acceptor.get_executor());
     m_acceptor.non_blocking(true, error);
     while (!m_stopping) {
-        auto socket = tcp::socket(makeExecutor());
-        co_await m_acceptor.async_accept(socket, boost::asio::redirect_error(boost::asio::use_awaitable, error));
-        for (auto accepted = std::size_t(1); !error; ++accepted) {
-            if (m_connectionGate && !m_connectionGate()) {
+        co_await m_acceptor.async_wait(tcp::acceptor::wait_read,
+                                       boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        for (auto accepted = std::size_t(0); !error && accepted < maxAcceptBatch; ++accepted) {
+            const auto descriptor = ::accept(m_acceptor.native_handle(), nullptr, nullptr);
+            if (descriptor < 0) {
+                const auto isOfOneConnection = errno == EINTR || errno == ECONNABORTED;
+                error = isOfOneConnection ? error : boost::system::error_code(errno, boost::system::system_category());
+            } else if (m_connectionGate && !m_connectionGate()) {
+                // A connection that is closed unread costs no registration with the event loop.
                 m_refusedConnections.add();
-                socket.close(error);
+                ::close(descriptor);
             } else {
-                spawnConnection(std::move(socket));
+                spawnConnection(tcp::socket(makeExecutor(), m_protocol, descriptor));
             }
-            if (accepted == maxAcceptBatch) {
-                break;
-            }
-            socket = tcp::socket(makeExecutor());
-            m_acceptor.accept(socket, error);
         }
         if (error && error != boost::asio::error::would_block) {
             log_line(log_level::warning, "accept_failed").with("listener", m_name).with("reason", error.message());
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -136,7 +136,10 @@
                                     [this](const auto &update) {
                                         relay.onUpdate(update);
                                     } });
-    callerServer->setConnectionGate([this] { return !state.loopDelay.isOverloaded(system_clock_source().now()); });
+    callerServer->setConnectionGate([this] {
+        const auto now = system_clock_source().now();
+        return !state.loopDelay.isOverloaded(now) && state.pacing.mayAccept(now);
+    });
     counters.setGauge("marjoramloom_log_lines_dropped", "", [] { return static_cast<double>(droppedLogLines()); });
 }
 
@@ -181,6 +184,7 @@
 {
     auto timer = asio::steady_timer(context);
     auto wasOverloaded = false;
+    auto wasLimited = false;
     const auto &turnedAway = counters.at("marjoramloom_connections_turned_away_total", "listener=\"callers\"");
     while (true) {
         const auto isOverloaded = state.loopDelay.isOverloaded(system_clock_source().now());
@@ -192,7 +196,23 @@
                 .with("connections", callerServer->connections())
                 .with("turned_away", turnedAway.value());
         }
-        timer.expires_at(state.loopDelay.onTimer(system_clock_source().now()));
+        const auto now = system_clock_source().now();
+        timer.expires_at(state.loopDelay.onTimer(now));
+        state.pacing.onTimer(state.loopDelay.lastDelay(), now);
+        const auto isLimited = state.pacing.refusingFor(now) >= event_loop_delay::OVERLOAD_DURATION;
+        // The callers whose connections are refused would most likely come to a smaller router next.
+        if (isLimited && !state.roster.isLargerThanMost()) {
+            state.loopDelay.noteCapacityExceeded(now);
+        }
+        if (isLimited != wasLimited) {
+            wasLimited = isLimited;
+            log_line(log_level::warning, "connection_limit")
+                .with("limited", isLimited ? "yes" : "no")
+                .with("per_second", state.pacing.limit())
+                .with("running", state.running)
+                .with("connections", callerServer->connections())
+                .with("turned_away", turnedAway.value());
+        }
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
--- a/src/gateway/router_roster.cpp
+++ b/src/gateway/router_roster.cpp
@@ -50,6 +50,20 @@
     return m_routers.contains(id);
 }
 
+auto router_roster::isLargerThanMost() const -> bool
+{
+    const auto &own = m_routers.at(m_self).identity;
+    auto smaller = std::size_t(0);
+    auto others = std::size_t(0);
+    for (const auto &[id, router] : m_routers) {
+        if (id != m_self && router.identity.dataCentre == own.dataCentre) {
+            ++others;
+            smaller += router.identity.cores < own.cores ? 1 : 0;
+        }
+    }
+    return 2 * smaller > others;
+}
+
 auto router_roster::others() const -> std::vector<std::uint64_t>
 {
     auto ids = std::vector<std::uint64_t>();
--- a/tests/unit/gateway/router_roster_test.cpp
+++ b/tests/unit/gateway/router_roster_test.cpp
@@ -65,6 +65,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_router_is_larger_than_most_by_the_others_of_its_data_centre)
+{
+    auto large = router_roster(makeIdentity(1, "north", 0.5));
+    BOOST_TEST(!large.isLargerThanMost()); // No other one is known.
+    large.put(makeIdentity(2, "south", 0.12));
+    BOOST_TEST(!large.isLargerThanMost());
+    large.put(makeIdentity(3, "north", 0.5));
+    large.put(makeIdentity(4, "north", 0.12));
+    BOOST_TEST(!large.isLargerThanMost());
+    large.put(makeIdentity(5, "north", 0.12));
+    BOOST_TEST(large.isLargerThanMost());
+    auto small = router_roster(makeIdentity(4, "north", 0.12));
+    small.put(makeIdentity(5, "north", 0.12));
+    small.put(makeIdentity(1, "north", 0.5));
+    BOOST_TEST(!small.isLargerThanMost());
+}
+
 BOOST_AUTO_TEST_CASE(a_router_that_does_not_answer_is_not_selected_until_a_message_from_it_arrives)
 {
     auto roster = router_roster(makeIdentity(1));
