--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -1,4 +1,5 @@
 #include "marjoramloom/core/endpoint.h"
+#include "marjoramloom/core/event_loop.h"
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/router/request_head.h"
 
@@ -85,9 +86,8 @@
     if (error) {
         return why.fail(failure_kind::unavailable, "listen", address, error.message());
     }
-    boost::asio::co_spawn(
-        m_acceptor.get_executor(), [self = this->shared_from_this()] { return self->acceptLoop(); },
-        boost::asio::detached);
+    runTask(m_acceptor.get_executor(), "accept", m_counters,
+            [self = this->shared_from_this()] { return self->acceptLoop(); });
     return m_acceptor.local_endpoint().port();
 }
 
@@ -138,7 +138,13 @@
                 m_refusedConnections.add();
                 ::close(descriptor);
             } else {
-                spawnConnection(tcp::socket(makeExecutor(), m_protocol, descriptor));
+                auto socket = tcp::socket(makeExecutor());
+                socket.assign(m_protocol, descriptor, error);
+                if (error) {
+                    ::close(descriptor);
+                } else {
+                    spawnConnection(std::move(socket));
+                }
             }
         }
         if (error && error != boost::asio::error::would_block) {
