odd_request_test: a write to a connection that the router has closed is no failure

No check was reached. The write's error is now ignored, as in the endless forms of the same test; that the other client is served, and the bound of memory, are checked as before.

--- a/tests/process/gateway/odd_request_test.cpp
+++ b/tests/process/gateway/odd_request_test.cpp
@@ -178,7 +178,8 @@
         BOOST_TEST_CONTEXT("body " << body.substr(0, 30))
         {
             auto connection = raw_connection(observed.router().callers);
-            connection.send(chunked + body);
+            const auto bytes = chunked + body;
+            connection.sendRepeatedly(bytes, bytes.size()); // The router may close before it has read all of it.
             connection.closeSending();
             connection.readAll();
             BOOST_REQUIRE(observed.servesClient());
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -33,7 +33,8 @@
 
 auto raw_connection::closeSending() -> void
 {
-    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    auto error = boost::system::error_code();
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
 }
 
 auto raw_connection::readAll() -> std::string
