Gateway sources in three folders: decisions, knowledge and traffic; gateway_call in five files

Cause: 90 files in one folder, and a call of 899 lines that every new part of the request path would have grown. Change: files move without a change of behaviour. gateway_call keeps its interface; the choice of a server, one attempt, its answer, and what it shows about the server are separate files. load_reservation and answer_buffer have headers.

--- a/include/marjoramloom/gateway/account_usage.h
+++ b/include/marjoramloom/gateway/decisions/account_usage.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "marjoramloom/gateway/fleet_loads.h"
-#include "marjoramloom/gateway/sliding_window_sum.h"
+#include "marjoramloom/gateway/decisions/sliding_window_sum.h"
+#include "marjoramloom/gateway/knowledge/fleet_loads.h"
 
 #include <string_view>
 #include <unordered_map>
--- a/include/marjoramloom/gateway/block_quarantine.h
+++ b/include/marjoramloom/gateway/decisions/block_quarantine.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "marjoramloom/core/clock.h"
-#include "marjoramloom/gateway/crash_moments.h"
-#include "marjoramloom/gateway/recent_ids.h"
-#include "marjoramloom/gateway/routed_request.h"
+#include "marjoramloom/gateway/decisions/crash_moments.h"
+#include "marjoramloom/gateway/knowledge/recent_ids.h"
+#include "marjoramloom/gateway/traffic/routed_request.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/marjoramloom/gateway/engine_decision.h
+++ b/include/marjoramloom/gateway/decisions/engine_decision.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "marjoramloom/gateway/engine_shards.h"
-#include "marjoramloom/gateway/gateway_state.h"
-#include "marjoramloom/gateway/server_choice.h"
+#include "marjoramloom/gateway/decisions/engine_shards.h"
+#include "marjoramloom/gateway/decisions/server_choice.h"
+#include "marjoramloom/gateway/knowledge/gateway_state.h"
 
 #include <string>
 
--- a/include/marjoramloom/gateway/engine_shards.h
+++ b/include/marjoramloom/gateway/decisions/engine_shards.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "marjoramloom/gateway/routed_request.h"
-#include "marjoramloom/gateway/server_directory.h"
+#include "marjoramloom/gateway/knowledge/server_directory.h"
+#include "marjoramloom/gateway/traffic/routed_request.h"
 
 #include <cstdint>
 #include <vector>
--- a/include/marjoramloom/gateway/pending_placements.h
+++ b/include/marjoramloom/gateway/decisions/pending_placements.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "marjoramloom/core/clock.h"
-#include "marjoramloom/gateway/fleet_loads.h"
+#include "marjoramloom/gateway/knowledge/fleet_loads.h"
 
 #include <cstdint>
 #include <deque>
--- a/include/marjoramloom/gateway/plain_placement.h
+++ b/include/marjoramloom/gateway/decisions/plain_placement.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "marjoramloom/core/clock.h"
-#include "marjoramloom/gateway/admission_policy.h"
+#include "marjoramloom/gateway/decisions/admission_policy.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/marjoramloom/gateway/request_shares.h
+++ b/include/marjoramloom/gateway/decisions/request_shares.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "marjoramloom/gateway/sliding_window_sum.h"
+#include "marjoramloom/gateway/decisions/sliding_window_sum.h"
 
 #include <cstdint>
 #include <string>
--- a/include/marjoramloom/gateway/server_choice.h
+++ b/include/marjoramloom/gateway/decisions/server_choice.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "marjoramloom/core/last_reason.h"
-#include "marjoramloom/gateway/engine_shards.h"
-#include "marjoramloom/gateway/gateway_state.h"
-#include "marjoramloom/gateway/routed_request.h"
-#include "marjoramloom/gateway/slot_lease.h"
+#include "marjoramloom/gateway/decisions/engine_shards.h"
+#include "marjoramloom/gateway/knowledge/gateway_state.h"
+#include "marjoramloom/gateway/traffic/routed_request.h"
+#include "marjoramloom/gateway/traffic/slot_lease.h"
 
 #include <memory>
 #include <set>
--- a/include/marjoramloom/gateway/watch_role.h
+++ b/include/marjoramloom/gateway/decisions/watch_role.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "marjoramloom/core/clock.h"
-#include "marjoramloom/gateway/router_roster.h"
+#include "marjoramloom/gateway/knowledge/router_roster.h"
 
 #include <optional>
 
--- a/include/marjoramloom/gateway/gateway_settings.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_settings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "marjoramloom/gateway/gateway_retry_budget.h"
+#include "marjoramloom/gateway/decisions/gateway_retry_budget.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/marjoramloom/gateway/load_exchange.h
+++ b/include/marjoramloom/gateway/knowledge/load_exchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "marjoramloom/gateway/placement_dispatch.h"
-#include "marjoramloom/gateway/store_update.h"
+#include "marjoramloom/gateway/knowledge/store_update.h"
+#include "marjoramloom/gateway/traffic/placement_dispatch.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
--- a/include/marjoramloom/gateway/platform_feed.h
+++ b/include/marjoramloom/gateway/knowledge/platform_feed.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "marjoramloom/gateway/gateway_state.h"
-#include "marjoramloom/gateway/server_change_log.h"
-#include "marjoramloom/gateway/store_update.h"
+#include "marjoramloom/gateway/knowledge/gateway_state.h"
+#include "marjoramloom/gateway/knowledge/server_change_log.h"
+#include "marjoramloom/gateway/knowledge/store_update.h"
 #include "marjoramloom/store/store_client.h"
 
 #include <boost/asio/steady_timer.hpp>
--- a/include/marjoramloom/gateway/prefix_cache_estimate.h
+++ b/include/marjoramloom/gateway/knowledge/prefix_cache_estimate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "marjoramloom/core/clock.h"
-#include "marjoramloom/gateway/routed_request.h"
+#include "marjoramloom/gateway/traffic/routed_request.h"
 
 #include <cstdint>
 #include <list>
--- a/include/marjoramloom/gateway/router_discovery.h
+++ b/include/marjoramloom/gateway/knowledge/router_discovery.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "marjoramloom/gateway/router_roster.h"
+#include "marjoramloom/gateway/knowledge/router_roster.h"
 #include "marjoramloom/store/store_client.h"
 
 #include <functional>
--- a/include/marjoramloom/gateway/server_directory.h
+++ b/include/marjoramloom/gateway/knowledge/server_directory.h
@@ -2,7 +2,7 @@
 
 #include "marjoramloom/core/clock.h"
 #include "marjoramloom/core/enum_names.h"
-#include "marjoramloom/gateway/listed_server.h"
+#include "marjoramloom/gateway/knowledge/listed_server.h"
 
 #include <functional>
 #include <map>
--- a/include/marjoramloom/gateway/server_loads.h
+++ b/include/marjoramloom/gateway/knowledge/server_loads.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "marjoramloom/core/clock.h"
-#include "marjoramloom/gateway/listed_server.h"
-#include "marjoramloom/gateway/prefix_cache_estimate.h"
-#include "marjoramloom/gateway/routed_request.h"
-#include "marjoramloom/gateway/server_capacity.h"
+#include "marjoramloom/gateway/decisions/server_capacity.h"
+#include "marjoramloom/gateway/knowledge/listed_server.h"
+#include "marjoramloom/gateway/knowledge/prefix_cache_estimate.h"
+#include "marjoramloom/gateway/traffic/routed_request.h"
 
 #include <cstdint>
 #include <unordered_map>
--- a/include/marjoramloom/gateway/store_relay.h
+++ b/include/marjoramloom/gateway/knowledge/store_relay.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "marjoramloom/gateway/platform_feed.h"
-#include "marjoramloom/gateway/watch_role.h"
+#include "marjoramloom/gateway/decisions/watch_role.h"
+#include "marjoramloom/gateway/knowledge/platform_feed.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
--- a/include/marjoramloom/gateway/store_update.h
+++ b/include/marjoramloom/gateway/knowledge/store_update.h
@@ -2,7 +2,7 @@
 
 #include "marjoramloom/core/boot_clock.h"
 #include "marjoramloom/core/clock.h"
-#include "marjoramloom/gateway/server_change_log.h"
+#include "marjoramloom/gateway/knowledge/server_change_log.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/marjoramloom/gateway/error_reply.h
+++ b/include/marjoramloom/gateway/traffic/error_reply.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "marjoramloom/gateway/gateway_state.h"
-#include "marjoramloom/gateway/routed_request.h"
+#include "marjoramloom/gateway/knowledge/gateway_state.h"
+#include "marjoramloom/gateway/traffic/routed_request.h"
 #include "marjoramloom/router/http_exchange.h"
 
 #include <string_view>
--- a/include/marjoramloom/gateway/gateway_call.h
+++ b/include/marjoramloom/gateway/traffic/gateway_call.h
@@ -2,9 +2,9 @@
 
 #include "marjoramloom/call/call_control.h"
 #include "marjoramloom/call/http_connection.h"
-#include "marjoramloom/gateway/gateway_state.h"
-#include "marjoramloom/gateway/placement_dispatch.h"
-#include "marjoramloom/gateway/server_choice.h"
+#include "marjoramloom/gateway/decisions/server_choice.h"
+#include "marjoramloom/gateway/knowledge/gateway_state.h"
+#include "marjoramloom/gateway/traffic/placement_dispatch.h"
 #include "marjoramloom/router/http_exchange.h"
 #include "platform/header_format.h"
 
@@ -55,6 +55,9 @@
 private:
     struct send_attempt;
 
+    /// The router answers this long before the caller's time limit, so that the answer arrives in time.
+    static constexpr auto ANSWER_MARGIN = std::chrono::milliseconds(15);
+
     auto chooseServer() -> boost::asio::awaitable<std::optional<chosen_server>>;
     auto chooseEngineForPrompt(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
     auto choosePlainServerForRequest(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
--- a/include/marjoramloom/gateway/gateway_handler.h
+++ b/include/marjoramloom/gateway/traffic/gateway_handler.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "marjoramloom/gateway/gateway_state.h"
-#include "marjoramloom/gateway/placement_dispatch.h"
+#include "marjoramloom/gateway/knowledge/gateway_state.h"
+#include "marjoramloom/gateway/traffic/placement_dispatch.h"
 #include "marjoramloom/router/http_exchange.h"
 
 namespace marjoramloom {
--- a/include/marjoramloom/gateway/placement_dispatch.h
+++ b/include/marjoramloom/gateway/traffic/placement_dispatch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "marjoramloom/gateway/engine_decision.h"
+#include "marjoramloom/gateway/decisions/engine_decision.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/include/marjoramloom/router/settings.h
+++ b/include/marjoramloom/router/settings.h
@@ -2,7 +2,7 @@
 
 #include "marjoramloom/core/last_reason.h"
 #include "marjoramloom/core/log.h"
-#include "marjoramloom/gateway/gateway_settings.h"
+#include "marjoramloom/gateway/knowledge/gateway_settings.h"
 
 #include <chrono>
 #include <cstdint>
--- a/src/gateway/account_usage.cpp
+++ b/src/gateway/decisions/account_usage.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/account_usage.h"
+#include "marjoramloom/gateway/decisions/account_usage.h"
 
 #include "marjoramloom/core/hash.h"
 
--- a/src/gateway/admission_policy.cpp
+++ b/src/gateway/decisions/admission_policy.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/admission_policy.h"
+#include "marjoramloom/gateway/decisions/admission_policy.h"
 
 #include <algorithm>
 
--- a/src/gateway/crash_moments.cpp
+++ b/src/gateway/decisions/crash_moments.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/crash_moments.h"
+#include "marjoramloom/gateway/decisions/crash_moments.h"
 
 #include <algorithm>
 
--- a/src/gateway/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/engine_decision.h"
+#include "marjoramloom/gateway/decisions/engine_decision.h"
 
 #include <algorithm>
 
--- a/src/gateway/engine_shards.cpp
+++ b/src/gateway/decisions/engine_shards.cpp
@@ -1,7 +1,7 @@
-#include "marjoramloom/gateway/engine_shards.h"
+#include "marjoramloom/gateway/decisions/engine_shards.h"
 
 #include "marjoramloom/core/hash.h"
-#include "marjoramloom/gateway/prompt_placement.h"
+#include "marjoramloom/gateway/decisions/prompt_placement.h"
 
 namespace marjoramloom {
 
--- a/src/gateway/gateway_retry_budget.cpp
+++ b/src/gateway/decisions/gateway_retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/gateway_retry_budget.h"
+#include "marjoramloom/gateway/decisions/gateway_retry_budget.h"
 
 #include <cassert>
 
--- a/src/gateway/pending_placements.cpp
+++ b/src/gateway/decisions/pending_placements.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/pending_placements.h"
+#include "marjoramloom/gateway/decisions/pending_placements.h"
 
 namespace marjoramloom {
 
--- a/src/gateway/plain_placement.cpp
+++ b/src/gateway/decisions/plain_placement.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/plain_placement.h"
+#include "marjoramloom/gateway/decisions/plain_placement.h"
 
 #include <algorithm>
 #include <cassert>
--- a/src/gateway/prompt_placement.cpp
+++ b/src/gateway/decisions/prompt_placement.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/prompt_placement.h"
+#include "marjoramloom/gateway/decisions/prompt_placement.h"
 
 #include "marjoramloom/core/hash.h"
 
--- a/src/gateway/request_shares.cpp
+++ b/src/gateway/decisions/request_shares.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/request_shares.h"
+#include "marjoramloom/gateway/decisions/request_shares.h"
 
 namespace marjoramloom {
 
--- a/src/gateway/server_capacity.cpp
+++ b/src/gateway/decisions/server_capacity.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/server_capacity.h"
+#include "marjoramloom/gateway/decisions/server_capacity.h"
 
 #include <algorithm>
 #include <cassert>
--- a/src/gateway/server_choice.cpp
+++ b/src/gateway/decisions/server_choice.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/server_choice.h"
+#include "marjoramloom/gateway/decisions/server_choice.h"
 
 #include <algorithm>
 #include <boost/random/uniform_int_distribution.hpp>
--- a/src/gateway/slot_grants.cpp
+++ b/src/gateway/decisions/slot_grants.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/slot_grants.h"
+#include "marjoramloom/gateway/decisions/slot_grants.h"
 
 #include <cassert>
 
--- a/src/gateway/watch_role.cpp
+++ b/src/gateway/decisions/watch_role.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/watch_role.h"
+#include "marjoramloom/gateway/decisions/watch_role.h"
 
 namespace marjoramloom {
 
--- a/src/gateway/datagram_codec.h
+++ b/src/gateway/knowledge/datagram_codec.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "load.pb.h"
-#include "marjoramloom/gateway/block_quarantine.h"
-#include "marjoramloom/gateway/fleet_loads.h"
-#include "marjoramloom/gateway/placement_dispatch.h"
-#include "marjoramloom/gateway/router_roster.h"
-#include "marjoramloom/gateway/store_contact.h"
-#include "marjoramloom/gateway/store_update.h"
+#include "marjoramloom/gateway/decisions/block_quarantine.h"
+#include "marjoramloom/gateway/knowledge/fleet_loads.h"
+#include "marjoramloom/gateway/knowledge/router_roster.h"
+#include "marjoramloom/gateway/knowledge/store_contact.h"
+#include "marjoramloom/gateway/knowledge/store_update.h"
+#include "marjoramloom/gateway/traffic/placement_dispatch.h"
 
 #include <optional>
 #include <vector>
--- a/src/gateway/fleet_loads.cpp
+++ b/src/gateway/knowledge/fleet_loads.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/fleet_loads.h"
+#include "marjoramloom/gateway/knowledge/fleet_loads.h"
 
 namespace marjoramloom {
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/knowledge/gateway_state.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/gateway_state.h"
+#include "marjoramloom/gateway/knowledge/gateway_state.h"
 
 #include "marjoramloom/core/log.h"
 
--- a/src/gateway/key_freshness.cpp
+++ b/src/gateway/knowledge/key_freshness.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/key_freshness.h"
+#include "marjoramloom/gateway/knowledge/key_freshness.h"
 
 #include <algorithm>
 #include <cassert>
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/knowledge/load_exchange.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/load_exchange.h"
+#include "marjoramloom/gateway/knowledge/load_exchange.h"
 
 #include "datagram_codec.h"
 #include "marjoramloom/core/endpoint.h"
--- a/src/gateway/prefix_cache_estimate.cpp
+++ b/src/gateway/knowledge/prefix_cache_estimate.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/prefix_cache_estimate.h"
+#include "marjoramloom/gateway/knowledge/prefix_cache_estimate.h"
 
 namespace marjoramloom {
 
--- a/src/gateway/recent_ids.cpp
+++ b/src/gateway/knowledge/recent_ids.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/recent_ids.h"
+#include "marjoramloom/gateway/knowledge/recent_ids.h"
 
 #include <utility>
 
--- a/src/gateway/router_discovery.cpp
+++ b/src/gateway/knowledge/router_discovery.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/router_discovery.h"
+#include "marjoramloom/gateway/knowledge/router_discovery.h"
 
 #include "marjoramloom/core/endpoint.h"
 #include "marjoramloom/core/hash.h"
--- a/src/gateway/router_roster.cpp
+++ b/src/gateway/knowledge/router_roster.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/router_roster.h"
+#include "marjoramloom/gateway/knowledge/router_roster.h"
 
 #include "marjoramloom/core/hash.h"
 
--- a/src/gateway/server_change_log.cpp
+++ b/src/gateway/knowledge/server_change_log.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/server_change_log.h"
+#include "marjoramloom/gateway/knowledge/server_change_log.h"
 
 #include <algorithm>
 
--- a/src/gateway/server_loads.cpp
+++ b/src/gateway/knowledge/server_loads.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/server_loads.h"
+#include "marjoramloom/gateway/knowledge/server_loads.h"
 
 #include "marjoramloom/core/hash.h"
 
--- a/src/gateway/server_pauses.cpp
+++ b/src/gateway/knowledge/server_pauses.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/server_pauses.h"
+#include "marjoramloom/gateway/knowledge/server_pauses.h"
 
 #include <algorithm>
 #include <cassert>
--- a/src/gateway/store_contact.cpp
+++ b/src/gateway/knowledge/store_contact.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/store_contact.h"
+#include "marjoramloom/gateway/knowledge/store_contact.h"
 
 #include <algorithm>
 
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/knowledge/store_relay.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/store_relay.h"
+#include "marjoramloom/gateway/knowledge/store_relay.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/src/gateway/error_reply.cpp
+++ b/src/gateway/traffic/error_reply.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/error_reply.h"
+#include "marjoramloom/gateway/traffic/error_reply.h"
 
 #include "platform/header_format.h"
 
--- /dev/null
+++ b/src/gateway/traffic/gateway_call_choice.cpp
@@ -0,0 +1,116 @@
+// The choice of a server for the next attempt.
+#include "marjoramloom/gateway/traffic/gateway_call.h"
+
+#include "marjoramloom/core/hash.h"
+
+namespace marjoramloom {
+
+namespace asio = boost::asio;
+
+/// Chooses the server for the next attempt. Returns nothing if there is none or the request is refused; before the
+/// first attempt the reason is stored in m_why.
+auto gateway_call::chooseServer() -> asio::awaitable<std::optional<chosen_server>>
+{
+    auto why = last_reason();
+    auto chosen = std::optional<chosen_server>();
+    if (timeToUsableServer() > duration::zero()) {
+        why.fail(failure_kind::unavailable, "choose server", m_service->name, "every server asked for a pause");
+    } else if (m_service->engine && m_route.carriesPrompt) {
+        chosen = co_await chooseEngineForPrompt(why);
+    } else {
+        chosen = co_await choosePlainServerForRequest(why);
+    }
+    if (!chosen && m_sendCount == 0) {
+        m_why = why;
+    }
+    co_return chosen;
+}
+
+auto gateway_call::chooseEngineForPrompt(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
+{
+    auto query = placement_query{ .service = m_service->name,
+                                  .shard = shardOf(m_state.servers.usable(m_service->name), m_request.prompt),
+                                  .prompt = m_request.prompt,
+                                  .account = m_accountId,
+                                  .objective = m_route.latencyObjective,
+                                  .failedServers = m_failedServers,
+                                  .fullServers = m_fullServers,
+                                  .plain = false,
+                                  .dataCentre = {},
+                                  .alreadySent = m_sendCount > 0 };
+    excludePausedServers(query);
+    auto decision = co_await m_dispatch.decide(query, why);
+    if (decision && decision->chosen) {
+        co_return std::move(decision->chosen);
+    }
+    if (query.alreadySent) {
+        // A request that was already sent to a server is not refused here: its retry may go to any engine of the
+        // service.
+        co_return chooseEngine(m_state, *m_service, {}, m_request.prompt, query.triedServers(),
+                               system_clock_source().now(), why);
+    }
+    co_return std::nullopt;
+}
+
+auto gateway_call::choosePlainServerForRequest(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
+{
+    const auto shards = shardCount(m_state.servers.usable(m_service->name).size());
+    auto query = placement_query{ .service = m_service->name,
+                                  .shard = { .index = static_cast<std::uint32_t>(hash64(m_request.id) % shards),
+                                             .count = shards },
+                                  .prompt = {},
+                                  .account = m_account.empty() ? 0 : m_accountId,
+                                  .objective = m_route.latencyObjective,
+                                  .failedServers = m_failedServers,
+                                  .fullServers = m_fullServers,
+                                  .plain = true,
+                                  .dataCentre = m_state.dataCentre,
+                                  .alreadySent = m_sendCount > 0 };
+    excludePausedServers(query);
+    auto decision = co_await m_dispatch.decide(query, why);
+    co_return decision ? std::move(decision->chosen) : std::nullopt;
+}
+
+/// Excludes the servers that asked this router for a pause. If none is left in the shard of \p query, the query becomes
+/// one for all servers of the service.
+auto gateway_call::excludePausedServers(placement_query &query) const -> void
+{
+    if (m_state.pauses.size() == 0) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    const auto exclude = [&] {
+        auto isAnyLeft = false;
+        for (const auto &server : m_state.servers.usable(query.service)) {
+            const auto incarnation = server_loads::incarnationId(*server);
+            const auto isPaused = m_state.pauses.remaining(incarnation, now) > duration::zero();
+            if (isPaused && query.shard.contains(server->id)) {
+                query.fullServers.insert(incarnation);
+            }
+            isAnyLeft = isAnyLeft || (!isPaused && query.shard.contains(server->id));
+        }
+        return isAnyLeft;
+    };
+    if (!exclude()) {
+        query.shard = {};
+        exclude();
+    }
+}
+
+/// How much longer all servers of the service that accept new requests have asked this router for a pause; 0 if one has
+/// not, or if there is none.
+auto gateway_call::timeToUsableServer() const -> duration
+{
+    const auto &servers = m_state.servers.usable(m_service->name);
+    if (m_state.pauses.size() < servers.size()) {
+        return duration::zero();
+    }
+    auto incarnations = std::vector<std::uint64_t>();
+    incarnations.reserve(servers.size());
+    for (const auto &server : servers) {
+        incarnations.push_back(server_loads::incarnationId(*server));
+    }
+    return m_state.pauses.remainingForAll(incarnations, boot_clock::now());
+}
+
+} // namespace marjoramloom
--- a/src/gateway/gateway_handler.cpp
+++ b/src/gateway/traffic/gateway_handler.cpp
@@ -1,8 +1,8 @@
-#include "marjoramloom/gateway/gateway_handler.h"
+#include "marjoramloom/gateway/traffic/gateway_handler.h"
 
 #include "marjoramloom/core/log.h"
-#include "marjoramloom/gateway/error_reply.h"
-#include "marjoramloom/gateway/gateway_call.h"
+#include "marjoramloom/gateway/traffic/error_reply.h"
+#include "marjoramloom/gateway/traffic/gateway_call.h"
 #include "platform/header_format.h"
 #include "router/caller_watch.h"
 
--- a/src/gateway/placement_dispatch.cpp
+++ b/src/gateway/traffic/placement_dispatch.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/placement_dispatch.h"
+#include "marjoramloom/gateway/traffic/placement_dispatch.h"
 
 #include "marjoramloom/core/hash.h"
 #include "marjoramloom/core/log.h"
--- a/src/gateway/slot_lease.cpp
+++ b/src/gateway/traffic/slot_lease.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/slot_lease.h"
+#include "marjoramloom/gateway/traffic/slot_lease.h"
 
 #include <algorithm>
 
--- a/src/gateway/status_handler.cpp
+++ b/src/gateway/traffic/status_handler.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/status_handler.h"
+#include "marjoramloom/gateway/traffic/status_handler.h"
 
 #include "marjoramloom/router/caller_handler.h"
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,6 @@
 #include "marjoramloom/cli/run_command.h"
 #include "marjoramloom/core/log.h"
-#include "marjoramloom/gateway/gateway_process.h"
+#include "marjoramloom/gateway/traffic/gateway_process.h"
 #include "marjoramloom/router/router_process.h"
 
 #include <csignal>
--- a/tests/unit/gateway/block_quarantine_test.cpp
+++ b/tests/unit/gateway/block_quarantine_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/block_quarantine.h"
+#include "marjoramloom/gateway/decisions/block_quarantine.h"
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
--- a/tests/unit/gateway/connection_pacing_test.cpp
+++ b/tests/unit/gateway/connection_pacing_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/connection_pacing.h"
+#include "marjoramloom/gateway/decisions/connection_pacing.h"
 
 #include <boost/test/unit_test.hpp>
 #include <cmath>
--- a/tests/unit/gateway/crash_moments_test.cpp
+++ b/tests/unit/gateway/crash_moments_test.cpp
@@ -1,5 +1,5 @@
-#include "marjoramloom/gateway/crash_moments.h"
-#include "marjoramloom/gateway/recent_ids.h"
+#include "marjoramloom/gateway/decisions/crash_moments.h"
+#include "marjoramloom/gateway/knowledge/recent_ids.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/gateway/engine_shards_test.cpp
+++ b/tests/unit/gateway/engine_shards_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/engine_shards.h"
+#include "marjoramloom/gateway/decisions/engine_shards.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
--- a/tests/unit/gateway/event_batching_test.cpp
+++ b/tests/unit/gateway/event_batching_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/event_batching.h"
+#include "marjoramloom/gateway/decisions/event_batching.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
--- a/tests/unit/gateway/event_loop_delay_test.cpp
+++ b/tests/unit/gateway/event_loop_delay_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/event_loop_delay.h"
+#include "marjoramloom/gateway/decisions/event_loop_delay.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/gateway/event_splitter_test.cpp
+++ b/tests/unit/gateway/event_splitter_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/event_splitter.h"
+#include "marjoramloom/gateway/traffic/event_splitter.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/gateway/fleet_loads_test.cpp
+++ b/tests/unit/gateway/fleet_loads_test.cpp
@@ -1,6 +1,6 @@
-#include "marjoramloom/gateway/account_usage.h"
-#include "marjoramloom/gateway/admission_policy.h"
-#include "marjoramloom/gateway/fleet_loads.h"
+#include "marjoramloom/gateway/decisions/account_usage.h"
+#include "marjoramloom/gateway/decisions/admission_policy.h"
+#include "marjoramloom/gateway/knowledge/fleet_loads.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/gateway/freshness_and_budget_test.cpp
+++ b/tests/unit/gateway/freshness_and_budget_test.cpp
@@ -1,6 +1,6 @@
-#include "marjoramloom/gateway/gateway_retry_budget.h"
-#include "marjoramloom/gateway/gateway_state.h"
-#include "marjoramloom/gateway/key_freshness.h"
+#include "marjoramloom/gateway/decisions/gateway_retry_budget.h"
+#include "marjoramloom/gateway/knowledge/gateway_state.h"
+#include "marjoramloom/gateway/knowledge/key_freshness.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/gateway/placement_dispatch_test.cpp
+++ b/tests/unit/gateway/placement_dispatch_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/placement_dispatch.h"
+#include "marjoramloom/gateway/traffic/placement_dispatch.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
--- a/tests/unit/gateway/placement_test.cpp
+++ b/tests/unit/gateway/placement_test.cpp
@@ -1,5 +1,5 @@
-#include "marjoramloom/gateway/prefix_cache_estimate.h"
-#include "marjoramloom/gateway/prompt_placement.h"
+#include "marjoramloom/gateway/decisions/prompt_placement.h"
+#include "marjoramloom/gateway/knowledge/prefix_cache_estimate.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/gateway/plain_placement_test.cpp
+++ b/tests/unit/gateway/plain_placement_test.cpp
@@ -1,7 +1,7 @@
-#include "marjoramloom/gateway/plain_placement.h"
-#include "marjoramloom/gateway/request_shares.h"
-#include "marjoramloom/gateway/server_capacity.h"
-#include "marjoramloom/gateway/slot_grants.h"
+#include "marjoramloom/gateway/decisions/plain_placement.h"
+#include "marjoramloom/gateway/decisions/request_shares.h"
+#include "marjoramloom/gateway/decisions/server_capacity.h"
+#include "marjoramloom/gateway/decisions/slot_grants.h"
 
 #include <boost/test/unit_test.hpp>
 #include <limits>
--- a/tests/unit/gateway/platform_feed_test.cpp
+++ b/tests/unit/gateway/platform_feed_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/platform_feed.h"
+#include "marjoramloom/gateway/knowledge/platform_feed.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
--- a/tests/unit/gateway/route_table_test.cpp
+++ b/tests/unit/gateway/route_table_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramloom/gateway/route_table.h"
+#include "marjoramloom/gateway/knowledge/route_table.h"
 
 #include "platform/configuration_format.h"
 
--- a/tests/unit/gateway/router_roster_test.cpp
+++ b/tests/unit/gateway/router_roster_test.cpp
@@ -1,5 +1,5 @@
-#include "marjoramloom/gateway/router_roster.h"
-#include "marjoramloom/gateway/watch_role.h"
+#include "marjoramloom/gateway/decisions/watch_role.h"
+#include "marjoramloom/gateway/knowledge/router_roster.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
--- a/tests/unit/gateway/server_directory_test.cpp
+++ b/tests/unit/gateway/server_directory_test.cpp
@@ -1,6 +1,6 @@
-#include "marjoramloom/gateway/server_directory.h"
+#include "marjoramloom/gateway/knowledge/server_directory.h"
 
-#include "marjoramloom/gateway/server_loads.h"
+#include "marjoramloom/gateway/knowledge/server_loads.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/gateway/store_contact_test.cpp
+++ b/tests/unit/gateway/store_contact_test.cpp
@@ -1,6 +1,6 @@
-#include "marjoramloom/gateway/store_contact.h"
+#include "marjoramloom/gateway/knowledge/store_contact.h"
 
-#include "gateway/datagram_codec.h"
+#include "gateway/knowledge/datagram_codec.h"
 
 #include <boost/test/unit_test.hpp>
 
