An entry names a server only with all its fields, and a 2xx without a seal is no success

Change: all fields are required, each of its type. answer_proof decides for every path whose answer a head is; a success without the seal is a failure of unknown outcome. The stand-ins' entries have all fields.

--- a/src/gateway/traffic/gateway_call_answer.cpp
+++ b/src/gateway/traffic/gateway_call_answer.cpp
@@ -58,10 +58,13 @@
     const auto added = addedFields(attempt.chosen);
     const auto request = makeUpstreamRequest(added);
     auto longFields = platform::formatLongFields(m_exchange.request().base(), m_exchange.longFields(), added);
-    if (!co_await attempt.connection->send(request, remainingTime(), m_why, std::move(longFields))
-        || !co_await readMatchingHead(attempt)) {
+    const auto isSent = co_await attempt.connection->send(request, remainingTime(), m_why, std::move(longFields));
+    const auto standing = isSent ? co_await readMatchingHead(attempt) : std::nullopt;
+    if (standing != answer_standing::own) {
         noteServerFailed(server);
-        noteBroken(attempt, crash_sign::noAnswer);
+        if (standing != answer_standing::unproven) {
+            noteBroken(attempt, crash_sign::noAnswer);
+        }
         co_return attempt_outcome::incomplete;
     }
     const auto &head = attempt.connection->head();
@@ -90,34 +93,41 @@
 }
 
 /// Reads answers until the head of this request's answer: a late or repeated answer to an earlier request may precede
-/// it on the connection. An answer without an id may be such a one unless the connection is new.
-auto gateway_call::readMatchingHead(send_attempt &attempt) -> asio::awaitable<bool>
+/// it on the connection. Returns what the last head counts as, or nothing if none was read; unless it is the server's
+/// answer to the request, the reason is stored in m_why.
+auto gateway_call::readMatchingHead(send_attempt &attempt) -> asio::awaitable<std::optional<answer_standing>>
 {
+    const auto proof = answer_proof(m_request.id, attempt.onReusedConnection);
+    const auto &server = *attempt.chosen.server;
     for (auto strayAnswers = 0; strayAnswers <= maxStrayAnswers; ++strayAnswers) {
         if (!co_await attempt.connection->readHead(remainingTime(), m_why)) {
-            co_return false;
+            co_return std::nullopt;
         }
-        noteServerNotice(*attempt.chosen.server, attempt.connection->head());
-        const auto answeredId = platform::answeredRequestId(attempt.connection->head());
-        if (answeredId == m_request.id || (answeredId.empty() && !attempt.onReusedConnection)) {
-            co_return true;
+        const auto marks = platform::decodeAnswerMarks(attempt.connection->head());
+        const auto standing = proof.judge(marks);
+        if (standing == answer_standing::unproven) {
+            m_state.counters.at("marjoramloom_unproven_answers_total").add();
+            m_why.fail(failure_kind::unknownOutcome, "read answer", server.id, nameOf(standing));
+            co_return standing;
         }
-        if (answeredId.empty()) {
-            m_why.fail(failure_kind::protocolViolation, "read answer", attempt.chosen.server->id,
-                       "an answer without a request id on a reused connection");
-            co_return false;
+        noteServerNotice(server, attempt.connection->head());
+        if (standing == answer_standing::own) {
+            co_return standing;
+        }
+        if (standing == answer_standing::unassignable) {
+            m_why.fail(failure_kind::protocolViolation, "read answer", server.id, nameOf(standing));
+            co_return standing;
         }
         log_line(log_level::warning, "stray_answer")
             .with("request", m_request.id)
-            .with("answered", answeredId)
-            .with("server", attempt.chosen.server->id);
+            .with("answered", marks.requestId)
+            .with("server", server.id);
         if (!co_await attempt.connection->skipRest(maxSkippedBytes, remainingTime(), m_why)) {
-            co_return false;
+            co_return std::nullopt;
         }
     }
-    m_why.fail(failure_kind::protocolViolation, "read answer", attempt.chosen.server->id,
-               "too many answers to other requests");
-    co_return false;
+    m_why.fail(failure_kind::protocolViolation, "read answer", server.id, "too many answers to other requests");
+    co_return answer_standing::stray;
 }
 
 auto gateway_call::relayCompleteAnswer(send_attempt &attempt) -> asio::awaitable<attempt_outcome>
--- a/tests/process/gateway/faulty_answer_test.cpp
+++ b/tests/process/gateway/faulty_answer_test.cpp
@@ -196,6 +196,88 @@
     }
 }
 
+/// Guards against the success of a process that is no backend server, which runs nothing (review/2).
+BOOST_AUTO_TEST_CASE(a_success_without_a_seal_is_a_failure_of_unknown_outcome)
+{
+    const auto withoutSeal = [](std::string answer) {
+        const auto field = std::string("X-Response-Seal: seal\r\n");
+        return answer.replace(answer.find(field), field.size(), "");
+    };
+    using answer_form = std::function<std::string(const std::string &)>;
+    const auto forms = std::vector<std::pair<std::string, answer_form>>{
+        { "complete",
+          [&](const auto &id) {
+              return withoutSeal(wholeAnswer(id, "alive"));
+          } },
+        { "complete, without an id",
+          [&](const auto &) {
+              return withoutSeal(wholeAnswer("", "alive"));
+          } },
+        { "without content",
+          [&](const auto &id) {
+              return withoutSeal(headOf(id, "", "204 No Content"));
+          } },
+        { "an empty seal",
+          [](const auto &id) {
+              return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal:\r\nContent-Length: 0\r\n\r\n";
+          } },
+        { "not run",
+          [&](const auto &id) {
+              return withoutSeal(headOf(id, "X-Not-Executed: 1\r\nContent-Length: 0\r\n"));
+          } },
+        { "a stream",
+          [&](const auto &id) {
+              const auto body = events(1, 5);
+              return withoutSeal(
+                         headOf(id, unframedStream + ("Content-Length: " + std::to_string(body.size())) + "\r\n"))
+                  + body;
+          } },
+    };
+    for (const auto &[name, answerFor] : forms) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            auto strangers = std::atomic<int>(0);
+            const auto strange = [&strangers, &answerFor = answerFor](const std::string &id) {
+                return id == "warm" ? scripted_answer{ wholeAnswer(id, "ok") }
+                                    : (++strangers, scripted_answer{ answerFor(id) });
+            };
+            auto fleet = faulty_fleet({ strange, strange });
+            BOOST_TEST(fleet.call("/read/x", "warm").status == 200U); // Leaves a kept connection.
+            for (const auto *path : { "/read/x", "/post/x", "/talk/x", "/once/x" }) {
+                const auto answer = fleet.call(path, std::string("strange-") + path[1]);
+                BOOST_TEST(answer.status == 502U, path << " status " << answer.status);
+                BOOST_TEST(answer.body.find("alive") == std::string::npos);
+            }
+            BOOST_TEST(strangers >= 4);
+            // A request that may run twice gets the answer of a server that proves it.
+            auto first = std::atomic<bool>(true);
+            const auto once = [&first, &answerFor = answerFor](const std::string &id) {
+                return scripted_answer{ first.exchange(false) ? answerFor(id) : wholeAnswer(id, "own") };
+            };
+            auto mixed = faulty_fleet({ once, once });
+            BOOST_TEST(mixed.call("/read/x", "repeated").body == "own");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_unsealed_stream_does_not_go_on_with_one_that_began)
+{
+    auto attempts = std::atomic<int>(0);
+    const auto answerFor = [&](const std::string &id) {
+        if (attempts++ == 0) {
+            return scripted_answer{ headOf(id, unframedStream) + events(1, 3), connection_end::reset };
+        }
+        return scripted_answer{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\n" + unframedStream + "\r\n"
+                                    + events(4, 12),
+                                connection_end::close };
+    };
+    auto fleet = faulty_fleet({ answerFor, answerFor });
+    const auto answer = fleet.call("/talk/stream", "resumed");
+    BOOST_TEST(attempts == 2);
+    BOOST_TEST(answer.body == events(1, 3));
+    BOOST_TEST(!answer.complete);
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_with_neither_length_nor_chunks_is_whole_only_if_it_ends_between_events_without_a_reset)
 {
     const auto send = [](const std::string &text, connection_end end) {
--- a/tests/process/gateway/odd_entry_test.cpp
+++ b/tests/process/gateway/odd_entry_test.cpp
@@ -17,8 +17,8 @@
 auto entryWith(const char *field, json::value value) -> json::object
 {
     auto entry = json::object{
-        { "service", "desk" }, { "address", "127.0.0.1:9" }, { "zone", "north" },   { "version", "v1" },
-        { "slots", 8 },        { "state", "ready" },         { "born", 1'700'000 },
+        { "service", "desk" }, { "address", "127.0.0.1:9" }, { "zone", "north" }, { "version", "v1" },   { "slots", 8 },
+        { "state", "ready" },  { "cold_left_ms", 0 },        { "sequence", 1 },   { "born", 1'700'000 },
     };
     entry[field] = std::move(value);
     return entry;
--- /dev/null
+++ b/tests/process/gateway/server_evidence_test.cpp
@@ -0,0 +1,62 @@
+#include "support/gateway_fleet.h"
+#include "support/scripted_server.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace marjoramloom::test;
+
+namespace json = boost::json;
+
+namespace {
+
+/// Time for a change in the store to reach all routers.
+constexpr auto changeMs = 500;
+constexpr auto callCount = 24;
+
+/// A process that is no backend server and answers 200 to everything.
+auto answerAsStranger(const std::string &) -> scripted_answer
+{
+    return { "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nalive\n", connection_end::keep };
+}
+
+auto entryAt(const std::string &address) -> json::object
+{
+    return json::object{
+        { "service", "desk" }, { "address", address }, { "zone", "north" },
+        { "version", "v1" },   { "slots", 8 },         { "state", "ready" },
+        { "cold_left_ms", 0 }, { "sequence", 1 },      { "born", 1'700'000'000'000 },
+    };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(server_evidence_test)
+
+/// Guards against requests to the address of an entry that another writer left (review/2).
+BOOST_AUTO_TEST_CASE(an_entry_without_a_field_or_with_one_of_another_type_names_no_server)
+{
+    auto stranger = scripted_server(answerAsStranger);
+    auto fleet = gateway_fleet({ .routers = 2, .servers = 1 });
+    const auto address = stranger.address();
+    for (const auto &field : entryAt(address)) {
+        for (const auto *kind : { "missing", "list" }) {
+            auto entry = entryAt(address);
+            entry[field.key()] = json::array();
+            if (std::string(kind) == "missing") {
+                entry.erase(field.key());
+            }
+            fleet.writeObject("servers", "odd-" + std::string(field.key()) + "-" + kind, entry);
+        }
+    }
+    auto fraction = entryAt(address);
+    fraction["born"] = 1.5;
+    fleet.writeObject("servers", "odd-born-fraction", fraction);
+    sleepMs(changeMs);
+    for (auto number = 0; number < callCount; ++number) {
+        const auto &router = fleet.routers()[static_cast<std::size_t>(number) % 2];
+        BOOST_TEST(fleet.call(router, "/post/x", "order-" + std::to_string(number), "GET").status == 200U);
+    }
+    BOOST_TEST(stranger.requests == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -166,6 +166,8 @@
         { "version", "v1" },
         { "slots", m_plan.callSlots > 0 ? m_plan.callSlots : defaultSlots },
         { "state", state },
+        { "cold_left_ms", 0 },
+        { "sequence", ++m_entrySequence },
         { "born", 1'700'000'000'000 + index + static_cast<std::size_t>(incarnation) * 1'000 },
     };
     writeObject("servers", server.name(), spec);
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -88,6 +88,7 @@
     std::vector<std::unique_ptr<standin>> m_servers;
     std::vector<router_handle> m_routers;
     int m_version = 0;
+    std::int64_t m_entrySequence = 0;
 };
 
 } // namespace marjoramloom::test
--- a/tests/unit/gateway/platform_feed_test.cpp
+++ b/tests/unit/gateway/platform_feed_test.cpp
@@ -35,7 +35,7 @@
     {
         const auto value = R"({"service":"pool","address":"10.0.0.9:80","zone":"north","version":"v1","slots":8,)"
                            R"("state":")"
-            + serverState + R"(","born":7})";
+            + serverState + R"(","cold_left_ms":0,"sequence":1,"born":7})";
         return { .object = { .kind = {}, .name = id, .revision = revision, .value = value }, .removed = false };
     }
 
--- a/tests/unit/platform/header_format_test.cpp
+++ b/tests/unit/platform/header_format_test.cpp
@@ -3,6 +3,7 @@
 #include "marjoramloom/store/object_store.h"
 #include "platform/server_format.h"
 
+#include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace marjoramloom;
@@ -129,12 +130,26 @@
         return platform::decodeServer({ .kind = "servers", .name = "i-1", .revision = 1, .value = std::move(value) },
                                       why);
     };
-    const auto server =
-        decode(R"({"service":"s","address":"10.0.0.1:80","zone":"north","state":"draining","slots":6,"born":17})");
+    const auto whole = boost::json::parse(
+        R"({"service":"s","address":"10.0.0.1:80","zone":"north","version":"v1","state":"draining","slots":6,)"
+        R"("cold_left_ms":250,"sequence":4,"born":17})");
+    const auto server = decode(boost::json::serialize(whole));
     BOOST_REQUIRE(server.has_value());
     BOOST_TEST(server->draining);
     BOOST_TEST(server->dataCentre == "north");
     BOOST_TEST(server->startUnixMs == 17);
+    BOOST_TEST(server->remainingWarmUp == std::chrono::milliseconds(250));
+    // An entry of another writer, which lacks a field or has one of another type, names no server (review/2).
+    for (const auto &field : whole.as_object()) {
+        auto entry = whole.as_object();
+        entry.erase(field.key());
+        BOOST_TEST(!decode(boost::json::serialize(entry)).has_value(), "without " << field.key());
+        for (const auto *value : { "null", "true", "[]", "{}", "-1", "1e300", "0.5" }) {
+            entry[field.key()] = boost::json::parse(value);
+            const auto mayBeFraction = field.key() == "cold_left_ms" && std::string_view(value) == "0.5";
+            BOOST_TEST(decode(boost::json::serialize(entry)).has_value() == mayBeFraction, field.key() << " " << value);
+        }
+    }
     for (const auto *value : { "junk", R"({"service":"s","address":"a","zone":"n","state":"ready"})",
                                R"({"service":5,"address":"a","zone":"n","state":"ready","slots":6})",
                                R"({"service":"s","address":"a","zone":"n","state":"sleepy","slots":6})",
