Evidence about a server is ordered by its start, then the store's revision

Cause: an entry with any other born counted as a later start, and a removed server was forgotten at once.

--- a/include/marjoramloom/gateway/knowledge/listed_server.h
+++ b/include/marjoramloom/gateway/knowledge/listed_server.h
@@ -17,7 +17,8 @@
     std::uint32_t slots = 1; ///< Requests that it executes at a time.
     bool draining = false; ///< Takes no new requests.
     std::chrono::milliseconds remainingWarmUp{ 0 }; ///< Time until it reaches full speed after its start.
-    std::int64_t startUnixMs = 0; ///< Unix time of its start.
+    std::int64_t startUnixMs = 0; ///< Unix time of its start, by the server's clock.
+    std::uint64_t revision = 0; ///< Store-wide revision of the entry.
 
     /// Whether both describe the same incarnation of a server.
     [[nodiscard]] auto isSameIncarnation(const listed_server &other) const -> bool
--- a/include/marjoramloom/gateway/knowledge/server_directory.h
+++ b/include/marjoramloom/gateway/knowledge/server_directory.h
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/core/clock.h"
 #include "marjoramloom/core/enum_names.h"
+#include "marjoramloom/gateway/knowledge/evidence_memory.h"
 #include "marjoramloom/gateway/knowledge/listed_server.h"
 
 #include <functional>
@@ -50,15 +51,15 @@
     /// Calls \p onChange for every server that is added, changed or removed.
     explicit server_directory(listener onChange);
 
-    /// Replaces the whole list by \p listed, as read at \p now.
-    auto replaceAll(std::vector<listed_server> listed, time_point now) -> void;
+    /// Replaces the whole list by \p listed, which was read at \p now and has the store's \p revision.
+    auto replaceAll(std::vector<listed_server> listed, std::uint64_t revision, time_point now) -> void;
 
-    /// Adds or updates an entry.
+    /// Adds or updates an entry, unless it is late (see server_evidence).
     auto put(listed_server server, time_point now) -> void;
 
-    /// Removes the entry \p id, or keeps it for a while if its lease may have expired because of an outage of the
-    /// store.
-    auto remove(const std::string &id, time_point now) -> void;
+    /// Removes the entry \p id, which the store did with \p revision, or keeps it for a while if its lease may have
+    /// expired because of an outage of the store. Has no effect on an entry with a larger revision.
+    auto remove(const std::string &id, std::uint64_t revision, time_point now) -> void;
 
     /// Call when the store cannot be reached.
     auto onStoreLost() -> void;
@@ -126,6 +127,7 @@
     auto forgetOldStatements(time_point now) -> void;
 
     listener m_onChange;
+    evidence_memory m_evidence;
     /// By incarnation, when a server that stated that it leaves was last listed or, if it was not, stated it.
     std::unordered_map<std::uint64_t, time_point> m_statedLeaving;
     std::map<std::string, entry> m_entries;
--- a/src/gateway/knowledge/platform_feed.cpp
+++ b/src/gateway/knowledge/platform_feed.cpp
@@ -257,7 +257,7 @@
             log_line(log_level::warning, "server_unreadable").with("server", object.name).with("reason", reason.text());
         }
     }
-    m_state.servers.replaceAll(std::move(servers), system_clock_source().now());
+    m_state.servers.replaceAll(std::move(servers), listed->revision, system_clock_source().now());
     m_state.hasServers = true;
     m_serverChanges.reset(listed->revision);
     m_serversWatchRevision = listed->revision;
@@ -287,7 +287,7 @@
     removal.removed = true;
     removal.object.value.clear();
     m_serverChanges.add(std::move(removal));
-    m_state.servers.remove(change.object.name, now);
+    m_state.servers.remove(change.object.name, change.object.revision, now);
 }
 
 auto platform_feed::configurationRevision() const -> std::uint64_t
--- a/src/gateway/knowledge/server_directory.cpp
+++ b/src/gateway/knowledge/server_directory.cpp
@@ -14,7 +14,7 @@
     assert(m_onChange);
 }
 
-auto server_directory::replaceAll(std::vector<listed_server> listed, time_point now) -> void
+auto server_directory::replaceAll(std::vector<listed_server> listed, std::uint64_t revision, time_point now) -> void
 {
     auto present = std::set<std::string>();
     for (auto &server : listed) {
@@ -28,34 +28,44 @@
         }
     }
     for (const auto &id : absent) {
-        remove(id, now);
+        remove(id, revision, now);
     }
 }
 
-auto server_directory::put(listed_server server, time_point /*now*/) -> void
+auto server_directory::put(listed_server server, time_point now) -> void
 {
+    auto newest = m_evidence.addEntry(server, now);
+    if (!newest || !m_evidence.isListed(server.id)) {
+        // It is late. A removed server that may renew its entry stays in use, unless it turns out to be leaving or to
+        // have started again before the removal.
+        const auto found = m_entries.find(server.id);
+        if (newest && found != m_entries.end()
+            && (newest->draining || !found->second.server->isSameIncarnation(*newest))) {
+            removeEntry(server.id, "removed");
+        }
+        return;
+    }
     auto &current = m_entries[server.id];
     const auto known = current.server != nullptr;
-    const auto isSameIncarnation = known && current.server->isSameIncarnation(server);
-    const auto unchanged = isSameIncarnation && current.server->draining == server.draining
-        && current.server->slots == server.slots && current.server->service == server.service
+    const auto isSameIncarnation = known && current.server->isSameIncarnation(*newest);
+    const auto unchanged = isSameIncarnation && current.server->draining == newest->draining
+        && current.server->slots == newest->slots && current.server->service == newest->service
         && !current.expiredKeptUntil;
-    // An incarnation that drains never accepts requests again; an older entry of it may arrive late.
-    server.draining = server.draining || (isSameIncarnation && current.server->draining);
     current.misdirected = isSameIncarnation && current.misdirected;
-    current.statedLeaving = m_statedLeaving.contains(server_loads::incarnationId(server));
+    current.statedLeaving = m_statedLeaving.contains(server_loads::incarnationId(*newest));
     current.expiredKeptUntil.reset();
-    current.server = std::make_shared<const listed_server>(std::move(server));
+    current.server = std::move(newest);
     rebuildIndexes();
     if (!unchanged) {
         m_onChange(*current.server, !known ? "added" : (current.server->draining ? "leaving" : "changed"));
     }
 }
 
-auto server_directory::remove(const std::string &id, time_point now) -> void
+auto server_directory::remove(const std::string &id, std::uint64_t revision, time_point now) -> void
 {
+    const auto isRemoved = m_evidence.addRemoval(id, revision, now);
     const auto found = m_entries.find(id);
-    if (found == m_entries.end()) {
+    if (!isRemoved || found == m_entries.end()) {
         return;
     }
     if (!mayBeRenewed(now) || found->second.server->draining) {
@@ -126,6 +136,7 @@
         removeEntry(id, "not renewed");
     }
     forgetOldStatements(now);
+    m_evidence.tick(now);
 }
 
 auto server_directory::noteMisdirected(const listed_server &server) -> void
--- a/tests/process/gateway/server_evidence_test.cpp
+++ b/tests/process/gateway/server_evidence_test.cpp
@@ -59,4 +59,34 @@
     BOOST_TEST(stranger.requests == 0);
 }
 
+/// Guards against a leaving server that gets requests again as the store executes a write of an earlier boot
+/// (review/4).
+BOOST_AUTO_TEST_CASE(a_late_entry_of_an_earlier_boot_does_not_bring_a_server_back)
+{
+    auto fleet = gateway_fleet({ .routers = 2 });
+    const auto reached = [&](const std::string &name) {
+        const auto before = fleet.servers().front()->record().size();
+        for (auto number = 0; number < callCount; ++number) {
+            const auto &router = fleet.routers()[static_cast<std::size_t>(number) % 2];
+            BOOST_TEST(fleet.call(router, "/read/x", name + std::to_string(number)).status == 200U);
+        }
+        return fleet.servers().front()->record().size() - before;
+    };
+    const auto write = [&](const std::string &state, int incarnation) {
+        fleet.writeServer(0, state, incarnation);
+        sleepMs(changeMs);
+    };
+    write("ready", 1);
+    BOOST_TEST(reached("restarted-") > 0U);
+    write("draining", 1);
+    write("ready", 0);
+    BOOST_TEST(reached("late-") == 0U);
+    fleet.removeObject("servers", "server-0");
+    sleepMs(changeMs);
+    write("ready", 0);
+    BOOST_TEST(reached("late-after-removal-") == 0U);
+    write("ready", 2);
+    BOOST_TEST(reached("restarted-again-") > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -184,6 +184,11 @@
     return updated.status >= 200 && updated.status < 300;
 }
 
+auto gateway_fleet::removeObject(const std::string &kind, const std::string &name) -> bool
+{
+    return httpCall(m_store->address(), { "DELETE", "/v1/objects/" + kind + "/" + name, {}, {} }).status < 300;
+}
+
 auto gateway_fleet::call(const router_handle &router, const std::string &path, const std::string &id,
                          const std::string &method, const std::string &key, const std::string &body) -> http_answer
 {
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -59,6 +59,9 @@
     /// Creates or updates an object in the store. Returns whether the store acknowledged it.
     auto writeObject(const std::string &kind, const std::string &name, const boost::json::value &spec) -> bool;
 
+    /// Removes an object from the store. Returns whether the store acknowledged it.
+    auto removeObject(const std::string &kind, const std::string &name) -> bool;
+
     /// Sends a request with the X-Attempt-Id \p id through \p router.
     auto call(const router_handle &router, const std::string &path, const std::string &id,
               const std::string &method = "GET", const std::string &key = "key-alpha", const std::string &body = {})
--- a/tests/unit/gateway/server_directory_test.cpp
+++ b/tests/unit/gateway/server_directory_test.cpp
@@ -25,6 +25,26 @@
     server_directory directory{ [](const listed_server &, std::string_view) {
     } };
     time_point now{ 100s };
+    std::uint64_t revision = 0; ///< Of the last change; the store numbers them in their order.
+
+    auto putNext(listed_server server, time_point at) -> void
+    {
+        server.revision = ++revision;
+        directory.put(std::move(server), at);
+    }
+
+    auto removeNext(const std::string &id, time_point at) -> void
+    {
+        directory.remove(id, ++revision, at);
+    }
+
+    auto listNext(std::vector<listed_server> servers) -> void
+    {
+        for (auto &server : servers) {
+            server.revision = ++revision;
+        }
+        directory.replaceAll(std::move(servers), ++revision, now);
+    }
 
     auto usable() const -> std::size_t
     {
@@ -38,81 +58,81 @@
 
 BOOST_AUTO_TEST_CASE(a_draining_or_removed_server_is_unusable_at_once)
 {
-    directory.replaceAll({ makeServer("a"), makeServer("b"), makeServer("c") }, now);
+    listNext({ makeServer("a"), makeServer("b"), makeServer("c") });
     BOOST_TEST(usable() == 3U);
     const auto chosen = directory.usable("desk").front();
-    directory.put(makeServer("a", 1, true), now);
-    directory.remove("b", now);
+    putNext(makeServer("a", 1, true), now);
+    removeNext("b", now);
     BOOST_TEST(usable() == 1U);
     BOOST_TEST(!directory.isUsable(*chosen));
     // A late, older entry of the same incarnation does not make it usable again; a new incarnation does.
-    directory.put(makeServer("a"), now);
+    putNext(makeServer("a"), now);
     BOOST_TEST(usable() == 1U);
-    directory.put(makeServer("a", 2), now);
+    putNext(makeServer("a", 2), now);
     BOOST_TEST(usable() == 2U);
     BOOST_TEST(!directory.isUsable(*chosen));
 }
 
 BOOST_AUTO_TEST_CASE(entries_that_expire_around_an_outage_stay_usable_until_the_renewal_period_ends)
 {
-    directory.replaceAll({ makeServer("a"), makeServer("b"), makeServer("c") }, now);
+    listNext({ makeServer("a"), makeServer("b"), makeServer("c") });
     directory.onStoreLost();
-    directory.remove("a", now);
+    removeNext("a", now);
     now += 60s;
     directory.tick(now);
     BOOST_TEST(usable() == 3U);
     directory.onStoreRegained(now);
-    directory.replaceAll({ makeServer("c") }, now);
+    listNext({ makeServer("c") });
     BOOST_TEST(usable() == 3U);
-    directory.put(makeServer("a"), now + 1s);
+    putNext(makeServer("a"), now + 1s);
     directory.tick(now + server_directory::RENEWAL_TIME);
     BOOST_TEST(usable() == 2U);
     // After the renewal period, a removal takes effect at once.
-    directory.remove("a", now + server_directory::RENEWAL_TIME);
+    removeNext("a", now + server_directory::RENEWAL_TIME);
     BOOST_TEST(usable() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_server_removed_while_only_this_router_lost_the_store_is_not_kept_for_a_renewal)
 {
-    directory.replaceAll({ makeServer("a"), makeServer("b"), makeServer("c") }, now);
+    listNext({ makeServer("a"), makeServer("b"), makeServer("c") });
     directory.onStoreLost();
-    directory.remove("a", now);
+    removeNext("a", now);
     now += 5s;
     directory.onStoreRegained(now);
-    directory.remove("b", now);
+    removeNext("b", now);
     BOOST_TEST(usable() == 3U);
     // Another router shows that the store was available all the time.
     directory.limitRenewals(now - 5s);
     directory.tick(now);
     BOOST_TEST(usable() == 1U);
     BOOST_TEST(directory.renewalLeft(now) == 0ms);
-    directory.remove("c", now);
+    removeNext("c", now);
     BOOST_TEST(usable() == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(a_draining_server_is_removed_at_once_during_an_outage)
 {
-    directory.replaceAll({ makeServer("a", 1, true) }, now);
+    listNext({ makeServer("a", 1, true) });
     directory.onStoreLost();
-    directory.remove("a", now);
+    removeNext("a", now);
     BOOST_TEST(directory.size() == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(a_misdirected_server_is_unusable_until_a_new_incarnation_is_listed)
 {
-    directory.replaceAll({ makeServer("a") }, now);
+    listNext({ makeServer("a") });
     const auto before = directory.usable("desk").front();
     directory.noteMisdirected(*before);
     BOOST_TEST(usable() == 0U);
-    directory.put(makeServer("a"), now);
+    putNext(makeServer("a"), now);
     BOOST_TEST(usable() == 0U);
-    directory.put(makeServer("a", 2), now);
+    putNext(makeServer("a", 2), now);
     BOOST_TEST(usable() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_server_that_states_that_it_leaves_is_unusable_whatever_the_list_says)
 {
-    directory.replaceAll({ makeServer("a"), makeServer("b") }, now);
+    listNext({ makeServer("a"), makeServer("b") });
     const auto leaving = server_loads::incarnationId(makeServer("a"));
     BOOST_TEST(directory.noteLeaving(leaving, leaving_source::answer, now));
     BOOST_TEST(!directory.noteLeaving(leaving, leaving_source::router, now));
@@ -123,17 +143,17 @@
     // Its entry changes, expires in an outage and comes back.
     auto changed = makeServer("a");
     changed.slots = 9;
-    directory.put(changed, now);
+    putNext(changed, now);
     BOOST_TEST(usable() == 1U);
-    directory.remove("a", now);
-    directory.put(makeServer("a"), now + 3s);
+    removeNext("a", now);
+    putNext(makeServer("a"), now + 3s);
     BOOST_TEST(usable() == 1U);
     // Once the list says so, other routers need not be told.
-    directory.put(makeServer("a", 1, true), now + 4s);
+    putNext(makeServer("a", 1, true), now + 4s);
     BOOST_TEST(directory.leavingAheadOfList(8).empty());
     // A new incarnation at the same address, and another server there, are usable.
-    directory.put(makeServer("a", 2), now + 5s);
-    directory.put(makeServer("c"), now + 5s);
+    putNext(makeServer("a", 2), now + 5s);
+    putNext(makeServer("c"), now + 5s);
     BOOST_TEST(usable() == 3U);
 }
 
@@ -141,16 +161,16 @@
 {
     const auto leaving = server_loads::incarnationId(makeServer("a"));
     BOOST_TEST(directory.noteLeaving(leaving, leaving_source::router, now));
-    directory.replaceAll({ makeServer("a"), makeServer("b") }, now);
+    listNext({ makeServer("a"), makeServer("b") });
     BOOST_TEST(usable() == 1U);
     // While the server is listed, no time ends the statement.
     now += 10 * server_directory::LEAVING_MEMORY;
     directory.tick(now);
     BOOST_TEST(usable() == 1U);
-    directory.remove("a", now);
+    removeNext("a", now);
     now += server_directory::LEAVING_MEMORY;
     directory.tick(now);
-    directory.put(makeServer("a"), now);
+    putNext(makeServer("a"), now);
     BOOST_TEST(usable() == 1U);
 }
 
