--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -168,6 +168,8 @@
         { "version", "v1" },
         { "slots", m_plan.callSlots > 0 ? m_plan.callSlots : defaultSlots },
         { "state", state },
+        { "cold_left_ms", 0 },
+        { "sequence", ++m_entrySequence },
         { "born", 1'700'000'000'000 + index + static_cast<std::size_t>(incarnation) * 1'000 },
     };
     writeObject("servers", server.name(), spec);
@@ -184,6 +186,11 @@
     return updated.status >= 200 && updated.status < 300;
 }
 
+auto gateway_fleet::removeObject(const std::string &kind, const std::string &name) -> bool
+{
+    return httpCall(m_store->address(), { "DELETE", "/v1/objects/" + kind + "/" + name, {}, {} }).status < 300;
+}
+
 auto gateway_fleet::call(const router_handle &router, const std::string &path, const std::string &id,
                          const std::string &method, const std::string &key, const std::string &body) -> http_answer
 {
