A 421 of the expected server concerns its request alone, and misdirection ends

Cause: every 421 marked the server as misdirected until its next start. Change: misdirection decides by X-Instance-Id whether another server answers at the address. With the expected id, the request may be tried elsewhere within its route's attempts and ends with 421; the server gets no mark.

--- a/include/marjoramloom/gateway/knowledge/server_directory.h
+++ b/include/marjoramloom/gateway/knowledge/server_directory.h
@@ -80,9 +80,13 @@
     /// Removes expired entries that were not renewed in time. Call every few hundred milliseconds.
     auto tick(time_point now) -> void;
 
-    /// Records that another process answered at the address of \p server: the server is not used until a new
-    /// incarnation of it is listed.
-    auto noteMisdirected(const listed_server &server) -> void;
+    /// Records that another server answered at the address of \p server: the server is not used until a new
+    /// incarnation of it is listed, or for MISDIRECTED_TIME.
+    auto noteMisdirected(const listed_server &server, time_point now) -> void;
+
+    /// Then a request is tried again: the server may have got its address back. Longer than an entry of a server that
+    /// is gone stays listed, so that such an entry is not tried again.
+    static constexpr duration MISDIRECTED_TIME = std::chrono::seconds(10);
 
     /// Records that the server with the id \p incarnation (see server_loads::incarnationId()) stated that it leaves. It
     /// need not be in the list. Returns whether that was not known yet.
@@ -115,7 +119,7 @@
     struct entry
     {
         server_ptr server;
-        bool misdirected = false;
+        std::optional<time_point> misdirectedUntil;
         bool statedLeaving = false; ///< It is in m_statedLeaving.
         /// Set if the lease expired in the store: the entry is removed at this time.
         std::optional<time_point> expiredKeptUntil;
@@ -125,6 +129,7 @@
     auto removeEntry(const std::string &id, std::string_view change) -> void;
     auto rebuildIndexes() -> void;
     auto forgetOldStatements(time_point now) -> void;
+    auto endMisdirections(time_point now) -> void;
 
     listener m_onChange;
     evidence_memory m_evidence;
--- a/include/marjoramloom/gateway/traffic/gateway_call.h
+++ b/include/marjoramloom/gateway/traffic/gateway_call.h
@@ -3,6 +3,7 @@
 #include "marjoramloom/call/call_control.h"
 #include "marjoramloom/call/http_connection.h"
 #include "marjoramloom/gateway/decisions/answer_proof.h"
+#include "marjoramloom/gateway/decisions/misdirection.h"
 #include "marjoramloom/gateway/decisions/server_choice.h"
 #include "marjoramloom/gateway/knowledge/gateway_state.h"
 #include "marjoramloom/gateway/traffic/placement_dispatch.h"
@@ -68,6 +69,9 @@
         -> boost::asio::awaitable<std::shared_ptr<http_connection>>;
     auto sendAndReadAnswer(send_attempt &attempt) -> boost::asio::awaitable<attempt_outcome>;
     auto readMatchingHead(send_attempt &attempt) -> boost::asio::awaitable<std::optional<answer_standing>>;
+    auto noteNotRun(send_attempt &attempt) -> boost::asio::awaitable<void>;
+    static auto misdirectionOf(const listed_server &server, const boost::beast::http::response_header<> &head)
+        -> std::optional<misdirection>;
     auto relayStream(send_attempt &attempt) -> boost::asio::awaitable<attempt_outcome>;
     auto readStream(send_attempt &attempt) -> boost::asio::awaitable<attempt_outcome>;
     static auto isEventBuffered(const send_attempt &attempt) -> bool;
--- a/src/gateway/knowledge/server_directory.cpp
+++ b/src/gateway/knowledge/server_directory.cpp
@@ -51,7 +51,9 @@
     const auto unchanged = isSameIncarnation && current.server->draining == newest->draining
         && current.server->slots == newest->slots && current.server->service == newest->service
         && !current.expiredKeptUntil;
-    current.misdirected = isSameIncarnation && current.misdirected;
+    if (!isSameIncarnation) {
+        current.misdirectedUntil.reset();
+    }
     current.statedLeaving = m_statedLeaving.contains(server_loads::incarnationId(*newest));
     current.expiredKeptUntil.reset();
     current.server = std::move(newest);
@@ -135,15 +137,16 @@
     for (const auto &id : expired) {
         removeEntry(id, "not renewed");
     }
+    endMisdirections(now);
     forgetOldStatements(now);
     m_evidence.tick(now);
 }
 
-auto server_directory::noteMisdirected(const listed_server &server) -> void
+auto server_directory::noteMisdirected(const listed_server &server, time_point now) -> void
 {
     const auto found = m_entries.find(server.id);
     if (found != m_entries.end() && found->second.server->isSameIncarnation(server)) {
-        found->second.misdirected = true;
+        found->second.misdirectedUntil = now + MISDIRECTED_TIME;
         rebuildIndexes();
         m_onChange(server, "misdirected");
     }
@@ -195,7 +198,7 @@
 {
     const auto found = m_entries.find(server.id);
     return found != m_entries.end() && found->second.server->isSameIncarnation(server)
-        && !found->second.server->draining && !found->second.misdirected && !found->second.statedLeaving
+        && !found->second.server->draining && !found->second.misdirectedUntil && !found->second.statedLeaving
         && found->second.server->service == server.service;
 }
 
@@ -230,6 +233,24 @@
     m_onChange(*server, change);
 }
 
+/// Makes servers usable again whose misdirection was seen MISDIRECTED_TIME ago.
+auto server_directory::endMisdirections(time_point now) -> void
+{
+    auto ended = std::vector<server_ptr>();
+    for (auto &[id, current] : m_entries) {
+        if (current.misdirectedUntil && *current.misdirectedUntil <= now) {
+            current.misdirectedUntil.reset();
+            ended.push_back(current.server);
+        }
+    }
+    if (!ended.empty()) {
+        rebuildIndexes();
+    }
+    for (const auto &server : ended) {
+        m_onChange(*server, "misdirection ended");
+    }
+}
+
 /// Forgets the statements of servers that have not been listed for LEAVING_MEMORY.
 auto server_directory::forgetOldStatements(time_point now) -> void
 {
@@ -249,7 +270,7 @@
     m_usableByService.clear();
     m_usableByIncarnation.clear();
     for (const auto &[id, current] : m_entries) {
-        if (!current.server->draining && !current.misdirected && !current.statedLeaving) {
+        if (!current.server->draining && !current.misdirectedUntil && !current.statedLeaving) {
             m_usableByService[current.server->service].push_back(current.server);
             m_usableByIncarnation.emplace(server_loads::incarnationId(*current.server), current.server);
         }
--- a/src/gateway/traffic/gateway_call.cpp
+++ b/src/gateway/traffic/gateway_call.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr unsigned misdirectedRequest = 421;
 constexpr unsigned tooManyRequests = 429;
 constexpr unsigned badGateway = 502;
 constexpr unsigned unavailable = 503;
@@ -144,6 +145,11 @@
         m_exchange.abortEvents();
         co_return;
     }
+    if (!m_mayHaveRun && m_why.kind == failure_kind::invalidInput) {
+        // A server refused the request itself (421). No Retry-After: it would be refused again.
+        co_await refuse(misdirectedRequest, m_why.text());
+        co_return;
+    }
     if (!m_mayHaveRun) {
         co_await refuse(m_why.kind == failure_kind::overloaded ? tooManyRequests : unavailable, m_why.text());
         co_return;
--- a/src/gateway/traffic/gateway_call_answer.cpp
+++ b/src/gateway/traffic/gateway_call_answer.cpp
@@ -71,19 +71,7 @@
     const auto idle = platform::idleTimeout(head);
     attempt.connection->setIdleLimit(idle ? duration(*idle) - idleMargin : duration(defaultIdleTimeout));
     if (platform::saysNotRun(head)) {
-        if (head.result() == http::status::misdirected_request) {
-            m_state.servers.noteMisdirected(server);
-        }
-        const auto status = head.result_int();
-        const auto isWhole = co_await attempt.connection->skipRest(
-            maxSkippedBytes, std::min<duration>(maxSkipTime, remainingTime()), m_why);
-        m_why.fail(failure_kind::overloaded, "read answer", server.id,
-                   "the server did not run it: status " + std::to_string(status));
-        if (isWhole && (status == tooManyRequests || status == unavailable)) {
-            noteServerFull(attempt.chosen);
-        } else {
-            noteServerFailed(server);
-        }
+        co_await noteNotRun(attempt);
         co_return attempt_outcome::notRun;
     }
     if (isSuccess(head) && isEventStream(head)) {
@@ -92,6 +80,35 @@
     co_return co_await relayCompleteAnswer(attempt);
 }
 
+/// Drops the rest of an answer which states that the request was not executed, and records what it shows about the
+/// server; the reason is stored in m_why.
+auto gateway_call::noteNotRun(send_attempt &attempt) -> asio::awaitable<void>
+{
+    const auto &server = *attempt.chosen.server;
+    const auto &head = attempt.connection->head();
+    const auto status = head.result_int();
+    const auto cause = misdirectionOf(server, head);
+    if (cause == misdirection::otherServer) {
+        m_state.servers.noteMisdirected(server, system_clock_source().now());
+    }
+    const auto isWhole =
+        co_await attempt.connection->skipRest(maxSkippedBytes, std::min<duration>(maxSkipTime, remainingTime()), m_why);
+    auto reason = "the server did not run it: status " + std::to_string(status);
+    if (cause) {
+        reason.append(", ").append(nameOf(*cause));
+    }
+    const auto isUnservable = cause == misdirection::request;
+    m_why.fail(isUnservable ? failure_kind::invalidInput : failure_kind::overloaded, "read answer", server.id, reason);
+    if (isUnservable) {
+        co_return; // It says nothing about other requests at this server.
+    }
+    if (isWhole && (status == tooManyRequests || status == unavailable)) {
+        noteServerFull(attempt.chosen);
+    } else {
+        noteServerFailed(server);
+    }
+}
+
 /// Reads answers until the head of this request's answer: a late or repeated answer to an earlier request may precede
 /// it on the connection. Returns what the last head counts as, or nothing if none was read; unless it is the server's
 /// answer to the request, the reason is stored in m_why.
--- a/src/gateway/traffic/gateway_call_notes.cpp
+++ b/src/gateway/traffic/gateway_call_notes.cpp
@@ -52,11 +52,22 @@
     m_state.blocks.noteAnswerBegun(sharedBlocks(m_request.prompt), system_clock_source().now());
 }
 
+/// What an answer of \p server with status 421 is evidence about; nothing for another status.
+auto gateway_call::misdirectionOf(const listed_server &server, const http::response_header<> &head)
+    -> std::optional<misdirection>
+{
+    if (head.result() != http::status::misdirected_request) {
+        return std::nullopt;
+    }
+    return attributeMisdirection(server.id, platform::answeringServer(head));
+}
+
 /// Records what the server states about itself in \p head, which may be that of a late answer to an earlier request. An
-/// answer with status 421 comes from another process at the server's address.
+/// answer with status 421 may come from another process at the server's address.
 auto gateway_call::noteServerNotice(const listed_server &server, const http::response_header<> &head) -> void
 {
-    if (head.result() == http::status::misdirected_request) {
+    const auto cause = misdirectionOf(server, head);
+    if (cause && *cause != misdirection::request) {
         return;
     }
     const auto notice = platform::decodeServerNotice(head);
--- a/tests/process/gateway/server_evidence_test.cpp
+++ b/tests/process/gateway/server_evidence_test.cpp
@@ -28,6 +28,19 @@
     };
 }
 
+auto callWithVersion(const router_handle &router, const std::string &id, const std::string &version,
+                     const std::string &path = "/read/x") -> http_answer
+{
+    auto request = http_request();
+    request.target = path;
+    request.headers = { { "Host", "desk.example" },
+                        { "X-Attempt-Id", id },
+                        { "X-Deadline-Ms", "4000" },
+                        { "Authorization", "Bearer key-alpha" },
+                        { "X-Expect-Version", version } };
+    return httpCall(router.callers, request);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(server_evidence_test)
@@ -89,4 +102,49 @@
     BOOST_TEST(reached("restarted-again-") > 0U);
 }
 
+/// Guards against one client's requests that take all servers from the others (review/5).
+BOOST_AUTO_TEST_CASE(a_421_of_the_expected_server_concerns_only_its_request)
+{
+    auto fleet = gateway_fleet({ .routers = 1, .retryReserve = 20 });
+    const auto &router = fleet.routers().front();
+    for (const auto *path : { "/read/x", "/post/x", "/talk/stream" }) {
+        const auto id = std::string("other-version-") + path[1];
+        BOOST_TEST(callWithVersion(router, id, "2", path).status == 421U);
+        BOOST_TEST(fleet.countExecutions(id) == 0);
+    }
+    for (auto number = 0; number < callCount; ++number) {
+        const auto id = "mixed-" + std::to_string(number);
+        BOOST_TEST(callWithVersion(router, id + "-odd", "2").status == 421U);
+        BOOST_TEST(callWithVersion(router, id, "1").status == 200U);
+        BOOST_TEST(fleet.call(router, "/post/x", id + "-order", "POST").status == 200U);
+    }
+    for (const auto &server : fleet.servers()) {
+        BOOST_TEST(!server->record().empty());
+    }
+    BOOST_TEST(fleet.readLog(router).find("misdirected") == std::string::npos);
+    BOOST_TEST(fleet.readLog(router).find("server_failed") == std::string::npos);
+}
+
+/// Guards against requests that keep going to an address at which another server answers.
+BOOST_AUTO_TEST_CASE(a_421_of_another_server_takes_the_entry_out_of_use)
+{
+    auto first = std::string();
+    auto plan = gateway_plan();
+    plan.routers = 1;
+    plan.retryReserve = 20;
+    plan.listedServerAddress = [&](const std::string &address) {
+        first = first.empty() ? address : first;
+        return first; // Both entries name the first server's address.
+    };
+    auto fleet = gateway_fleet(std::move(plan));
+    const auto &router = fleet.routers().front();
+    for (auto number = 0; number < callCount; ++number) {
+        BOOST_TEST(fleet.call(router, "/read/x", "r-" + std::to_string(number)).status == 200U);
+    }
+    const auto log = fleet.readLog(router);
+    const auto mark = log.find("misdirected");
+    BOOST_TEST(mark != std::string::npos);
+    BOOST_TEST(log.find("misdirected", mark + 1) == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/routed_standin.cpp
+++ b/tests/standins/routed_standin.cpp
@@ -12,6 +12,8 @@
 
 /// Number of events in each stream.
 constexpr auto streamLength = 12;
+/// Version of the weights that requests may expect (X-Expect-Version).
+constexpr auto weightVersion = "1";
 
 } // namespace
 
@@ -25,8 +27,11 @@
 auto routed_standin::handle(http_exchange &exchange) -> void_awaitable
 {
     const auto id = exchange.header("X-Attempt-Id");
-    if (exchange.header("X-Expect-Instance") != m_options.name) {
-        const auto answer = notExecutedReply(exchange, http::status::misdirected_request);
+    const auto expectedVersion = exchange.header("X-Expect-Version");
+    if (exchange.header("X-Expect-Instance") != m_options.name
+        || (!expectedVersion.empty() && expectedVersion != weightVersion)) {
+        auto answer = notExecutedReply(exchange, http::status::misdirected_request);
+        answer.headers.emplace_back("X-Instance-Id", m_options.name);
         co_await exchange.reply(answer);
         co_return;
     }
--- a/tests/unit/gateway/answer_proof_test.cpp
+++ b/tests/unit/gateway/answer_proof_test.cpp
@@ -1,5 +1,7 @@
 #include "marjoramloom/gateway/decisions/answer_proof.h"
 
+#include "marjoramloom/gateway/decisions/misdirection.h"
+
 #include <boost/test/unit_test.hpp>
 #include <string>
 
@@ -26,4 +28,12 @@
     }
 }
 
+/// Guards against a mark on a server for a condition that a caller has set.
+BOOST_AUTO_TEST_CASE(only_an_answer_in_the_name_of_another_server_shows_that_the_list_is_outdated)
+{
+    BOOST_TEST((attributeMisdirection("i-1", "i-2") == misdirection::otherServer));
+    BOOST_TEST((attributeMisdirection("i-1", "i-1") == misdirection::request));
+    BOOST_TEST((attributeMisdirection("i-1", "") == misdirection::unknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/gateway/server_directory_test.cpp
+++ b/tests/unit/gateway/server_directory_test.cpp
@@ -122,7 +122,7 @@
 {
     listNext({ makeServer("a") });
     const auto before = directory.usable("desk").front();
-    directory.noteMisdirected(*before);
+    directory.noteMisdirected(*before, now);
     BOOST_TEST(usable() == 0U);
     putNext(makeServer("a"), now);
     BOOST_TEST(usable() == 0U);
@@ -130,6 +130,19 @@
     BOOST_TEST(usable() == 1U);
 }
 
+/// Guards against a server that stays out of use after it got its address back.
+BOOST_AUTO_TEST_CASE(a_misdirected_server_is_tried_again_in_time)
+{
+    listNext({ makeServer("a"), makeServer("b") });
+    const auto before = directory.usable("desk").front();
+    directory.noteMisdirected(*before, now);
+    directory.tick(now + server_directory::MISDIRECTED_TIME - 1ms);
+    BOOST_TEST(usable() == 1U);
+    directory.tick(now + server_directory::MISDIRECTED_TIME);
+    BOOST_TEST(usable() == 2U);
+    BOOST_TEST(directory.isUsable(*before));
+}
+
 BOOST_AUTO_TEST_CASE(a_server_that_states_that_it_leaves_is_unusable_whatever_the_list_says)
 {
     listNext({ makeServer("a"), makeServer("b") });
