--- a/include/marjoramloom/gateway/decisions/engine_decision.h
+++ b/include/marjoramloom/gateway/decisions/engine_decision.h
@@ -22,6 +22,9 @@
     std::string dataCentre; ///< Of the router that sends the request.
     bool alreadySent = false; ///< An engine was already sent the request, so it is not refused for its expected wait.
 
+    tried_servers coldServers = {}; ///< Of the cold servers, those to which the querying router may send a request now.
+    std::optional<region_set> regions = std::nullopt; ///< Of the servers that may be chosen; nothing for all.
+
     /// The servers that are not chosen again.
     [[nodiscard]] auto triedServers() const -> tried_servers
     {
--- a/include/marjoramloom/gateway/knowledge/gateway_settings.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_settings.h
@@ -4,6 +4,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace marjoramloom {
 
@@ -19,6 +21,14 @@
     double cores = 1; ///< CPU cores that the router may use; routers with more cores are preferred as dispatchers.
     std::uint32_t maxFileDescriptors = 1'024; ///< File descriptors that the process may use.
     gateway_retry_budget_settings retryBudgetSettings; ///< Limits of the retries to the servers of each service.
+    /// From the store's acknowledgement of an evacuation until nothing is sent to the data centre any more; 0 where
+    /// data centres are not evacuated.
+    std::chrono::milliseconds evacuationLimit{ 0 };
+    /// A cold engine gets at most its service's rate times this, plus the tolerance, in any second; 0 for no limit.
+    double coldOvershoot = 0;
+    double coldTolerance = 0; ///< Requests.
+    /// Regions by data centre, in addition to what the routers state about their own data centres.
+    std::map<std::string, std::string> regions = {};
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/knowledge/gateway_state.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_state.h
@@ -6,6 +6,7 @@
 #include "marjoramloom/gateway/decisions/account_usage.h"
 #include "marjoramloom/gateway/decisions/admission_policy.h"
 #include "marjoramloom/gateway/decisions/block_quarantine.h"
+#include "marjoramloom/gateway/decisions/cold_budget.h"
 #include "marjoramloom/gateway/decisions/connection_pacing.h"
 #include "marjoramloom/gateway/decisions/event_batching.h"
 #include "marjoramloom/gateway/decisions/event_loop_delay.h"
@@ -15,6 +16,8 @@
 #include "marjoramloom/gateway/decisions/prompt_placement.h"
 #include "marjoramloom/gateway/decisions/request_shares.h"
 #include "marjoramloom/gateway/decisions/slot_grants.h"
+#include "marjoramloom/gateway/knowledge/cold_engines.h"
+#include "marjoramloom/gateway/knowledge/evacuated_data_centres.h"
 #include "marjoramloom/gateway/knowledge/fleet_loads.h"
 #include "marjoramloom/gateway/knowledge/gateway_settings.h"
 #include "marjoramloom/gateway/knowledge/key_freshness.h"
@@ -29,6 +32,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 namespace marjoramloom {
 
@@ -40,6 +44,30 @@
     std::uint32_t unsharedTokens = 0; ///< Tokens of the last prefix block and of the expected output.
 };
 
+/// How this router learned that a server is cold or warm.
+enum class cold_source {
+    entry, ///< From its entry in the store.
+    answer, ///< From an answer of the server to this router.
+    router, ///< From another router, which got such an answer.
+};
+
+template<>
+struct enum_names<cold_source>
+{
+    static constexpr std::array table{
+        enum_name<cold_source>{ cold_source::entry, "entry" },
+        enum_name<cold_source>{ cold_source::answer, "answer" },
+        enum_name<cold_source>{ cold_source::router, "router" },
+    };
+};
+
+/// This router's place in the order of the routers that may send requests to a cold engine.
+struct cold_rank
+{
+    std::size_t routers = 0; ///< Number of routers for which the rank was determined.
+    std::size_t rank = 0; ///< From cold_budget::rankOf().
+};
+
 /// State that all requests of a router share. Not thread safe: used on the router's only thread.
 struct gateway_state
 {
@@ -63,6 +91,28 @@
     /// for requests that open a new connection.
     [[nodiscard]] auto maxIdleConnections(const routed_service &service) const -> std::size_t;
 
+    /// Whether it is known which data centres are evacuated, where that matters.
+    [[nodiscard]] auto areEvacuationsKnown() const -> bool;
+
+    /// Records the entry of a backend server, which was written at \p revision of the store.
+    auto noteServerEntry(const listed_server &server, std::uint64_t revision, cold_engines::entry_source source,
+                         time_point now) -> void;
+
+    /// Records the statement of a server in an answer, to this router (cold_source::answer) or another one.
+    auto noteCold(const cold_statement &statement, cold_source source, time_point now) -> void;
+
+    /// Forgets the prefix cache of a server that has turned cold.
+    auto applyCold(const cold_statement &statement, cold_source source) -> void;
+
+    /// Region of \p dataCentre; empty if unknown.
+    [[nodiscard]] auto regionOf(const std::string &dataCentre) const -> const std::string &;
+
+    /// Forgets requests to cold engines that do not count any more. Call every few hundred milliseconds.
+    auto tickPlaces(time_point now) -> void;
+
+    /// Excludes the servers of evacuated data centres. Idle connections to them are closed; running requests go on.
+    auto applyEvacuations(const evacuated_data_centres::change &change, std::uint64_t revision) -> void;
+
     /// Whether the configuration was lately the newest, so that what it does not name does not exist.
     [[nodiscard]] auto isConfigurationCurrent(boot_time now) const -> bool;
 
@@ -79,7 +129,12 @@
     key_freshness keys;
     store_contact storeContact;
     server_directory servers;
+    evacuated_data_centres evacuations; ///< Known only where settings.evacuationLimit is set.
     server_loads loads;
+    cold_engines coldEngines;
+    cold_budget coldBudget;
+    std::unordered_map<std::uint64_t, cold_rank> coldRanks; ///< By the engine's incarnation.
+    time_point startedAt = system_clock_source().now();
     server_pauses pauses;
     router_roster roster;
     fleet_loads fleet;
@@ -106,6 +161,8 @@
     counter &pauseNotices; ///< Answers by which servers asked for a pause.
     counter &malformedNotices; ///< Answers in which a server's statement about itself was unreadable.
     counter &quarantinedRequests; ///< Requests kept from the engines for a block that crashes them.
+    counter &coldSends; ///< Requests sent to cold servers.
+    counter &coldRefusals; ///< Choices of a cold server that had got all its requests from this router.
     counter &truncatedStreams; ///< Streams that ended before their last event.
     counter &abandonedRequests; ///< Requests whose callers disconnected before the router processed them.
 };
--- a/include/marjoramloom/gateway/knowledge/load_exchange.h
+++ b/include/marjoramloom/gateway/knowledge/load_exchange.h
@@ -31,6 +31,7 @@
     {
         std::function<void(std::uint64_t router, const store_query &query)> onQuery;
         std::function<void(const store_update &update)> onUpdate;
+        std::function<void(evacuation_set evacuations)> onEvacuations; ///< May be empty.
     };
 
     /// Precondition: \p state outlives this object.
--- a/include/marjoramloom/gateway/knowledge/platform_feed.h
+++ b/include/marjoramloom/gateway/knowledge/platform_feed.h
@@ -60,6 +60,9 @@
     /// Revision of the list of backend servers; 0 before it was read.
     [[nodiscard]] auto serversRevision() const -> std::uint64_t;
 
+    /// Whether this router watches the store.
+    [[nodiscard]] auto isWatching() const -> bool;
+
     /// Whether this router gets no answers from the store.
     [[nodiscard]] auto isStoreLost() const -> bool;
 
--- a/include/marjoramloom/gateway/knowledge/route_table.h
+++ b/include/marjoramloom/gateway/knowledge/route_table.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "marjoramloom/core/clock.h"
 #include "marjoramloom/core/enum_names.h"
 
 #include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,6 +32,9 @@
     };
 };
 
+/// Names of regions, each of one or more data centres.
+using region_set = std::set<std::string>;
+
 /// One of the services that share a route's requests.
 struct weighted_service
 {
@@ -53,6 +58,7 @@
     bool anonymous = false; ///< Requests need no key.
     bool carriesPrompt = false; ///< Requests list the prefix blocks of their prompt.
     bool resumable = false; ///< A stream may be resumed at another backend server.
+    region_set homeRegions; ///< Regions of the backend servers that may be used; empty for all.
 
     /// Whether a request that may have been executed can be retried.
     [[nodiscard]] auto mayRetry() const -> bool
@@ -74,6 +80,8 @@
     std::string name;
     std::uint32_t connectionLimit = 0; ///< Connections that one backend server accepts from all routers.
     std::optional<engine_profile> engine; ///< Only for services of model engines.
+    duration coldTime{ 0 }; ///< For which a server is cold after its start.
+    double coldPerSecond = 0; ///< Requests that a cold server takes each second; 0 if servers are never cold.
 };
 
 /// A client account.
@@ -81,6 +89,7 @@
 {
     std::string name;
     std::optional<std::uint32_t> priority; ///< Overrides the priority of the route.
+    region_set homeRegions = {}; ///< Regions of the backend servers that may be used; empty for all.
 };
 
 /// Limits on the size of callers' requests and on the time they take to send them.
@@ -117,6 +126,11 @@
     /// The client account of \p key; null if the key is unknown.
     [[nodiscard]] auto findAccount(const std::string &key) const -> const routed_account *;
 
+    /// The regions that both \p route and the account \p account name, or those that one of them names; nothing if
+    /// neither names any.
+    [[nodiscard]] auto regionsOf(const route_rule &route, const std::string &account) const
+        -> std::optional<region_set>;
+
     /// The service \p name; null if it is not configured.
     [[nodiscard]] auto findService(const std::string &name) const -> const routed_service *;
 
@@ -135,6 +149,7 @@
     std::unordered_map<std::string, routes_by_prefix> m_routesByHost; ///< Indexes of m_content.routes.
     std::unordered_map<std::string, std::size_t> m_serviceIndexes; ///< Indexes of m_content.services.
     std::unordered_map<std::string, std::chrono::milliseconds> m_shortestObjectives; ///< By service.
+    std::unordered_map<std::string, region_set> m_regionsByAccount; ///< Only accounts that name regions.
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/knowledge/router_roster.h
+++ b/include/marjoramloom/gateway/knowledge/router_roster.h
@@ -16,6 +16,7 @@
     std::string address; ///< IP:port at which the other routers reach it; unchanged by a restart.
     std::string dataCentre;
     double cores = 1; ///< CPU cores that it may use; may be a fraction.
+    std::string region = {}; ///< Of its data centre; empty if unknown.
 };
 
 /// The routers of the fleet, which of them are responsive, and the order in which they take on roles (dispatcher of an
@@ -46,6 +47,13 @@
 
     [[nodiscard]] auto others() const -> std::vector<std::uint64_t>;
 
+    /// Whether any known router is in \p dataCentre.
+    [[nodiscard]] auto hasRouterIn(const std::string &dataCentre) const -> bool;
+
+    /// The region of \p dataCentre, as a router there states it; empty if unknown. The reference is valid until the
+    /// next change.
+    [[nodiscard]] auto regionOf(const std::string &dataCentre) const -> const std::string &;
+
     /// Whether the routers were read from the store since this one started. Until then there may be any number of
     /// others.
     [[nodiscard]] auto isComplete() const -> bool;
@@ -89,6 +97,7 @@
     /// By service hash plus shard index.
     std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> m_dispatchOrders;
     std::vector<std::uint64_t> m_watchOrder;
+    std::unordered_map<std::string, std::string> m_regions; ///< By data centre.
     bool m_isComplete = false;
 };
 
--- a/include/marjoramloom/gateway/knowledge/server_directory.h
+++ b/include/marjoramloom/gateway/knowledge/server_directory.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -90,6 +91,12 @@
     /// Up to \p limit servers that stated that they leave, although the list has them as accepting requests.
     [[nodiscard]] auto leavingAheadOfList(std::size_t limit) const -> std::vector<std::uint64_t>;
 
+    /// Excludes the servers in \p dataCentres, and no others of this kind, from the usable ones.
+    auto setEvacuated(std::set<std::string> dataCentres) -> void;
+
+    /// All listed servers in \p dataCentre, usable or not.
+    [[nodiscard]] auto serversIn(const std::string &dataCentre) const -> std::vector<server_ptr>;
+
     /// A statement that a server leaves is remembered for at least this long after the server was last listed.
     static constexpr duration LEAVING_MEMORY = std::chrono::minutes(10);
     /// Beyond this number of such statements, the oldest are forgotten.
@@ -129,6 +136,7 @@
     /// By incarnation, when a server that stated that it leaves was last listed or, if it was not, stated it.
     std::unordered_map<std::uint64_t, time_point> m_statedLeaving;
     std::map<std::string, entry> m_entries;
+    std::set<std::string> m_evacuated; ///< Data centres whose servers are not used.
     std::unordered_map<std::string, std::vector<server_ptr>> m_usableByService;
     std::unordered_map<std::uint64_t, server_ptr> m_usableByIncarnation;
     bool m_storeLost = false;
--- a/include/marjoramloom/gateway/knowledge/store_update.h
+++ b/include/marjoramloom/gateway/knowledge/store_update.h
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/core/boot_clock.h"
 #include "marjoramloom/core/clock.h"
+#include "marjoramloom/gateway/knowledge/evacuated_data_centres.h"
 #include "marjoramloom/gateway/knowledge/server_change_log.h"
 
 #include <cstdint>
@@ -35,6 +36,7 @@
     bool storeLost = false; ///< The sender gets no answers from the store.
     std::chrono::milliseconds answerAge{ 0 }; ///< Time since the store last answered the sender itself.
     std::chrono::milliseconds renewalLeft{ 0 }; ///< How much longer expired entries may be renewed.
+    std::optional<evacuation_set> evacuations = std::nullopt; ///< Nothing if the sender does not know them.
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/traffic/gateway_call.h
+++ b/include/marjoramloom/gateway/traffic/gateway_call.h
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/call/call_control.h"
 #include "marjoramloom/call/http_connection.h"
+#include "marjoramloom/gateway/decisions/cold_choice.h"
 #include "marjoramloom/gateway/decisions/server_choice.h"
 #include "marjoramloom/gateway/knowledge/gateway_state.h"
 #include "marjoramloom/gateway/traffic/placement_dispatch.h"
@@ -58,7 +59,14 @@
     /// The router answers this long before the caller's time limit, so that the answer arrives in time.
     static constexpr auto ANSWER_MARGIN = std::chrono::milliseconds(15);
 
+    /// Choices of a server for one attempt, where another router chooses servers that this one may not use.
+    static constexpr int MAX_CHOICES = 3;
+
     auto chooseServer() -> boost::asio::awaitable<std::optional<chosen_server>>;
+    auto chooseCandidate(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
+    auto restrictQuery(placement_query &query, last_reason &why) -> bool;
+    auto mayUse(const chosen_server &chosen, last_reason &why) -> bool;
+    auto confirmCold(const chosen_server &chosen, last_reason &why) -> bool;
     auto chooseEngineForPrompt(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
     auto choosePlainServerForRequest(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
     auto sendWithRetries() -> boost::asio::awaitable<void>;
@@ -117,6 +125,8 @@
     bool m_brokeOff = false; ///< An attempt broke off before its first event.
     bool m_answerBegan = false; ///< An engine has begun an answer, so that no block of the prompt crashes engines.
     bool m_streaming = false; ///< The head of a stream was forwarded to the caller.
+    std::unique_ptr<cold_lease> m_coldLease; ///< Of the next attempt, if its server is cold.
+    bool m_isColdRefused = false; ///< The latest attempt was not sent, as its cold server takes no more requests.
     last_reason m_why;
 };
 
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -1,9 +1,24 @@
 #include "marjoramloom/gateway/decisions/engine_decision.h"
 
+#include "marjoramloom/gateway/decisions/cold_choice.h"
+
 #include <algorithm>
 
 namespace marjoramloom {
 
+namespace {
+
+/// Sets the reason of a choice that found no server: servers that are only cold for now are not missing.
+auto noteNoneLeft(const placement_query &query, const excluded_servers &excluded, last_reason &why) -> void
+{
+    if (excluded.areOthersCold && why.kind == failure_kind::notFound) {
+        why.fail(failure_kind::overloaded, "choose server", query.service,
+                 "the cold servers have got their requests of this second");
+    }
+}
+
+} // namespace
+
 auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why)
     -> std::optional<engine_decision>
 {
@@ -11,8 +26,10 @@
     if (service == nullptr || !service->engine) {
         return why.fail(failure_kind::notFound, "choose engine", query.service, "no such service of engines");
     }
-    auto chosen = chooseEngine(state, *service, query.shard, query.prompt, query.triedServers(), now, why);
+    const auto excluded = excludedServers(state, query, now);
+    auto chosen = chooseEngine(state, *service, query.shard, query.prompt, excluded.servers, now, why);
     if (!chosen) {
+        noteNoneLeft(query, excluded, why);
         return why.kind == failure_kind::overloaded
             ? std::optional(engine_decision{ .chosen = std::nullopt, .allEnginesFull = true })
             : std::nullopt;
@@ -42,8 +59,11 @@
         plain_demand{ .objective = shortest ? std::min<duration>(*shortest, query.objective) : query.objective,
                       .accountShare = state.plainShares.note(query.service, query.account, now),
                       .knownFraction = knownFraction };
-    auto chosen =
-        choosePlainServer(state, *service, query.shard, demand, query.dataCentre, query.triedServers(), now, why);
+    const auto excluded = excludedServers(state, query, now);
+    auto chosen = choosePlainServer(state, *service, query.shard, demand, query.dataCentre, excluded.servers, now, why);
+    if (!chosen) {
+        noteNoneLeft(query, excluded, why);
+    }
     if (!chosen && why.kind != failure_kind::overloaded) {
         return std::nullopt;
     }
--- a/src/gateway/decisions/server_choice.cpp
+++ b/src/gateway/decisions/server_choice.cpp
@@ -1,5 +1,7 @@
 #include "marjoramloom/gateway/decisions/server_choice.h"
 
+#include "marjoramloom/gateway/decisions/cold_choice.h"
+
 #include <algorithm>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <cassert>
@@ -75,7 +77,8 @@
                                .running = load.running + others.running + pending.running,
                                .slots = server->slots,
                                .pendingPrefillTokens = load.pendingPrefillTokens + others.pendingPrefillTokens
-                                   + pending.pendingPrefillTokens,
+                                   + pending.pendingPrefillTokens
+                                   + coldPrefillTokens(state, service, *server, prompt, now),
                                .cachedTokens = load.prefixCache.cachedTokens(prompt),
                                .avoided = load.isAvoided(now) || load.capacity.isFull(now) });
     }
--- a/src/gateway/knowledge/datagram_codec.cpp
+++ b/src/gateway/knowledge/datagram_codec.cpp
@@ -1,5 +1,7 @@
 #include "datagram_codec.h"
 
+#include "platform/evacuation_format.h"
+
 #include <algorithm>
 
 namespace marjoramloom {
@@ -41,7 +43,10 @@
 
 auto readIdentity(const wire::RouterIdentity &message) -> router_identity
 {
-    return { .address = message.address(), .dataCentre = message.data_centre(), .cores = message.cores() };
+    return { .address = message.address(),
+             .dataCentre = message.data_centre(),
+             .cores = message.cores(),
+             .region = message.region() };
 }
 
 auto write(const router_identity &identity, wire::RouterIdentity &message) -> void
@@ -49,6 +54,7 @@
     message.set_address(identity.address);
     message.set_data_centre(identity.dataCentre);
     message.set_cores(static_cast<float>(identity.cores));
+    message.set_region(identity.region);
 }
 
 auto readReport(std::uint64_t incarnation, const wire::LoadReport &message) -> load_snapshot
@@ -97,6 +103,10 @@
     query.prompt.promptTokens = message.prompt_tokens();
     query.failedServers.insert(message.failed().begin(), message.failed().end());
     query.fullServers.insert(message.refused().begin(), message.refused().end());
+    query.coldServers.insert(message.cold_servers().begin(), message.cold_servers().end());
+    if (message.restricted()) {
+        query.regions = region_set(message.regions().begin(), message.regions().end());
+    }
     query.plain = message.plain();
     query.dataCentre = message.data_centre();
     query.alreadySent = message.begun();
@@ -120,6 +130,13 @@
     for (const auto server : query.fullServers) {
         message.add_refused(server);
     }
+    for (const auto server : query.coldServers) {
+        message.add_cold_servers(server);
+    }
+    message.set_restricted(query.regions.has_value());
+    for (const auto &region : query.regions.value_or(region_set())) {
+        message.add_regions(region);
+    }
     message.set_plain(query.plain);
     if (query.plain) {
         message.set_data_centre(query.dataCentre);
@@ -205,6 +222,25 @@
     message.set_trials(record.trials);
 }
 
+auto readEvacuations(const wire::EvacuatedSet &message) -> evacuation_set
+{
+    auto evacuations = evacuation_set{ .revision = message.revision(), .names = {} };
+    for (const auto &name : message.data_centres()) {
+        if (platform::isDataCentreName(name)) {
+            evacuations.names.insert(name);
+        }
+    }
+    return evacuations;
+}
+
+auto write(const evacuation_set &evacuations, wire::EvacuatedSet &message) -> void
+{
+    message.set_revision(evacuations.revision);
+    for (const auto &name : evacuations.names) {
+        message.add_data_centres(name);
+    }
+}
+
 auto readStoreUpdate(const wire::StoreNews &message) -> store_update
 {
     auto update = store_update{ .number = message.number(),
@@ -217,6 +253,9 @@
                                 .storeLost = message.store_lost(),
                                 .answerAge = std::chrono::milliseconds(message.answer_age_ms()),
                                 .renewalLeft = std::chrono::milliseconds(message.renewal_left_ms()) };
+    if (message.has_evacuated()) {
+        update.evacuations = readEvacuations(message.evacuated());
+    }
     if (message.proved()) {
         update.validationAge = std::chrono::milliseconds(message.proof_age_ms());
     }
@@ -254,6 +293,9 @@
     message.set_store_lost(update.storeLost);
     message.set_answer_age_ms(static_cast<std::uint32_t>(update.answerAge.count()));
     message.set_renewal_left_ms(static_cast<std::uint32_t>(update.renewalLeft.count()));
+    if (update.evacuations) {
+        write(*update.evacuations, *message.mutable_evacuated());
+    }
 }
 
 auto readStoreContact(const wire::RouterDatagram &message, boot_time now) -> std::optional<store_contact::interval>
--- a/src/gateway/knowledge/datagram_codec.h
+++ b/src/gateway/knowledge/datagram_codec.h
@@ -41,6 +41,9 @@
 auto readStoreUpdate(const wire::StoreNews &message) -> store_update;
 auto write(const store_update &update, wire::StoreNews &message) -> void;
 
+auto readEvacuations(const wire::EvacuatedSet &message) -> evacuation_set;
+auto write(const evacuation_set &evacuations, wire::EvacuatedSet &message) -> void;
+
 /// The interval in which the store answered, as of the arrival of \p message at \p now; nothing if it is unknown.
 auto readStoreContact(const wire::RouterDatagram &message, boot_time now) -> std::optional<store_contact::interval>;
 auto write(const store_contact::interval &answered, boot_time now, wire::RouterDatagram &message) -> void;
--- a/src/gateway/knowledge/gateway_state.cpp
+++ b/src/gateway/knowledge/gateway_state.cpp
@@ -30,11 +30,13 @@
         logServer(server, change);
         if (!servers.isListed(server)) {
             loads.forget(server);
+            coldEngines.forget(server);
         }
         if (!servers.isUsable(server)) {
             connections.closeIdle(server.address);
         }
     })
+    , evacuations([this](const auto &change, std::uint64_t revision) { applyEvacuations(change, revision); })
     , roster(std::move(self))
     , accounts(fleet)
     , placement(prefill_rate())
@@ -47,11 +49,18 @@
     , pauseNotices(registry.at("marjoramloom_server_notices_total", "notice=\"pause\""))
     , malformedNotices(registry.at("marjoramloom_server_notices_total", "notice=\"malformed\""))
     , quarantinedRequests(registry.at("marjoramloom_requests_quarantined_total"))
+    , coldSends(registry.at("marjoramloom_cold_sends_total"))
+    , coldRefusals(registry.at("marjoramloom_cold_refusals_total"))
     , truncatedStreams(registry.at("marjoramloom_answers_cut_total"))
     , abandonedRequests(registry.at("marjoramloom_abandoned_total"))
 {
     registry.setGauge("marjoramloom_blocks_quarantined", "",
                       [this] { return static_cast<double>(blocks.quarantinedBlocks()); });
+    registry.setGauge("marjoramloom_servers_cold", "",
+                      [this] { return static_cast<double>(coldEngines.statedCold(system_clock_source().now())); });
+    registry.setGauge("marjoramloom_data_centres_evacuated", "", [this] {
+        return evacuations.isKnown() ? static_cast<double>(evacuations.current().names.size()) : 0.0;
+    });
     registry.setGauge("marjoramloom_servers_paused", "", [this] { return static_cast<double>(pauses.size()); });
 }
 
@@ -78,6 +87,86 @@
     return record;
 }
 
+auto gateway_state::areEvacuationsKnown() const -> bool
+{
+    return settings.evacuationLimit == std::chrono::milliseconds(0) || evacuations.isKnown();
+}
+
+auto gateway_state::applyEvacuations(const evacuated_data_centres::change &change, std::uint64_t revision) -> void
+{
+    servers.setEvacuated(evacuations.current().names);
+    const auto log = [&](const std::string &name, std::string_view what, std::size_t affected) {
+        log_line(log_level::warning, "evacuation")
+            .with("data_centre", name)
+            .with("change", what)
+            .with("revision", revision)
+            .with("servers", affected)
+            .with("running", running);
+    };
+    for (const auto &name : change.added) {
+        const auto affected = servers.serversIn(name);
+        for (const auto &server : affected) {
+            connections.closeIdle(server->address);
+        }
+        log(name, "evacuated", affected.size());
+        counters.at("marjoramloom_evacuations_total").add();
+    }
+    for (const auto &name : change.removed) {
+        // What these servers last stated may be from before the evacuation.
+        auto returned = std::vector<std::uint64_t>();
+        for (const auto &server : servers.serversIn(name)) {
+            returned.push_back(server_loads::incarnationId(*server));
+        }
+        coldEngines.noteReturned(returned, revision, system_clock_source().now());
+        log(name, "in use", returned.size());
+    }
+}
+
+auto gateway_state::noteServerEntry(const listed_server &server, std::uint64_t revision,
+                                    cold_engines::entry_source source, time_point now) -> void
+{
+    if (servers.isListed(server) && coldEngines.noteEntry(server, revision, source, now)) {
+        applyCold({ .server = server_loads::incarnationId(server), .left = server.remainingWarmUp },
+                  cold_source::entry);
+    }
+}
+
+auto gateway_state::noteCold(const cold_statement &statement, cold_source source, time_point now) -> void
+{
+    const auto hasTurned = source == cold_source::answer ? coldEngines.noteAnswer(statement, now)
+                                                         : coldEngines.noteReported(statement, now);
+    if (hasTurned) {
+        applyCold(statement, source);
+    }
+}
+
+/// A server that has turned cold has lost its prefix cache.
+auto gateway_state::applyCold(const cold_statement &statement, cold_source source) -> void
+{
+    const auto server = servers.findUsable(statement.server);
+    log_line(log_level::info, "server_cold")
+        .with("server", server ? server->id : std::to_string(statement.server))
+        .with("source", nameOf(source))
+        .with("left_ms", toSeconds(statement.left) * 1e3);
+    if (auto *load = loads.find(statement.server)) {
+        load->prefixCache = prefix_cache_estimate();
+    }
+}
+
+auto gateway_state::regionOf(const std::string &dataCentre) const -> const std::string &
+{
+    const auto configured = settings.regions.find(dataCentre);
+    return configured == settings.regions.end() ? roster.regionOf(dataCentre) : configured->second;
+}
+
+auto gateway_state::tickPlaces(time_point now) -> void
+{
+    coldBudget.tick(now);
+    if (!coldEngines.mayBeCold(now)) {
+        coldRanks.clear();
+    }
+}
+
 auto gateway_state::isConfigurationCurrent(boot_time now) const -> bool
 {
     return routes && !hasNewerConfiguration && keys.isFresh(now);
--- a/src/gateway/knowledge/load_exchange.cpp
+++ b/src/gateway/knowledge/load_exchange.cpp
@@ -4,6 +4,7 @@
 #include "marjoramloom/core/endpoint.h"
 #include "marjoramloom/core/hash.h"
 #include "marjoramloom/core/log.h"
+#include "places_exchange.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -241,6 +242,7 @@
     for (const auto server : m_state.servers.leavingAheadOfList(maxLeavingServers)) {
         report.add_leaving_servers(server);
     }
+    writePlaces(m_state, system_clock_source().now(), datagram);
     for (const auto &[dispatcher, sequence] : m_dispatch.lastSequences()) {
         auto *placementHeard = report.add_heard();
         placementHeard->set_dispatcher(dispatcher);
@@ -369,6 +371,7 @@
     if (const auto answered = readStoreContact(datagram, boot_clock::now())) {
         m_state.storeContact.noteInterval(*answered);
     }
+    applyPlaces(datagram, m_storeHandlers.onEvacuations, system_clock_source().now(), m_state);
     if (datagram.has_report()) {
         handleReport(router, datagram.sender(), datagram.report());
     }
@@ -485,6 +488,7 @@
     if (now - last >= heartbeatPeriod) {
         last = now;
         auto heartbeat = wire::RouterDatagram();
+        writePlaces(m_state, now, heartbeat);
         send(router, heartbeat);
     }
 }
--- a/src/gateway/knowledge/platform_feed.cpp
+++ b/src/gateway/knowledge/platform_feed.cpp
@@ -249,15 +249,22 @@
         co_return true;
     }
     auto servers = std::vector<listed_server>();
+    auto revisions = std::vector<std::uint64_t>(); // Of the servers, in the same order.
     for (const auto &object : listed->objects) {
         auto reason = last_reason();
         if (auto server = platform::decodeServer(object, reason)) {
             servers.push_back(std::move(*server));
+            revisions.push_back(object.revision);
         } else {
             log_line(log_level::warning, "server_unreadable").with("server", object.name).with("reason", reason.text());
         }
     }
-    m_state.servers.replaceAll(std::move(servers), system_clock_source().now());
+    const auto now = system_clock_source().now();
+    const auto source = m_state.hasServers ? cold_engines::entry_source::change : cold_engines::entry_source::firstList;
+    m_state.servers.replaceAll(servers, now);
+    for (auto index = std::size_t(0); index < servers.size(); ++index) {
+        m_state.noteServerEntry(servers[index], revisions[index], source, now);
+    }
     m_state.hasServers = true;
     m_serverChanges.reset(listed->revision);
     m_serversWatchRevision = listed->revision;
@@ -275,7 +282,8 @@
     auto server = change.removed ? std::nullopt : platform::decodeServer(change.object, why);
     if (server) {
         m_serverChanges.add(change);
-        m_state.servers.put(std::move(*server), now);
+        m_state.servers.put(*server, now);
+        m_state.noteServerEntry(*server, change.object.revision, cold_engines::entry_source::change, now);
         return;
     }
     if (!change.removed) {
@@ -300,6 +308,11 @@
     return m_serverChanges.revision();
 }
 
+auto platform_feed::isWatching() const -> bool
+{
+    return m_watching;
+}
+
 auto platform_feed::isStoreLost() const -> bool
 {
     return m_storeLost;
--- a/src/gateway/knowledge/route_table.cpp
+++ b/src/gateway/knowledge/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 
 namespace marjoramloom {
 
@@ -34,6 +35,11 @@
     for (auto index = std::size_t(0); index < m_content.services.size(); ++index) {
         m_serviceIndexes.emplace(m_content.services[index].name, index);
     }
+    for (const auto &[key, account] : m_content.accountsByKey) {
+        if (!account.homeRegions.empty()) {
+            m_regionsByAccount.emplace(account.name, account.homeRegions);
+        }
+    }
 }
 
 auto route_table::version() const -> std::uint64_t
@@ -64,6 +70,21 @@
     return found == m_content.accountsByKey.end() ? nullptr : &found->second;
 }
 
+auto route_table::regionsOf(const route_rule &route, const std::string &account) const -> std::optional<region_set>
+{
+    const auto found = m_regionsByAccount.find(account);
+    if (found == m_regionsByAccount.end()) {
+        return route.homeRegions.empty() ? std::nullopt : std::optional(route.homeRegions);
+    }
+    if (route.homeRegions.empty()) {
+        return found->second;
+    }
+    auto common = region_set();
+    std::set_intersection(route.homeRegions.begin(), route.homeRegions.end(), found->second.begin(),
+                          found->second.end(), std::inserter(common, common.end()));
+    return common;
+}
+
 auto route_table::shortestObjective(const std::string &service) const -> std::optional<std::chrono::milliseconds>
 {
     const auto found = m_shortestObjectives.find(service);
--- a/src/gateway/knowledge/router_discovery.cpp
+++ b/src/gateway/knowledge/router_discovery.cpp
@@ -42,8 +42,10 @@
     if (!address || !dataCentre || !cores) {
         return why.fail(failure_kind::protocolViolation, "parse router", object.name, "a field is missing");
     }
-    auto identity =
-        router_identity{ .address = std::move(*address), .dataCentre = std::move(*dataCentre), .cores = *cores };
+    auto identity = router_identity{ .address = std::move(*address),
+                                     .dataCentre = std::move(*dataCentre),
+                                     .cores = *cores,
+                                     .region = platform::stringField(*fields, "region").value_or("") };
     if (!parseEndpoint(identity.address, why)) {
         return std::nullopt;
     }
@@ -104,8 +106,10 @@
 
 auto router_discovery::writeRegistration(last_reason &why) -> asio::awaitable<bool>
 {
-    const auto value = json::serialize(
-        json::object{ { "address", m_self.address }, { "data_centre", m_self.dataCentre }, { "cores", m_self.cores } });
+    const auto value = json::serialize(json::object{ { "address", m_self.address },
+                                                     { "data_centre", m_self.dataCentre },
+                                                     { "cores", m_self.cores },
+                                                     { "region", m_self.region } });
     auto outcome = co_await m_client.create(std::string(routerKind), m_instance, value, why);
     if (outcome.result == write_result::conflict && outcome.current.revision != 0 && outcome.current.value != value) {
         outcome = co_await m_client.update(std::string(routerKind), m_instance, value, outcome.current.revision, why);
--- a/src/gateway/knowledge/router_roster.cpp
+++ b/src/gateway/knowledge/router_roster.cpp
@@ -64,6 +64,19 @@
     return 2 * smaller > others;
 }
 
+auto router_roster::regionOf(const std::string &dataCentre) const -> const std::string &
+{
+    static const auto unknown = std::string();
+    const auto found = m_regions.find(dataCentre);
+    return found == m_regions.end() ? unknown : found->second;
+}
+
+auto router_roster::hasRouterIn(const std::string &dataCentre) const -> bool
+{
+    return std::any_of(m_routers.begin(), m_routers.end(),
+                       [&](const auto &entry) { return entry.second.identity.dataCentre == dataCentre; });
+}
+
 auto router_roster::others() const -> std::vector<std::uint64_t>
 {
     auto ids = std::vector<std::uint64_t>();
@@ -79,6 +92,9 @@
 auto router_roster::put(router_identity identity) -> bool
 {
     const auto id = idOf(identity.address);
+    if (!identity.region.empty()) {
+        m_regions[identity.dataCentre] = identity.region;
+    }
     const auto [entry, added] = m_routers.try_emplace(id);
     auto &known = entry->second.identity;
     const auto changed = added || known.dataCentre != identity.dataCentre || known.cores != identity.cores;
--- a/src/gateway/knowledge/server_directory.cpp
+++ b/src/gateway/knowledge/server_directory.cpp
@@ -173,6 +173,23 @@
     return servers;
 }
 
+auto server_directory::setEvacuated(std::set<std::string> dataCentres) -> void
+{
+    m_evacuated = std::move(dataCentres);
+    rebuildIndexes();
+}
+
+auto server_directory::serversIn(const std::string &dataCentre) const -> std::vector<server_ptr>
+{
+    auto servers = std::vector<server_ptr>();
+    for (const auto &[id, current] : m_entries) {
+        if (current.server->dataCentre == dataCentre) {
+            servers.push_back(current.server);
+        }
+    }
+    return servers;
+}
+
 auto server_directory::usable(const std::string &service) const -> const std::vector<server_ptr> &
 {
     static const auto noServers = std::vector<server_ptr>();
@@ -185,7 +202,7 @@
     const auto found = m_entries.find(server.id);
     return found != m_entries.end() && found->second.server->isSameIncarnation(server)
         && !found->second.server->draining && !found->second.misdirected && !found->second.statedLeaving
-        && found->second.server->service == server.service;
+        && found->second.server->service == server.service && !m_evacuated.contains(server.dataCentre);
 }
 
 auto server_directory::findUsable(std::uint64_t incarnation) const -> server_ptr
@@ -238,7 +255,8 @@
     m_usableByService.clear();
     m_usableByIncarnation.clear();
     for (const auto &[id, current] : m_entries) {
-        if (!current.server->draining && !current.misdirected && !current.statedLeaving) {
+        const auto isEvacuated = !m_evacuated.empty() && m_evacuated.contains(current.server->dataCentre);
+        if (!current.server->draining && !current.misdirected && !current.statedLeaving && !isEvacuated) {
             m_usableByService[current.server->service].push_back(current.server);
             m_usableByIncarnation.emplace(server_loads::incarnationId(*current.server), current.server);
         }
--- a/src/gateway/knowledge/store_relay.cpp
+++ b/src/gateway/knowledge/store_relay.cpp
@@ -85,6 +85,9 @@
 auto store_relay::makeUpdate(follower &follower) const -> store_update
 {
     auto update = m_feed.updateSince(follower.serversRevision, follower.configurationRevision);
+    if (m_state.evacuations.isKnown()) {
+        update.evacuations = m_state.evacuations.current();
+    }
     follower.serversRevision = update.serversRevision;
     if (update.configuration) {
         follower.configurationRevision = update.configurationRevision;
--- a/src/gateway/traffic/gateway_call.cpp
+++ b/src/gateway/traffic/gateway_call.cpp
@@ -82,7 +82,8 @@
         }
         const auto incarnation = server_loads::incarnationId(*chosen->server);
         const auto isPaused = m_state.pauses.remaining(incarnation, boot_clock::now()) > duration::zero();
-        auto &tried = outcome == attempt_outcome::notRun || isPaused ? m_fullServers : m_failedServers;
+        const auto isFull = outcome == attempt_outcome::notRun || isPaused || std::exchange(m_isColdRefused, false);
+        auto &tried = isFull ? m_fullServers : m_failedServers;
         tried.insert(incarnation);
     }
     if (outcome == attempt_outcome::callerDisconnected) {
--- a/src/gateway/traffic/gateway_call_choice.cpp
+++ b/src/gateway/traffic/gateway_call_choice.cpp
@@ -7,23 +7,18 @@
 
 namespace asio = boost::asio;
 
-/// Chooses the server for the next attempt. Returns nothing if there is none or the request is refused; before the
-/// first attempt the reason is stored in m_why.
-auto gateway_call::chooseServer() -> asio::awaitable<std::optional<chosen_server>>
+/// Chooses a server for the next attempt. Returns nothing, with the reason in \p why, if there is none or the request
+/// is refused.
+auto gateway_call::chooseCandidate(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
 {
-    auto why = last_reason();
-    auto chosen = std::optional<chosen_server>();
     if (timeToUsableServer() > duration::zero()) {
         why.fail(failure_kind::unavailable, "choose server", m_service->name, "every server asked for a pause");
-    } else if (m_service->engine && m_route.carriesPrompt) {
-        chosen = co_await chooseEngineForPrompt(why);
-    } else {
-        chosen = co_await choosePlainServerForRequest(why);
+        co_return std::nullopt;
     }
-    if (!chosen && m_sendCount == 0) {
-        m_why = why;
+    if (m_service->engine && m_route.carriesPrompt) {
+        co_return co_await chooseEngineForPrompt(why);
     }
-    co_return chosen;
+    co_return co_await choosePlainServerForRequest(why);
 }
 
 auto gateway_call::chooseEngineForPrompt(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
@@ -38,6 +33,9 @@
                                   .plain = false,
                                   .dataCentre = {},
                                   .alreadySent = m_sendCount > 0 };
+    if (!restrictQuery(query, why)) {
+        co_return std::nullopt;
+    }
     excludePausedServers(query);
     auto decision = co_await m_dispatch.decide(query, why);
     if (decision && decision->chosen) {
@@ -46,8 +44,13 @@
     if (query.alreadySent) {
         // A request that was already sent to a server is not refused here: its retry may go to any engine of the
         // service.
-        co_return chooseEngine(m_state, *m_service, {}, m_request.prompt, query.triedServers(),
-                               system_clock_source().now(), why);
+        query.shard = {};
+        if (!restrictQuery(query, why)) {
+            co_return std::nullopt;
+        }
+        const auto now = system_clock_source().now();
+        co_return chooseEngine(m_state, *m_service, {}, m_request.prompt, excludedServers(m_state, query, now).servers,
+                               now, why);
     }
     co_return std::nullopt;
 }
@@ -66,6 +69,9 @@
                                   .plain = true,
                                   .dataCentre = m_state.dataCentre,
                                   .alreadySent = m_sendCount > 0 };
+    if (!restrictQuery(query, why)) {
+        co_return std::nullopt;
+    }
     excludePausedServers(query);
     auto decision = co_await m_dispatch.decide(query, why);
     co_return decision ? std::move(decision->chosen) : std::nullopt;
--- a/src/gateway/traffic/gateway_call_notes.cpp
+++ b/src/gateway/traffic/gateway_call_notes.cpp
@@ -72,6 +72,10 @@
         && m_state.servers.noteLeaving(incarnation, leaving_source::answer, system_clock_source().now())) {
         m_state.leavingNotices.add();
     }
+    if (notice.coldLeft) {
+        m_state.noteCold({ .server = incarnation, .left = *notice.coldLeft }, cold_source::answer,
+                         system_clock_source().now());
+    }
     if (notice.pause) {
         m_state.pauses.note(incarnation, *notice.pause, boot_clock::now());
         m_state.pauseNotices.add();
--- a/src/gateway/traffic/gateway_call_send.cpp
+++ b/src/gateway/traffic/gateway_call_send.cpp
@@ -118,7 +118,7 @@
                > duration::zero()) {
         why.fail(failure_kind::unavailable, "send request", chosen.server->id, "the server asked for a pause");
     } else {
-        return true;
+        return confirmCold(chosen, why);
     }
     return false;
 }
--- a/src/gateway/traffic/gateway_process.cpp
+++ b/src/gateway/traffic/gateway_process.cpp
@@ -2,11 +2,13 @@
 
 #include "marjoramloom/core/event_loop.h"
 #include "marjoramloom/core/log.h"
+#include "marjoramloom/gateway/knowledge/evacuation_feed.h"
 #include "marjoramloom/gateway/knowledge/load_exchange.h"
 #include "marjoramloom/gateway/knowledge/platform_feed.h"
 #include "marjoramloom/gateway/knowledge/router_discovery.h"
 #include "marjoramloom/gateway/knowledge/store_relay.h"
 #include "marjoramloom/gateway/traffic/gateway_handler.h"
+#include "marjoramloom/gateway/traffic/places_status.h"
 #include "marjoramloom/gateway/traffic/status_handler.h"
 #include "marjoramloom/peer/member.h"
 #include "marjoramloom/router/http_server.h"
@@ -54,7 +56,8 @@
 {
     return { .address = config.peersAddress.empty() ? config.peersListen : config.peersAddress,
              .dataCentre = config.dataCentre,
-             .cores = config.gateway->cores };
+             .cores = config.gateway->cores,
+             .region = config.region };
 }
 
 /// Fraction of the file descriptors for callers' idle connections. A caller with much traffic opens thousands of
@@ -88,6 +91,7 @@
     /// Stops accepting connections and waits for running requests, up to the grace period.
     auto drain() -> asio::awaitable<void>;
     auto refreshReadiness() -> void;
+    auto applyRelayedEvacuations(std::optional<evacuation_set> relayed) -> void;
 
     settings config;
     asio::io_context context{ 1 };
@@ -103,6 +107,8 @@
     std::shared_ptr<http_server<status_handler>> statusServer;
     platform_feed feed;
     store_relay relay;
+    std::unique_ptr<store_client> evacuationStore; ///< Null where data centres are not evacuated.
+    std::unique_ptr<evacuation_feed> evacuationFeed; ///< Null where data centres are not evacuated.
 };
 
 gateway_process::components::components(settings initialSettings)
@@ -113,7 +119,7 @@
     , discovery(context.get_executor(), store, config.instance, identityOf(config),
                 [this](router_identity identity) { exchange.addRouter(std::move(identity)); })
     , callerHandler(state, exchange.dispatch())
-    , statusHandler(ready, counters)
+    , statusHandler(ready, counters, [this] { return placesStatus(state); })
     , callerServer(std::make_shared<http_server<gateway_handler>>(context, callerHandler, counters, "callers",
                                                                   http_limits(), session_concurrency::singleThread))
     , statusServer(std::make_shared<http_server<status_handler>>(context, statusHandler, counters, "operators",
@@ -134,8 +140,25 @@
     exchange.setStoreHandlers({ .onQuery = [this](auto router, const auto &query) { relay.onQuery(router, query); },
                                 .onUpdate =
                                     [this](const auto &update) {
+                                        applyRelayedEvacuations(update.evacuations);
                                         relay.onUpdate(update);
+                                    },
+                                .onEvacuations =
+                                    [this](evacuation_set evacuations) {
+                                        applyRelayedEvacuations(std::move(evacuations));
                                     } });
+    if (const auto limit = config.gateway->evacuationLimit; limit > std::chrono::milliseconds(0)) {
+        evacuationStore = std::make_unique<store_client>(
+            context.get_executor(), evacuation_feed::storeOptions(storeOptions(config), limit), counters);
+        evacuationFeed = std::make_unique<evacuation_feed>(
+            context.get_executor(), *evacuationStore, state,
+            evacuation_feed::hooks{ .isWatching = [this] { return feed.isWatching(); },
+                                    .isStoreLost = [this] { return feed.isStoreLost(); },
+                                    .onStoreChange =
+                                        [this] {
+                                            relay.notifyFollowers();
+                                        } });
+    }
     callerServer->setConnectionGate([this] {
         const auto now = system_clock_source().now();
         return !state.loopDelay.isOverloaded(now) && state.pacing.mayAccept(now);
@@ -143,15 +166,23 @@
     counters.setGauge("marjoramloom_log_lines_dropped", "", [] { return static_cast<double>(droppedLogLines()); });
 }
 
+auto gateway_process::components::applyRelayedEvacuations(std::optional<evacuation_set> relayed) -> void
+{
+    if (evacuationFeed && relayed) {
+        evacuationFeed->applyRelayed(std::move(*relayed));
+    }
+}
+
 auto gateway_process::components::refreshReadiness() -> void
 {
     const auto areKeysFresh = state.keys.isFresh(boot_clock::now());
     const auto isLoopDelayed = state.loopDelay.shouldRefuseConnections(system_clock_source().now());
-    const auto isReady = state.routes && state.hasServers && !state.stopping && areKeysFresh && !isLoopDelayed;
+    const auto isConfigured = state.routes && state.hasServers && state.areEvacuationsKnown();
+    const auto isReady = isConfigured && !state.stopping && areKeysFresh && !isLoopDelayed;
     if (isReady != ready) {
         log_line(log_level::info, "readiness")
             .with("ready", isReady ? "yes" : "no")
-            .with("configured", state.routes && state.hasServers ? "yes" : "no")
+            .with("configured", isConfigured ? "yes" : "no")
             .with("keys", areKeysFresh ? "proved" : "not proved")
             .with("behind", isLoopDelayed ? "yes" : "no")
             .with("stopping", state.stopping ? "yes" : "no");
@@ -175,6 +206,10 @@
         timer.expires_after(tickPeriod);
         co_await timer.async_wait(asio::use_awaitable);
         feed.tick(system_clock_source().now());
+        state.tickPlaces(system_clock_source().now());
+        if (evacuationFeed) {
+            evacuationFeed->tick();
+        }
         refreshReadiness();
         flushLog();
     }
@@ -247,8 +282,11 @@
     const auto needsRestart = next->callersListen != config.callersListen
         || next->operatorsListen != config.operatorsListen || next->peersListen != config.peersListen
         || next->platform != config.platform;
+    // Whether evacuations are read is decided at the start.
+    const auto evacuationLimit = config.gateway->evacuationLimit;
     config.gateway = next->gateway;
-    state.applySettings(*next->gateway);
+    config.gateway->evacuationLimit = evacuationLimit;
+    state.applySettings(*config.gateway);
     log_line(log_level::info, "reload").with("outcome", needsRestart ? "taken over but for addresses" : "taken over");
 }
 
@@ -307,6 +345,9 @@
     };
     runAlways("configuration", [&components] { return components.feed.followConfiguration(); });
     runAlways("servers", [&components] { return components.feed.followServers(); });
+    if (components.evacuationFeed) {
+        runAlways("evacuations", [&components] { return components.evacuationFeed->follow(); });
+    }
     runAlways("discovery", [&components] { return components.join(); });
     runAlways("relay", [&components] { return components.relay.run(); });
     runAlways("reports", [&components] { return components.exchange.sendReports(); });
--- a/src/gateway/traffic/status_handler.cpp
+++ b/src/gateway/traffic/status_handler.cpp
@@ -4,9 +4,10 @@
 
 namespace marjoramloom {
 
-status_handler::status_handler(const bool &ready, counter_registry &counters)
+status_handler::status_handler(const bool &ready, counter_registry &counters, std::function<std::string()> places)
     : m_ready(ready)
     , m_counters(counters)
+    , m_places(std::move(places))
 {
 }
 
@@ -18,6 +19,8 @@
     } else if (exchange.target() == "/metrics") {
         answer.contentType = "text/plain; version=0.0.4";
         answer.body = m_counters.text();
+    } else if (exchange.target() == "/status/places") {
+        answer.body = m_places();
     } else {
         answer.status = 404;
         answer.body = "{}\n";
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -187,6 +187,19 @@
         reader.number("repeat_ratio", gateway.retryBudgetSettings.ratio, 0, 1);
         reader.number("repeat_window_seconds", windowSeconds, 0.1, 3'600);
         reader.number("repeat_reserve", gateway.retryBudgetSettings.reserve, 0, 1e6);
+        reader.time("evacuation_ms", gateway.evacuationLimit, 1'000, hourMs);
+        reader.number("cold_overshoot", gateway.coldOvershoot, 0, 1e3);
+        reader.number("cold_tolerance", gateway.coldTolerance, 0, 1e6);
+        auto regions = std::vector<std::string>();
+        reader.texts("regions", regions);
+        for (const auto &entry : regions) {
+            const auto separator = entry.find('=');
+            if (separator == 0 || separator == std::string::npos || separator + 1 == entry.size()) {
+                reader.reject("regions", "must be a list of data_centre=region");
+                break;
+            }
+            gateway.regions[entry.substr(0, separator)] = entry.substr(separator + 1);
+        }
         if (m_root.contains("gateway") && m_settings.threads != 1) {
             reader.reject("", "a gateway does all of its work on one thread: instance.threads must be 1");
         }
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -109,7 +109,8 @@
          << router.peers << "\"\n[operators]\nkey_hash = \"" << std::string(64, '0') << "\"\n"
          << "[platform]\naddresses = [\"" << store << "\"]\ntimeout_ms = 1000\n"
          << "[gateway]\nkey_revocation_ms = " << m_plan.revocationMs << "\ngrace_seconds = " << m_plan.graceSeconds
-         << "\nrepeat_reserve = " << m_plan.retryReserve << "\n";
+         << "\nrepeat_reserve = " << m_plan.retryReserve << "\n"
+         << m_plan.gatewaySettings;
 }
 
 auto gateway_fleet::start(router_handle &router, bool untilReady) -> void
@@ -143,6 +144,8 @@
         { "services",
           json::array{ json::object{ { "name", serviceName },
                                      { "max_conns", 100 },
+                                     { "cold_start_s", 3.0 },
+                                     { "cold_per_s", m_plan.coldPerSecond },
                                      { "backend", json::object{ { "slots", 8 }, { "kv_capacity", 50'000 } } } } } },
         { "limits",
           json::object{ { "max_header_bytes", m_plan.headerBytes },
@@ -156,16 +159,17 @@
     return writeObject("config", "main", spec);
 }
 
-auto gateway_fleet::writeServer(std::size_t index, const std::string &state, int incarnation) -> void
+auto gateway_fleet::writeServer(std::size_t index, const std::string &state, int incarnation, int coldMs) -> void
 {
     const auto &server = *m_servers[index];
     const auto spec = json::object{
         { "service", serviceName },
         { "address", m_plan.listedServerAddress ? m_plan.listedServerAddress(server.address()) : server.address() },
-        { "zone", "north" },
+        { "zone", index < m_plan.serverZones.size() ? m_plan.serverZones[index] : "north" },
         { "version", "v1" },
         { "slots", m_plan.callSlots > 0 ? m_plan.callSlots : defaultSlots },
         { "state", state },
+        { "cold_left_ms", coldMs },
         { "born", 1'700'000'000'000 + index + static_cast<std::size_t>(incarnation) * 1'000 },
     };
     writeObject("servers", server.name(), spec);
@@ -182,6 +186,11 @@
     return updated.status >= 200 && updated.status < 300;
 }
 
+auto gateway_fleet::deleteObject(const std::string &kind, const std::string &name) -> bool
+{
+    return httpCall(m_store->address(), { "DELETE", "/v1/objects/" + kind + "/" + name, {}, "" }).status < 300;
+}
+
 auto gateway_fleet::call(const router_handle &router, const std::string &path, const std::string &id,
                          const std::string &method, const std::string &key, const std::string &body) -> http_answer
 {
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -24,6 +24,9 @@
     double retryReserve = 2; ///< Setting repeat_reserve of the routers.
     double graceSeconds = 8; ///< Setting grace_seconds of the routers.
     int headerBytes = 16'384; ///< Limit of a request's head in the configuration.
+    std::string gatewaySettings; ///< Further lines of the routers' table `gateway`.
+    double coldPerSecond = 0; ///< `cold_per_s` of the service.
+    std::vector<std::string> serverZones; ///< Data centres of the backend servers; "north" for further ones.
     /// Optional. Returns the address at which the router with this index connects to the store, which listens at
     /// \p address.
     std::function<std::string(int router, const std::string &address)> storeAddressForRouter;
@@ -54,11 +57,15 @@
     auto writeConfiguration(const std::vector<std::string> &alphaKeys) -> bool;
 
     /// Writes a backend server's entry in the store. Each \p incarnation of the server has another start time (`born`).
-    auto writeServer(std::size_t index, const std::string &state, int incarnation = 0) -> void;
+    /// The server states that it is cold for \p coldMs more.
+    auto writeServer(std::size_t index, const std::string &state, int incarnation = 0, int coldMs = 0) -> void;
 
     /// Creates or updates an object in the store. Returns whether the store acknowledged it.
     auto writeObject(const std::string &kind, const std::string &name, const boost::json::value &spec) -> bool;
 
+    /// Deletes an object in the store. Returns whether the store acknowledged it.
+    auto deleteObject(const std::string &kind, const std::string &name) -> bool;
+
     /// Sends a request with the X-Attempt-Id \p id through \p router.
     auto call(const router_handle &router, const std::string &path, const std::string &id,
               const std::string &method = "GET", const std::string &key = "key-alpha", const std::string &body = {})
--- a/tests/unit/router/settings_test.cpp
+++ b/tests/unit/router/settings_test.cpp
@@ -90,6 +90,25 @@
     BOOST_TEST(parsed->gateway->maxFileDescriptors == 4'100U);
 }
 
+BOOST_AUTO_TEST_CASE(a_gateway_has_no_limits_of_places_unless_they_are_set)
+{
+    const auto single =
+        std::string("[instance]\nthreads = 1\n") + complete.substr(complete.find('\n') + 1) + "[gateway]\n";
+    auto why = last_reason();
+    const auto plain = parseSettings(single, "router.toml", why);
+    BOOST_REQUIRE_MESSAGE(plain, why.text());
+    BOOST_TEST(plain->gateway->evacuationLimit.count() == 0);
+    BOOST_TEST(plain->gateway->coldOvershoot == 0);
+    const auto *text = "evacuation_ms = 5000\ncold_overshoot = 1.5\ncold_tolerance = 5\nregions = [\"a=up\"]\n";
+    const auto limited = parseSettings(single + text, "router.toml", why);
+    BOOST_REQUIRE_MESSAGE(limited, why.text());
+    BOOST_TEST(limited->gateway->evacuationLimit.count() == 5'000);
+    BOOST_TEST(limited->gateway->coldOvershoot == 1.5);
+    BOOST_TEST(limited->gateway->coldTolerance == 5);
+    BOOST_TEST(limited->gateway->regions.at("a") == "up");
+    BOOST_TEST(contains(errorOf(single + "regions = [\"up\"]\n"), "'gateway.regions' must be a list"));
+}
+
 BOOST_AUTO_TEST_CASE(missing_keys_and_invalid_toml_are_rejected)
 {
     BOOST_TEST(contains(errorOf(""), "'instance.name' is missing"));
