--- a/include/marjoramloom/gateway/traffic/gateway_call.h
+++ b/include/marjoramloom/gateway/traffic/gateway_call.h
@@ -3,6 +3,7 @@
 #include "marjoramloom/call/call_control.h"
 #include "marjoramloom/call/http_connection.h"
 #include "marjoramloom/gateway/decisions/answer_proof.h"
+#include "marjoramloom/gateway/decisions/cold_choice.h"
 #include "marjoramloom/gateway/decisions/misdirection.h"
 #include "marjoramloom/gateway/decisions/server_choice.h"
 #include "marjoramloom/gateway/knowledge/gateway_state.h"
@@ -60,7 +61,14 @@
     /// The router answers this long before the caller's time limit, so that the answer arrives in time.
     static constexpr auto ANSWER_MARGIN = std::chrono::milliseconds(15);
 
+    /// Choices of a server for one attempt, where another router chooses servers that this one may not use.
+    static constexpr int MAX_CHOICES = 3;
+
     auto chooseServer() -> boost::asio::awaitable<std::optional<chosen_server>>;
+    auto chooseCandidate(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
+    auto restrictQuery(placement_query &query, last_reason &why) -> bool;
+    auto mayUse(const chosen_server &chosen, last_reason &why) -> bool;
+    auto confirmCold(const chosen_server &chosen, last_reason &why) -> bool;
     auto chooseEngineForPrompt(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
     auto choosePlainServerForRequest(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
     auto sendWithRetries() -> boost::asio::awaitable<void>;
@@ -89,7 +97,6 @@
     auto noteAnswerBegun() -> void;
     auto noteServerFailed(const listed_server &server) -> void;
     auto noteServerNotice(const listed_server &server, const boost::beast::http::response_header<> &head) -> void;
-    auto excludePausedServers(placement_query &query) const -> void;
     auto timeToUsableServer() const -> duration;
     auto keepConnection(std::shared_ptr<http_connection> connection, const listed_server &server) -> void;
     auto noteServerFull(const chosen_server &chosen) -> void;
@@ -122,6 +129,8 @@
     bool m_brokeOff = false; ///< An attempt broke off before its first event.
     bool m_answerBegan = false; ///< An engine has begun an answer, so that no block of the prompt crashes engines.
     bool m_streaming = false; ///< The head of a stream was forwarded to the caller.
+    std::unique_ptr<cold_lease> m_coldLease; ///< Of the next attempt, if its server is cold.
+    bool m_isColdRefused = false; ///< The latest attempt was not sent, as its cold server takes no more requests.
     last_reason m_why;
 };
 
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -1,5 +1,7 @@
 #include "marjoramloom/gateway/decisions/engine_decision.h"
 
+#include "marjoramloom/gateway/decisions/cold_choice.h"
+
 #include <algorithm>
 
 namespace marjoramloom {
@@ -17,6 +19,32 @@
     return std::to_string(static_cast<int>(fraction * percent)) + " %";
 }
 
+/// Records why the servers that the query itself does not exclude are excluded.
+auto traceExcluded(const gateway_state &state, const routed_service &service, const placement_query &query,
+                   const excluded_servers &excluded, time_point now) -> void
+{
+    const auto tried = query.triedServers();
+    for (const auto &server : state.servers.usable(query.service)) {
+        const auto incarnation = server_loads::incarnationId(*server);
+        if (!excluded.servers.contains(incarnation) || tried.contains(incarnation)) {
+            continue;
+        }
+        const auto isOutside = !isInRegions(state, query.regions, *server);
+        if (isOutside || isColdLimited(state, service, *server, now)) {
+            query.trace->reject(server->id, isOutside ? rejection::otherRegion : rejection::coldBudget);
+        }
+    }
+}
+
+/// Sets the reason of a choice that found no server: servers that are only cold for now are not missing.
+auto noteNoneLeft(const placement_query &query, const excluded_servers &excluded, last_reason &why) -> void
+{
+    if (excluded.areOthersCold && why.kind == failure_kind::notFound) {
+        why.fail(failure_kind::overloaded, "choose server", query.service,
+                 "the cold servers have got their requests of this second");
+    }
+}
+
 } // namespace
 
 auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why)
@@ -26,8 +54,13 @@
     if (service == nullptr || !service->engine) {
         return why.fail(failure_kind::notFound, "choose engine", query.service, "no such service of engines");
     }
-    auto chosen = chooseEngine(state, *service, query.shard, query.prompt, query.triedServers(), now, why, query.trace);
+    const auto excluded = excludedServers(state, query, now);
+    if (query.trace != nullptr) {
+        traceExcluded(state, *service, query, excluded, now);
+    }
+    auto chosen = chooseEngine(state, *service, query.shard, query.prompt, excluded.servers, now, why, query.trace);
     if (!chosen) {
+        noteNoneLeft(query, excluded, why);
         return why.kind == failure_kind::overloaded
             ? std::optional(engine_decision{ .chosen = std::nullopt, .allEnginesFull = true })
             : std::nullopt;
@@ -66,8 +99,15 @@
                           ? state.plainShares.note(query.service, query.account, now)
                           : state.plainShares.share(query.service, query.account, now),
                       .knownFraction = knownFraction };
-    auto chosen = choosePlainServer(state, *service, query.shard, demand, query.dataCentre, query.triedServers(), now,
-                                    why, query.trace);
+    const auto excluded = excludedServers(state, query, now);
+    if (query.trace != nullptr) {
+        traceExcluded(state, *service, query, excluded, now);
+    }
+    auto chosen = choosePlainServer(state, *service, query.shard, demand, query.dataCentre, excluded.servers, now, why,
+                                    query.trace);
+    if (!chosen) {
+        noteNoneLeft(query, excluded, why);
+    }
     if (!chosen && why.kind != failure_kind::overloaded) {
         return std::nullopt;
     }
--- a/src/gateway/knowledge/server_directory.cpp
+++ b/src/gateway/knowledge/server_directory.cpp
@@ -187,6 +187,23 @@
     return servers;
 }
 
+auto server_directory::setEvacuated(std::set<std::string> dataCentres) -> void
+{
+    m_evacuated = std::move(dataCentres);
+    rebuildIndexes();
+}
+
+auto server_directory::serversIn(const std::string &dataCentre) const -> std::vector<server_ptr>
+{
+    auto servers = std::vector<server_ptr>();
+    for (const auto &[id, current] : m_entries) {
+        if (current.server->dataCentre == dataCentre) {
+            servers.push_back(current.server);
+        }
+    }
+    return servers;
+}
+
 auto server_directory::usable(const std::string &service) const -> const std::vector<server_ptr> &
 {
     static const auto noServers = std::vector<server_ptr>();
@@ -199,7 +216,7 @@
     const auto found = m_entries.find(server.id);
     return found != m_entries.end() && found->second.server->isSameIncarnation(server)
         && !found->second.server->draining && !found->second.misdirectedUntil && !found->second.statedLeaving
-        && found->second.server->service == server.service;
+        && found->second.server->service == server.service && !m_evacuated.contains(server.dataCentre);
 }
 
 auto server_directory::findUsable(std::uint64_t incarnation) const -> server_ptr
@@ -219,8 +236,10 @@
             reason = rejection::draining;
         } else if (current.statedLeaving) {
             reason = rejection::leaving;
-        } else if (current.misdirected) {
+        } else if (current.misdirectedUntil) {
             reason = rejection::misdirected;
+        } else if (m_evacuated.contains(current.server->dataCentre)) {
+            reason = rejection::evacuated;
         }
         visit(*current.server, reason);
     }
@@ -288,7 +307,8 @@
     m_usableByService.clear();
     m_usableByIncarnation.clear();
     for (const auto &[id, current] : m_entries) {
-        if (!current.server->draining && !current.misdirectedUntil && !current.statedLeaving) {
+        const auto isEvacuated = !m_evacuated.empty() && m_evacuated.contains(current.server->dataCentre);
+        if (!current.server->draining && !current.misdirectedUntil && !current.statedLeaving && !isEvacuated) {
             m_usableByService[current.server->service].push_back(current.server);
             m_usableByIncarnation.emplace(server_loads::incarnationId(*current.server), current.server);
         }
--- a/src/gateway/traffic/request_explainer.cpp
+++ b/src/gateway/traffic/request_explainer.cpp
@@ -1,6 +1,8 @@
 #include "marjoramloom/gateway/traffic/request_explainer.h"
 
 #include "marjoramloom/core/hash.h"
+#include "marjoramloom/gateway/decisions/cold_choice.h"
+#include "marjoramloom/gateway/decisions/paused_choice.h"
 
 #include <algorithm>
 #include <array>
@@ -76,6 +78,14 @@
             + formatNumber(toMilliseconds(left)) + " ms";
         co_return answer;
     }
+    auto why = last_reason();
+    if (!restrictToPlaces(m_state, routes->regionsOf(*route, *account), system_clock_source().now(), query, why)) {
+        traceServers(query, trace);
+        answer = toJson(trace, name);
+        answer["outcome"] = "refused: " + why.text();
+        co_return answer;
+    }
+    excludePausedServers(m_state, boot_clock::now(), query);
     co_await decideForService(std::move(query), trace, answer);
     co_return answer;
 }
--- a/src/gateway/traffic/status_handler.cpp
+++ b/src/gateway/traffic/status_handler.cpp
@@ -10,10 +10,11 @@
 
 namespace asio = boost::asio;
 
-status_handler::status_handler(const bool &ready, counter_registry &counters, request_explainer &explainer,
-                               std::string keyHash)
+status_handler::status_handler(const bool &ready, counter_registry &counters, text_source places,
+                               request_explainer &explainer, std::string keyHash)
     : m_ready(ready)
     , m_counters(counters)
+    , m_places(std::move(places))
     , m_explainer(explainer)
     , m_keyHash(std::move(keyHash))
 {
@@ -29,6 +30,8 @@
         answer.body = m_counters.text();
     } else if (exchange.target() == "/v1/explain") {
         answer = co_await explain(exchange);
+    } else if (exchange.target() == "/status/places") {
+        answer.body = m_places();
     } else {
         answer.status = 404;
         answer.body = "{}\n";
--- a/tests/unit/gateway/request_explainer_test.cpp
+++ b/tests/unit/gateway/request_explainer_test.cpp
@@ -198,7 +198,7 @@
     auto draining = makeServer("engine-0", "pool");
     draining.draining = true;
     state.servers.put(draining, system_clock_source().now());
-    state.servers.noteMisdirected(makeServer("engine-1", "pool"));
+    state.servers.noteMisdirected(makeServer("engine-1", "pool"), system_clock_source().now());
     state.loads.at(makeServer("engine-2", "pool")).running = 8;
     auto asked = explained_request();
     asked.service = "pool";
