KV memory of engines limits placements; where it is short, shared prefixes stay where they are

Engines crash if the requests that they hold exceed their KV memory, and placements counted slots only.

- setting gateway.contracts; with 'pressure', dispatchers grant KV memory (memory_grants), routers that decide alone use a reserve, memory of unknown use counts as held, and a crash by memory is no evidence against blocks
- where the prompts of 10 s exceed the fleet's KV memory, tokens prefilled again count as a cost of placement

--- a/include/marjoramloom/gateway/decisions/account_usage.h
+++ b/include/marjoramloom/gateway/decisions/account_usage.h
@@ -26,6 +26,9 @@
     /// The account's share of all tokens that the fleet sent to engines within the window, from 0 to 1.
     [[nodiscard]] auto fleetShare(std::uint64_t account, time_point now) -> double;
 
+    /// Tokens that the fleet sent to engines within the window, for all accounts.
+    [[nodiscard]] auto fleetTokens(time_point now) -> std::uint64_t;
+
     /// The share that each account with recent tokens would have if all had the same; 0 if there is none.
     [[nodiscard]] auto evenShare() const -> double;
 
--- a/include/marjoramloom/gateway/decisions/engine_decision.h
+++ b/include/marjoramloom/gateway/decisions/engine_decision.h
@@ -39,9 +39,10 @@
 };
 
 /// Chooses the engine from this router's own load data, and decides whether to refuse the request because its expected
-/// wait is too long. Returns nothing, with the reason in \p why, if no engine of the service can be used.
-auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why)
-    -> std::optional<engine_decision>;
+/// wait is too long. Returns nothing, with the reason in \p why, if no engine of the service can be used. \p scope
+/// limits the KV memory that the request may commit.
+auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why,
+                  memory_scope scope = memory_scope::dispatcher) -> std::optional<engine_decision>;
 
 /// Chooses a plain server for the request of \p query, like decideEngine(). \p knownFraction is the fraction of the
 /// fleet whose load this router knows.
--- a/include/marjoramloom/gateway/decisions/prompt_placement.h
+++ b/include/marjoramloom/gateway/decisions/prompt_placement.h
@@ -19,6 +19,7 @@
     std::uint64_t pendingPrefillTokens = 0; ///< Prompt tokens that the engine has to prefill before a new request's.
     std::uint32_t cachedTokens = 0; ///< Tokens of this prompt in the engine's prefix cache, by estimate.
     bool avoided = false; ///< The engine failed recently.
+    bool outOfMemory = false; ///< The prompt does not fit into the KV memory that the engine's requests leave.
 };
 
 /// The engine chosen for a prompt, and what is expected of it.
@@ -30,6 +31,14 @@
     duration firstEvent{}; ///< Expected time to the first event.
 };
 
+/// What prefilling a shared prefix again costs the other prompts.
+struct reread_cost
+{
+    std::uint32_t sharedTokens = 0; ///< Of the prompt, its shared prefix.
+    /// From memoryShortage(). At 0 only the prompt's own delay counts.
+    double memoryShortage = 0;
+};
+
 /// Model of the engines' prefill speed.
 struct prefill_rate
 {
@@ -46,21 +55,25 @@
 /// It is made for prompts with long shared prefixes, of which each engine can cache only some, and for bursts of
 /// arrivals. The cost of an engine is its pending prefill work, including other requests' prompts. A prompt's home
 /// engine usually has its shared prefix cached, so a session stays at its home engine until that is so loaded that
-/// prefilling the whole prompt elsewhere is faster. Thread safe: immutable.
+/// prefilling the whole prompt elsewhere is faster. Where the engines' memory is short, the tokens that an engine would
+/// prefill although another one has them cached also count as a cost: they delay other prompts and evict what these
+/// need. Thread safe: immutable.
 class prompt_placement
 {
 public:
     explicit prompt_placement(prefill_rate rate);
 
     /// The best of \p candidates for a prompt of \p promptTokens; nothing if every engine is full.
-    [[nodiscard]] auto choose(std::span<const engine_candidate> candidates, std::uint32_t promptTokens) const
-        -> std::optional<engine_choice>;
+    [[nodiscard]] auto choose(std::span<const engine_candidate> candidates, std::uint32_t promptTokens,
+                              const reread_cost &reread = {}) const -> std::optional<engine_choice>;
 
     /// Score of the engine \p server for prompts with the shared prefix \p sharedPrefixId (rendezvous hashing); equal
     /// on every router.
     [[nodiscard]] static auto homeScore(std::string_view server, std::uint64_t sharedPrefixId) -> std::uint64_t;
 
 private:
+    [[nodiscard]] auto rereadWeight(std::span<const engine_candidate> candidates, double memoryShortage) const
+        -> double;
     [[nodiscard]] auto queueWait(const engine_candidate &candidate) const -> duration;
     [[nodiscard]] auto expectedFirstEvent(const engine_candidate &candidate, std::uint32_t promptTokens) const
         -> duration;
--- a/include/marjoramloom/gateway/knowledge/fleet_loads.h
+++ b/include/marjoramloom/gateway/knowledge/fleet_loads.h
@@ -14,6 +14,7 @@
     std::uint64_t server = 0; ///< From server_loads::incarnationId().
     std::uint32_t running = 0; ///< Requests at the engine.
     std::uint32_t pendingPrefillTokens = 0; ///< Prompt tokens that the engine still has to prefill.
+    std::uint32_t committedTokens = 0; ///< KV memory that the requests commit, each with all of its blocks.
 };
 
 /// Tokens that one or more routers sent to engines for a client account, over sliding_window_sum::LENGTH.
--- a/include/marjoramloom/gateway/knowledge/gateway_state.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_state.h
@@ -10,6 +10,7 @@
 #include "marjoramloom/gateway/decisions/event_batching.h"
 #include "marjoramloom/gateway/decisions/event_loop_delay.h"
 #include "marjoramloom/gateway/decisions/gateway_retry_budget.h"
+#include "marjoramloom/gateway/decisions/memory_grants.h"
 #include "marjoramloom/gateway/decisions/pending_placements.h"
 #include "marjoramloom/gateway/decisions/plain_placement.h"
 #include "marjoramloom/gateway/decisions/prompt_placement.h"
@@ -84,6 +85,7 @@
     router_roster roster;
     fleet_loads fleet;
     pending_placements placements;
+    memory_grants memoryGrants; ///< KV memory that this router granted to the others' requests as dispatcher.
     account_usage accounts;
     admission_policy admission;
     std::vector<prefill_record> unreportedPrefills; ///< Not yet sent to the other routers.
--- a/include/marjoramloom/gateway/knowledge/load_exchange.h
+++ b/include/marjoramloom/gateway/knowledge/load_exchange.h
@@ -84,8 +84,6 @@
     auto handleDatagram(std::string_view bytes) -> void;
     auto handleReport(std::uint64_t router, std::uint64_t incarnation, const wire::LoadReport &report) -> void;
     auto handleQuery(std::uint64_t router, std::uint64_t incarnation, const wire::PlacementQuery &query) -> void;
-    auto subtractGrants(std::uint64_t incarnation, const wire::LoadReport &report, load_snapshot &snapshot,
-                        time_point now) -> void;
     auto sendHeartbeat(std::uint64_t router, time_point now) -> void;
     auto broadcast(wire::RouterDatagram &datagram) -> void;
     auto handleBlocks(std::uint64_t router, const wire::RouterDatagram &datagram, time_point now) -> void;
--- a/include/marjoramloom/gateway/knowledge/server_loads.h
+++ b/include/marjoramloom/gateway/knowledge/server_loads.h
@@ -16,6 +16,7 @@
 {
     std::uint32_t running = 0; ///< Requests of this router at the server.
     std::uint64_t pendingPrefillTokens = 0; ///< Of this router's prompts, tokens still to be prefilled there.
+    std::uint64_t committedTokens = 0; ///< KV memory that this router's requests commit, each with all of its blocks.
     std::uint32_t consecutiveFailures = 0;
     time_point avoidedUntil{}; ///< After failures, other servers are preferred until then.
     std::uint64_t suspectedBy = 0; ///< Router that last reported a failed request at the server.
--- a/include/marjoramloom/gateway/traffic/placement_dispatch.h
+++ b/include/marjoramloom/gateway/traffic/placement_dispatch.h
@@ -25,6 +25,8 @@
     std::uint32_t candidates = 0;
     std::uint64_t grant = 0; ///< Of a place at a plain server, from slot_grants::add(); 0 for none.
     std::uint64_t router = 0; ///< Router id of the dispatcher; not part of the message.
+    std::uint64_t memoryGrant = 0; ///< Of KV memory at the engine, from memory_grants::add(); 0 for none.
+    double memoryUse = 0; ///< Fraction of the engine's KV memory that is committed with the request.
 };
 
 /// Lets one router, the dispatcher, place all prompts of a shard of a service's engines one after the other.
@@ -53,8 +55,8 @@
 
     /// Decides for the router with the incarnation \p queryingRouter. Returns nothing if this router knows no usable
     /// engine; the querying router then decides itself.
-    auto answer(std::uint64_t queryingRouter, std::uint64_t number, const placement_query &query)
-        -> std::optional<placement_answer>;
+    auto answer(std::uint64_t queryingRouter, std::uint64_t number, const placement_query &query,
+                time_point now = system_clock_source().now()) -> std::optional<placement_answer>;
 
     /// Completes the query that \p answer, from the router incarnation \p dispatcher, belongs to.
     auto handleAnswer(std::uint64_t dispatcher, const placement_answer &answer) -> void;
@@ -68,6 +70,9 @@
     /// The grants that this router holds from dispatchers.
     [[nodiscard]] auto heldGrants() const -> const held_grants &;
 
+    /// The grants of KV memory that this router holds from dispatchers.
+    [[nodiscard]] auto heldMemory() const -> const held_grants &;
+
     /// The sequence number of the last placement received from each dispatcher, by its incarnation.
     [[nodiscard]] auto lastSequences() const -> const std::map<std::uint64_t, std::uint64_t> &;
 
@@ -81,6 +86,7 @@
         boost::asio::steady_timer timer;
         std::optional<placement_answer> answer;
         std::shared_ptr<slot_lease> lease; ///< Of the place that the answer grants; null for none.
+        std::shared_ptr<slot_lease> memoryLease; ///< Of the KV memory that the answer grants; null for none.
     };
 
     /// Allows for several round trips between data centres.
@@ -104,9 +110,9 @@
         -> boost::asio::awaitable<std::shared_ptr<pending_query>>;
     auto decideLocally(const placement_query &query, bool isDispatcher, last_reason &why)
         -> std::optional<engine_decision>;
-    auto toDecision(const placement_answer &answer, std::shared_ptr<slot_lease> lease, last_reason &why) const
-        -> std::optional<engine_decision>;
-    auto makeLease(std::uint64_t dispatcher, const placement_answer &answer) const -> std::shared_ptr<slot_lease>;
+    auto toDecision(const pending_query &answered, last_reason &why) const -> std::optional<engine_decision>;
+    static auto makeLease(const std::shared_ptr<held_grants> &held, std::uint64_t dispatcher, std::uint64_t router,
+                          std::uint64_t grant) -> std::shared_ptr<slot_lease>;
     /// Fraction of the routers whose load this router knows, itself included.
     [[nodiscard]] auto ownFraction() const -> double;
     [[nodiscard]] auto knownFraction() const -> double;
@@ -119,6 +125,7 @@
     std::map<std::uint64_t, std::uint64_t> m_lastSequences;
     std::unordered_map<std::uint64_t, dispatcher_status> m_dispatcherStatus;
     std::shared_ptr<held_grants> m_heldGrants;
+    std::shared_ptr<held_grants> m_heldMemory; ///< Ended with the next report; there is no release message.
     counter &m_decidedByDispatcher;
     counter &m_decidedLocally;
 };
--- a/src/gateway/decisions/account_usage.cpp
+++ b/src/gateway/decisions/account_usage.cpp
@@ -25,10 +25,15 @@
     const auto local = m_localTokensByAccount.find(account);
     const auto started = (local == m_localTokensByAccount.end() ? 0 : local->second.total(now))
         + m_fleet.tokensOfAccount(account).startedTokens;
-    const auto allTokens = m_localTokens.total(now) + m_fleet.startedTokens();
+    const auto allTokens = fleetTokens(now);
     return allTokens == 0 ? 0 : static_cast<double>(started) / static_cast<double>(allTokens);
 }
 
+auto account_usage::fleetTokens(time_point now) -> std::uint64_t
+{
+    return m_localTokens.total(now) + m_fleet.startedTokens();
+}
+
 auto account_usage::evenShare() const -> double
 {
     auto accounts = m_fleet.accountCount();
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -4,14 +4,14 @@
 
 namespace marjoramloom {
 
-auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why)
-    -> std::optional<engine_decision>
+auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why,
+                  memory_scope scope) -> std::optional<engine_decision>
 {
     const auto *service = state.routes ? state.routes->findService(query.service) : nullptr;
     if (service == nullptr || !service->engine) {
         return why.fail(failure_kind::notFound, "choose engine", query.service, "no such service of engines");
     }
-    auto chosen = chooseEngine(state, *service, query.shard, query.prompt, query.triedServers(), now, why);
+    auto chosen = chooseEngine(state, *service, query.shard, query.prompt, query.triedServers(), now, why, scope);
     if (!chosen) {
         return why.kind == failure_kind::overloaded
             ? std::optional(engine_decision{ .chosen = std::nullopt, .allEnginesFull = true })
--- a/src/gateway/decisions/pending_placements.cpp
+++ b/src/gateway/decisions/pending_placements.cpp
@@ -35,7 +35,7 @@
 auto pending_placements::loadOnEngine(std::uint64_t server) const -> engine_load
 {
     const auto found = m_engines.find(server);
-    return found == m_engines.end() ? engine_load{ server, 0, 0 } : found->second;
+    return found == m_engines.end() ? engine_load{ server } : found->second;
 }
 
 auto pending_placements::subtract(const placement &removed) -> void
--- a/src/gateway/decisions/prompt_placement.cpp
+++ b/src/gateway/decisions/prompt_placement.cpp
@@ -14,6 +14,14 @@
 /// Advantage of the home engine over equal ones, as requests of other routers have probably filled its prefix cache.
 constexpr auto homeAdvantage = std::chrono::milliseconds(15);
 
+/// Added to that where memory is short: routers that decide alone know too little of the engines' prefix caches.
+constexpr auto homeAdvantageInShortage = std::chrono::milliseconds(45);
+/// Weight of the time to prefill shared tokens again, where memory is short, and what each 100 ms of mean queue wait
+/// adds to it, as more prompts wait behind. Higher weights let queues at home engines grow beyond objectives.
+constexpr double rereadBaseWeight = 1;
+constexpr double rereadWeightPerQueue = 0.5;
+constexpr auto rereadQueueUnit = std::chrono::milliseconds(100);
+
 /// Up to this number of requests, the steps of an engine hardly lengthen with each one more.
 constexpr std::uint32_t shortStepRequests = 16;
 /// Fraction of the slots that prompts may take beyond that. With all of them taken, the steps of an engine get so long
@@ -39,22 +47,28 @@
     assert(rate.tokensPerMs > 0 && rate.queuedTokensPerMs > 0);
 }
 
-auto prompt_placement::choose(std::span<const engine_candidate> candidates, std::uint32_t promptTokens) const
-    -> std::optional<engine_choice>
+auto prompt_placement::choose(std::span<const engine_candidate> candidates, std::uint32_t promptTokens,
+                              const reread_cost &reread) const -> std::optional<engine_choice>
 {
     const auto home = std::max_element(candidates.begin(), candidates.end(), [](const auto &left, const auto &right) {
         return left.homeScore < right.homeScore;
     });
+    const auto weight = rereadWeight(candidates, reread.memoryShortage);
+    const auto advantage =
+        duration(homeAdvantage) + std::chrono::duration_cast<duration>(homeAdvantageInShortage * reread.memoryShortage);
     auto best = std::optional<std::size_t>();
     auto bestCost = duration::max();
     for (auto index = std::size_t(0); index < candidates.size(); ++index) {
         const auto &candidate = candidates[index];
-        if (candidate.running >= usableSlots(candidate.slots)) {
+        if (candidate.outOfMemory || candidate.running >= usableSlots(candidate.slots)) {
             continue;
         }
         auto cost = expectedFirstEvent(candidate, promptTokens);
         cost += candidate.avoided ? duration(avoidancePenalty) : duration::zero();
-        cost -= &candidate == &*home ? duration(homeAdvantage) : duration::zero();
+        cost -= &candidate == &*home ? advantage : duration::zero();
+        if (weight > 0 && candidate.cachedTokens < reread.sharedTokens) {
+            cost += prefillTime(reread.sharedTokens - candidate.cachedTokens, m_rate.tokensPerMs / weight);
+        }
         if (cost < bestCost) {
             bestCost = cost;
             best = index;
@@ -76,6 +90,19 @@
     return hash64(server, sharedPrefixId);
 }
 
+auto prompt_placement::rereadWeight(std::span<const engine_candidate> candidates, double memoryShortage) const -> double
+{
+    if (memoryShortage <= 0 || candidates.empty()) {
+        return 0;
+    }
+    auto waits = duration::zero();
+    for (const auto &candidate : candidates) {
+        waits += queueWait(candidate);
+    }
+    const auto meanWait = toSeconds(waits) / static_cast<double>(candidates.size());
+    return memoryShortage * (rereadBaseWeight + rereadWeightPerQueue * meanWait / toSeconds(rereadQueueUnit));
+}
+
 auto prompt_placement::queueWait(const engine_candidate &candidate) const -> duration
 {
     return prefillTime(candidate.pendingPrefillTokens, m_rate.queuedTokensPerMs);
--- a/src/gateway/decisions/server_choice.cpp
+++ b/src/gateway/decisions/server_choice.cpp
@@ -1,5 +1,7 @@
 #include "marjoramloom/gateway/decisions/server_choice.h"
 
+#include "marjoramloom/gateway/decisions/engine_memory.h"
+
 #include <algorithm>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <cassert>
@@ -50,8 +52,8 @@
 }
 
 auto chooseEngine(gateway_state &state, const routed_service &service, const engine_shard &shard,
-                  const prompt_summary &prompt, const tried_servers &tried, time_point now, last_reason &why)
-    -> std::optional<chosen_server>
+                  const prompt_summary &prompt, const tried_servers &tried, time_point now, last_reason &why,
+                  memory_scope scope) -> std::optional<chosen_server>
 {
     assert(service.engine);
     const auto servers = eligibleServers(state, service, shard, tried, why);
@@ -63,6 +65,7 @@
         static_cast<std::uint64_t>(static_cast<double>(service.engine->kvCapacityTokens) * prefixCacheFraction);
     state.fleet.expire(now);
     state.placements.expire(now);
+    const auto memory = engine_memory(state, service, prompt, scope, now);
     auto candidates = std::vector<engine_candidate>();
     candidates.reserve(servers->size());
     for (const auto &server : *servers) {
@@ -71,17 +74,23 @@
         const auto incarnation = server_loads::incarnationId(*server);
         const auto others = state.fleet.loadOnEngine(incarnation);
         const auto pending = state.placements.loadOnEngine(incarnation);
-        candidates.push_back({ .homeScore = prompt_placement::homeScore(server->id, prefixId),
-                               .running = load.running + others.running + pending.running,
-                               .slots = server->slots,
-                               .pendingPrefillTokens = load.pendingPrefillTokens + others.pendingPrefillTokens
-                                   + pending.pendingPrefillTokens,
-                               .cachedTokens = load.prefixCache.cachedTokens(prompt),
-                               .avoided = load.isAvoided(now) || load.capacity.isFull(now) });
+        candidates.push_back(
+            { .homeScore = prompt_placement::homeScore(server->id, prefixId),
+              .running = load.running + others.running + pending.running,
+              .slots = server->slots,
+              .pendingPrefillTokens =
+                  load.pendingPrefillTokens + others.pendingPrefillTokens + pending.pendingPrefillTokens,
+              .cachedTokens = load.prefixCache.cachedTokens(prompt),
+              .avoided = load.isAvoided(now) || load.capacity.isFull(now),
+              .outOfMemory = !memory.fits(*server, incarnation, load.committedTokens + others.committedTokens) });
     }
-    const auto choice = state.placement.choose(candidates, prompt.promptTokens);
+    const auto choice = state.placement.choose(candidates, prompt.promptTokens, memory.rereadCost());
     if (!choice) {
-        return why.fail(failure_kind::overloaded, "choose engine", "", "every engine is full");
+        if (memory.anyRejected()) {
+            state.counters.at("marjoramloom_memory_refusals_total").add();
+        }
+        const auto *detail = memory.anyRejected() ? "no engine has enough free memory" : "every engine is full";
+        return why.fail(failure_kind::overloaded, "choose engine", "", detail);
     }
     return chosen_server{ .server = (*servers)[choice->index],
                           .prefillTokens = choice->prefillTokens,
@@ -89,7 +98,8 @@
                           .firstEvent = choice->firstEvent,
                           .running = candidates[choice->index].running,
                           .candidates = servers->size(),
-                          .lease = nullptr };
+                          .lease = nullptr,
+                          .memoryUse = memory.useWith(*(*servers)[choice->index]) };
 }
 
 auto choosePlainServer(gateway_state &state, const routed_service &service, const engine_shard &shard,
--- a/src/gateway/knowledge/datagram_codec.cpp
+++ b/src/gateway/knowledge/datagram_codec.cpp
@@ -8,6 +8,7 @@
 
 /// Longest history of the contact with the store that is sent.
 constexpr auto maxContactAge = std::chrono::milliseconds(600'000);
+constexpr auto permille = 1'000.0;
 
 /// Combines the lists of block ids and token counts; nothing if their lengths differ.
 template<typename Message>
@@ -56,7 +57,8 @@
     auto snapshot =
         load_snapshot{ .router = incarnation, .sequence = message.sequence(), .engines = {}, .accounts = {} };
     for (const auto &engine : message.engines()) {
-        snapshot.engines.push_back({ engine.server(), engine.running(), engine.unread_tokens() });
+        snapshot.engines.push_back(
+            { engine.server(), engine.running(), engine.unread_tokens(), engine.committed_tokens() });
     }
     for (const auto &account : message.accounts()) {
         snapshot.accounts.push_back({ account.account(), account.started_tokens() });
@@ -137,7 +139,9 @@
              .firstEvent = std::chrono::microseconds(message.first_event_us()),
              .running = message.running(),
              .candidates = message.candidates(),
-             .grant = message.grant() };
+             .grant = message.grant(),
+             .memoryGrant = message.memory_grant(),
+             .memoryUse = message.memory_use_permille() / permille };
 }
 
 auto write(const placement_answer &answer, wire::PlacementAnswer &message) -> void
@@ -151,6 +155,8 @@
     message.set_running(answer.running);
     message.set_candidates(answer.candidates);
     message.set_grant(answer.grant);
+    message.set_memory_grant(answer.memoryGrant);
+    message.set_memory_use_permille(static_cast<std::uint32_t>(answer.memoryUse * permille));
 }
 
 auto readRelease(const wire::SlotRelease &message) -> slot_release
--- a/src/gateway/knowledge/fleet_loads.cpp
+++ b/src/gateway/knowledge/fleet_loads.cpp
@@ -50,7 +50,7 @@
 auto fleet_loads::loadOnEngine(std::uint64_t server) const -> engine_load
 {
     const auto found = m_engines.find(server);
-    return found == m_engines.end() ? engine_load{ server, 0, 0 } : found->second;
+    return found == m_engines.end() ? engine_load{ server } : found->second;
 }
 
 auto fleet_loads::tokensOfAccount(std::uint64_t account) const -> account_tokens
@@ -80,7 +80,8 @@
         auto &sum = m_engines[engine.server];
         adjust(sum.running, engine.running, isAdded);
         adjust(sum.pendingPrefillTokens, engine.pendingPrefillTokens, isAdded);
-        if (sum.running == 0 && sum.pendingPrefillTokens == 0) {
+        adjust(sum.committedTokens, engine.committedTokens, isAdded);
+        if (sum.running == 0 && sum.pendingPrefillTokens == 0 && sum.committedTokens == 0) {
             m_engines.erase(engine.server);
         }
     }
--- a/src/gateway/knowledge/load_exchange.cpp
+++ b/src/gateway/knowledge/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "marjoramloom/gateway/knowledge/load_exchange.h"
 
 #include "datagram_codec.h"
+#include "grant_reports.h"
 #include "marjoramloom/core/endpoint.h"
 #include "marjoramloom/core/hash.h"
 #include "marjoramloom/core/log.h"
@@ -226,6 +227,7 @@
             engine->set_server(run);
             engine->set_running(load.running);
             engine->set_unread_tokens(static_cast<std::uint32_t>(load.pendingPrefillTokens));
+            engine->set_committed_tokens(static_cast<std::uint32_t>(load.committedTokens));
         }
     }
     for (const auto &share : m_state.accounts.localAccountTokens(system_clock_source().now())) {
@@ -246,12 +248,8 @@
         placementHeard->set_dispatcher(dispatcher);
         placementHeard->set_sequence(sequence);
     }
-    for (const auto &[dispatcher, grants] : m_dispatch.heldGrants().all()) {
-        auto *slots = report.add_slots();
-        slots->set_dispatcher(dispatcher);
-        slots->set_last(grants.last);
-        slots->mutable_held()->Add(grants.held.begin(), grants.held.end());
-    }
+    writeHeldGrants(m_dispatch.heldGrants(), *report.mutable_slots());
+    writeHeldGrants(m_dispatch.heldMemory(), *report.mutable_memory());
     return datagram;
 }
 
@@ -402,6 +400,7 @@
     if (report.leaving()) {
         m_state.fleet.removeRouter(incarnation);
         m_state.slotGrants.removeRouter(incarnation);
+        m_state.memoryGrants.removeRouter(incarnation);
         m_state.roster.noteStopping(router, now);
         return;
     }
@@ -409,7 +408,7 @@
         m_state.servers.noteLeaving(server, leaving_source::router, now);
     }
     auto snapshot = readReport(incarnation, report);
-    subtractGrants(incarnation, report, snapshot, now);
+    subtractGrants(m_state, m_incarnation, report, snapshot, now);
     if (m_state.fleet.update(std::move(snapshot), now)) {
         for (const auto &placementHeard : report.heard()) {
             if (placementHeard.dispatcher() == m_incarnation) {
@@ -429,26 +428,6 @@
     }
 }
 
-/// Updates the grants that the router \p incarnation holds from this dispatcher, and removes them from the loads in
-/// \p snapshot, as they are counted already.
-auto load_exchange::subtractGrants(std::uint64_t incarnation, const wire::LoadReport &report, load_snapshot &snapshot,
-                                   time_point now) -> void
-{
-    for (const auto &slots : report.slots()) {
-        if (slots.dispatcher() != m_incarnation) {
-            continue;
-        }
-        const auto held = std::set<std::uint64_t>(slots.held().begin(), slots.held().end());
-        const auto retained = m_state.slotGrants.reconcile(incarnation, slots.last(), held, now);
-        for (auto &load : snapshot.engines) {
-            const auto granted = retained.find(load.server);
-            if (granted != retained.end()) {
-                load.running -= std::min(load.running, granted->second);
-            }
-        }
-    }
-}
-
 /// Takes over what another router knows of blocks that crash engines, and sends it this router's records if the two
 /// have not quarantined the same blocks.
 auto load_exchange::handleBlocks(std::uint64_t router, const wire::RouterDatagram &datagram, time_point now) -> void
--- a/src/gateway/traffic/gateway_call.cpp
+++ b/src/gateway/traffic/gateway_call.cpp
@@ -11,11 +11,21 @@
 
 namespace {
 
+constexpr unsigned contentTooLarge = 413;
 constexpr unsigned tooManyRequests = 429;
 constexpr unsigned badGateway = 502;
 constexpr unsigned unavailable = 503;
 constexpr unsigned gatewayTimeout = 504;
 
+/// Status of the answer to a request that was not sent to any server.
+auto statusOfRefusal(failure_kind kind) -> unsigned
+{
+    if (kind == failure_kind::invalidInput) {
+        return contentTooLarge;
+    }
+    return kind == failure_kind::overloaded ? tooManyRequests : unavailable;
+}
+
 } // namespace
 
 gateway_call::gateway_call(gateway_state &state, placement_dispatch &dispatch, http_exchange &exchange,
@@ -145,7 +155,7 @@
         co_return;
     }
     if (!m_mayHaveRun) {
-        co_await refuse(m_why.kind == failure_kind::overloaded ? tooManyRequests : unavailable, m_why.text());
+        co_await refuse(statusOfRefusal(m_why.kind), m_why.text());
         co_return;
     }
     const auto timedOut = m_why.kind == failure_kind::deadlineExceeded;
--- a/src/gateway/traffic/gateway_call_choice.cpp
+++ b/src/gateway/traffic/gateway_call_choice.cpp
@@ -28,6 +28,13 @@
 
 auto gateway_call::chooseEngineForPrompt(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
 {
+    const auto neededTokens = memory_commitment::of(m_request.prompt).fullTokens();
+    if (m_state.settings.limitEngineMemory
+        && !memory_limit::canEverFit(m_service->engine->kvCapacityTokens, neededTokens)) {
+        why.fail(failure_kind::invalidInput, "choose engine", m_service->name,
+                 "the prompt and its answer exceed the memory of every engine");
+        co_return std::nullopt;
+    }
     auto query = placement_query{ .service = m_service->name,
                                   .shard = shardOf(m_state.servers.usable(m_service->name), m_request.prompt),
                                   .prompt = m_request.prompt,
@@ -47,7 +54,7 @@
         // A request that was already sent to a server is not refused here: its retry may go to any engine of the
         // service.
         co_return chooseEngine(m_state, *m_service, {}, m_request.prompt, query.triedServers(),
-                               system_clock_source().now(), why);
+                               system_clock_source().now(), why, memory_scope::alone);
     }
     co_return std::nullopt;
 }
--- a/src/gateway/traffic/gateway_call_notes.cpp
+++ b/src/gateway/traffic/gateway_call_notes.cpp
@@ -11,6 +11,14 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+/// An engine whose requests commit this fraction of its KV memory may have crashed for lack of it. The limit of
+/// placements is 0.9; what routers decided alone comes on top.
+constexpr double crashingMemoryUse = 0.85;
+
+} // namespace
+
 /// Counts a failed attempt, with the reason in m_why, as a failure of the server. If the caller has disconnected, the
 /// failure says nothing about the server and is not counted.
 auto gateway_call::noteServerFailed(const listed_server &server) -> void
@@ -36,6 +44,14 @@
         return;
     }
     const auto engine = server_loads::incarnationId(*attempt.chosen.server);
+    if (attempt.chosen.memoryUse >= crashingMemoryUse) {
+        m_state.counters.at("marjoramloom_memory_crashes_total").add();
+        log_line(log_level::info, "crash_by_memory")
+            .with("request", m_request.id)
+            .with("server", attempt.chosen.server->id)
+            .with("memory_use", attempt.chosen.memoryUse);
+        return;
+    }
     m_state.blocks.noteBroken(engine, sign, std::exchange(m_brokeOff, true), blocks, system_clock_source().now());
     log_line(log_level::info, "crash_suspect")
         .with("request", m_request.id)
--- a/src/gateway/traffic/gateway_call_send.cpp
+++ b/src/gateway/traffic/gateway_call_send.cpp
@@ -22,7 +22,7 @@
 {
     auto why = last_reason();
     // The attempt counts before it connects, so that the next decision takes it into account.
-    auto load = load_reservation(m_state.loads, chosen);
+    auto load = load_reservation(m_state.loads, chosen, m_request.prompt);
     auto connection = co_await openConnection(chosen, why);
     if (!connection) {
         m_why = why;
--- a/src/gateway/traffic/load_reservation.h
+++ b/src/gateway/traffic/load_reservation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marjoramloom/gateway/decisions/memory_grants.h"
 #include "marjoramloom/gateway/decisions/server_choice.h"
 #include "marjoramloom/gateway/knowledge/server_loads.h"
 
@@ -10,19 +11,23 @@
 {
 public:
     /// Precondition: \p loads outlives the object.
-    load_reservation(server_loads &loads, const chosen_server &chosen)
+    load_reservation(server_loads &loads, const chosen_server &chosen, const prompt_summary &prompt)
         : m_loads(loads)
         , m_server(chosen.server)
         , m_pendingPrefillTokens(chosen.prefillTokens)
+        , m_committedTokens(memory_commitment::of(prompt).fullTokens())
     {
         auto &load = m_loads.at(*m_server);
         ++load.running;
         load.pendingPrefillTokens += m_pendingPrefillTokens;
+        load.committedTokens += m_committedTokens;
     }
     ~load_reservation()
     {
         notePrefillDone();
-        --m_loads.at(*m_server).running;
+        auto &load = m_loads.at(*m_server);
+        --load.running;
+        load.committedTokens -= m_committedTokens;
     }
     load_reservation(const load_reservation &) = delete;
     auto operator=(const load_reservation &) -> load_reservation & = delete;
@@ -38,6 +43,7 @@
     server_loads &m_loads;
     server_directory::server_ptr m_server;
     std::uint64_t m_pendingPrefillTokens;
+    std::uint64_t m_committedTokens; ///< KV memory, until the request ends.
 };
 
 } // namespace marjoramloom
--- a/src/gateway/traffic/placement_dispatch.cpp
+++ b/src/gateway/traffic/placement_dispatch.cpp
@@ -17,6 +17,7 @@
     , m_state(state)
     , m_send(std::move(send))
     , m_heldGrants(std::make_shared<held_grants>(std::move(sendRelease)))
+    , m_heldMemory(std::make_shared<held_grants>(held_grants::send_release()))
     , m_decidedByDispatcher(state.counters.at("marjoramloom_placements_total", "by=\"dispatcher\""))
     , m_decidedLocally(state.counters.at("marjoramloom_placements_total", "by=\"own_view\""))
 {
@@ -28,7 +29,7 @@
     const auto dispatcher = dispatcherOf(query.service, query.shard.index, system_clock_source().now());
     if (dispatcher != m_state.roster.self()) {
         const auto pending = co_await queryDispatcher(dispatcher, query);
-        auto decision = pending->answer ? toDecision(*pending->answer, std::move(pending->lease), why) : std::nullopt;
+        auto decision = pending->answer ? toDecision(*pending, why) : std::nullopt;
         if (decision) {
             m_decidedByDispatcher.add();
             co_return decision;
@@ -43,7 +44,7 @@
 {
     const auto now = system_clock_source().now();
     if (!query.plain) {
-        return decideEngine(m_state, query, now, why);
+        return decideEngine(m_state, query, now, why, isDispatcher ? memory_scope::dispatcher : memory_scope::alone);
     }
     // Without the dispatcher's data, the other routers are assumed to use their shares of the servers.
     const auto known = isDispatcher ? knownFraction() : ownFraction();
@@ -106,9 +107,10 @@
     co_return pending;
 }
 
-auto placement_dispatch::toDecision(const placement_answer &answer, std::shared_ptr<slot_lease> lease,
-                                    last_reason &why) const -> std::optional<engine_decision>
+auto placement_dispatch::toDecision(const pending_query &answered, last_reason &why) const
+    -> std::optional<engine_decision>
 {
+    const auto &answer = *answered.answer;
     if (answer.server == 0) {
         why.fail(failure_kind::overloaded, "choose engine", "dispatcher", "the answer would be late");
         return engine_decision{};
@@ -123,14 +125,15 @@
                                                      .firstEvent = answer.firstEvent,
                                                      .running = answer.running,
                                                      .candidates = answer.candidates,
-                                                     .lease = std::move(lease) },
+                                                     .lease = answered.lease,
+                                                     .memoryLease = answered.memoryLease,
+                                                     .memoryUse = answer.memoryUse },
                             .allEnginesFull = false };
 }
 
-auto placement_dispatch::answer(std::uint64_t queryingRouter, std::uint64_t number, const placement_query &query)
-    -> std::optional<placement_answer>
+auto placement_dispatch::answer(std::uint64_t queryingRouter, std::uint64_t number, const placement_query &query,
+                                time_point now) -> std::optional<placement_answer>
 {
-    const auto now = system_clock_source().now();
     auto why = last_reason();
     for (const auto incarnation : query.failedServers) {
         m_state.loads.noteSuspicion(incarnation, queryingRouter, now);
@@ -160,6 +163,11 @@
         // The engine prefills in order of arrival, so later prompts will find these blocks cached.
         m_state.recordPrefill(answer.server, query.prompt);
     }
+    if (!query.plain && m_state.settings.limitEngineMemory) {
+        answer.memoryGrant =
+            m_state.memoryGrants.add(queryingRouter, answer.server, memory_commitment::of(query.prompt), now);
+        answer.memoryUse = chosen.memoryUse;
+    }
     return answer;
 }
 
@@ -170,20 +178,21 @@
         last = std::max(last, answer.sequence);
     }
     // If nobody waits for the answer any more, the end of this scope returns the place to the dispatcher.
-    auto lease = makeLease(dispatcher, answer);
+    auto lease = makeLease(m_heldGrants, dispatcher, answer.router, answer.grant);
+    auto memoryLease = makeLease(m_heldMemory, dispatcher, answer.router, answer.memoryGrant);
     const auto found = m_pendingQueries.find(answer.number);
     if (found != m_pendingQueries.end()) {
         found->second->answer = answer;
         found->second->lease = std::move(lease);
+        found->second->memoryLease = std::move(memoryLease);
         found->second->timer.cancel();
     }
 }
 
-auto placement_dispatch::makeLease(std::uint64_t dispatcher, const placement_answer &answer) const
-    -> std::shared_ptr<slot_lease>
+auto placement_dispatch::makeLease(const std::shared_ptr<held_grants> &held, std::uint64_t dispatcher,
+                                   std::uint64_t router, std::uint64_t grant) -> std::shared_ptr<slot_lease>
 {
-    return answer.grant == 0 ? nullptr
-                             : std::make_shared<slot_lease>(m_heldGrants, answer.router, dispatcher, answer.grant);
+    return grant == 0 ? nullptr : std::make_shared<slot_lease>(held, router, dispatcher, grant);
 }
 
 auto placement_dispatch::handleRelease(std::uint64_t router, const slot_release &release) -> void
@@ -215,6 +224,11 @@
     return *m_heldGrants;
 }
 
+auto placement_dispatch::heldMemory() const -> const held_grants &
+{
+    return *m_heldMemory;
+}
+
 auto placement_dispatch::lastSequences() const -> const std::map<std::uint64_t, std::uint64_t> &
 {
     return m_lastSequences;
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -3,6 +3,8 @@
 #include "marjoramloom/core/endpoint.h"
 #include "marjoramloom/core/toml_reader.h"
 
+#include "platform/contracts.h"
+
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -183,6 +185,9 @@
         gateway.keyLifetime = revocation - gateway_settings::KEY_EXPIRY_MARGIN;
         reader.number("grace_seconds", graceSeconds, 0.5, 3'600);
         reader.number("cores", gateway.cores, 0.01, 1'024);
+        auto contracts = std::vector<std::string>();
+        reader.texts("contracts", contracts);
+        gateway.limitEngineMemory = platform::limitsEngineMemory(contracts);
         reader.whole("descriptors", gateway.maxFileDescriptors, 64, 1'000'000);
         reader.number("repeat_ratio", gateway.retryBudgetSettings.ratio, 0, 1);
         reader.number("repeat_window_seconds", windowSeconds, 0.1, 3'600);
--- a/tests/unit/gateway/placement_test.cpp
+++ b/tests/unit/gateway/placement_test.cpp
@@ -41,6 +41,18 @@
     BOOST_TEST(chooseIndex({ right, left }, 2'000) == (leftIsHome ? 1U : 0U));
 }
 
+// Guards against bursts that copy every session's shared prefix to engines whose memory cannot hold it.
+BOOST_AUTO_TEST_CASE(where_memory_is_short_a_prompt_waits_longer_for_the_engine_that_caches_its_prefix)
+{
+    const auto caching = engine_candidate{ .slots = 8, .pendingPrefillTokens = 20'000, .cachedTokens = 6'000 };
+    const auto candidates = std::vector{ engine_candidate{ .slots = 8 }, caching };
+    const auto chosen = [&](double memoryShortage) {
+        return placement.choose(candidates, 9'000, { .sharedTokens = 6'000, .memoryShortage = memoryShortage })->index;
+    };
+    BOOST_TEST(chosen(0) == 0U);
+    BOOST_TEST(chosen(1) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(full_engines_are_excluded_and_failing_ones_come_last)
 {
     const auto full = engine_candidate{ .running = 8, .slots = 8, .cachedTokens = 2'000 };
--- a/tests/unit/router/settings_test.cpp
+++ b/tests/unit/router/settings_test.cpp
@@ -84,6 +84,10 @@
     const auto parsed = parseSettings(text, "router.toml", why);
     BOOST_REQUIRE_MESSAGE(parsed, why.text());
     BOOST_REQUIRE(parsed->gateway.has_value());
+    BOOST_TEST(!parsed->gateway->limitEngineMemory);
+    const auto limited = parseSettings(text + "contracts = [\"other\", \"pressure\"]\n", "router.toml", why);
+    BOOST_REQUIRE_MESSAGE(limited, why.text());
+    BOOST_TEST(limited->gateway->limitEngineMemory);
     BOOST_TEST(parsed->gateway->keyLifetime.count() == 2'500);
     BOOST_TEST(parsed->gateway->gracePeriod.count() == 2'500);
     BOOST_TEST(parsed->gateway->retryBudgetSettings.ratio == 0.3);
