--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -47,8 +47,8 @@
 
 } // namespace
 
-auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why)
-    -> std::optional<engine_decision>
+auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why,
+                  memory_scope scope) -> std::optional<engine_decision>
 {
     const auto *service = state.routes ? state.routes->findService(query.service) : nullptr;
     if (service == nullptr || !service->engine) {
@@ -58,7 +58,8 @@
     if (query.trace != nullptr) {
         traceExcluded(state, *service, query, excluded, now);
     }
-    auto chosen = chooseEngine(state, *service, query.shard, query.prompt, excluded.servers, now, why, query.trace);
+    auto chosen =
+        chooseEngine(state, *service, query.shard, query.prompt, excluded.servers, now, why, scope, query.trace);
     if (!chosen) {
         noteNoneLeft(query, excluded, why);
         return why.kind == failure_kind::overloaded
--- a/src/gateway/traffic/gateway_call_choice.cpp
+++ b/src/gateway/traffic/gateway_call_choice.cpp
@@ -24,6 +24,13 @@
 
 auto gateway_call::chooseEngineForPrompt(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
 {
+    const auto neededTokens = memory_commitment::of(m_request.prompt).fullTokens();
+    if (m_state.settings.limitEngineMemory
+        && !memory_limit::canEverFit(m_service->engine->kvCapacityTokens, neededTokens)) {
+        why.fail(failure_kind::invalidInput, "choose engine", m_service->name,
+                 "the prompt and its answer exceed the memory of every engine");
+        co_return std::nullopt;
+    }
     auto query = placement_query{ .service = m_service->name,
                                   .shard = shardOf(m_state.servers.usable(m_service->name), m_request.prompt),
                                   .prompt = m_request.prompt,
@@ -51,7 +58,7 @@
         }
         const auto now = system_clock_source().now();
         co_return chooseEngine(m_state, *m_service, {}, m_request.prompt, excludedServers(m_state, query, now).servers,
-                               now, why);
+                               now, why, memory_scope::alone);
     }
     co_return std::nullopt;
 }
