--- a/tests/unit/gateway/cold_budget_test.cpp
+++ b/tests/unit/gateway/cold_budget_test.cpp
@@ -93,14 +93,14 @@
         std::vector<std::uint64_t> known;
         time_point startedAt = start - cold_budget::START_DELAY;
         time_point suspendedUntil{};
-        int incarnation = 0;
+        bool isStopped = false; ///< For good: it has left the store's list of routers.
     };
 
     auto othersOf(std::size_t self) -> std::vector<std::uint64_t>
     {
         auto others = std::vector<std::uint64_t>();
         for (auto index = std::size_t(0); index < m_routers.size(); ++index) {
-            if (index != self) {
+            if (index != self && !m_routers[index].isStopped) {
                 others.push_back(1'000 + index);
             }
         }
@@ -110,10 +110,13 @@
     auto suspendOrRestart(std::size_t index) -> void
     {
         auto &target = m_routers[index];
+        // The others still count a stopped router, and those that start later do not.
+        target.isStopped = target.isStopped || draw(0, 49) == 0;
         target.suspendedUntil = m_now + std::chrono::milliseconds(draw(0, 3'000));
         if (draw(0, 2) == 0) {
             target.budget = {};
             target.startedAt = target.suspendedUntil;
+            target.known = othersOf(index);
             std::erase_if(m_sendings, [&](const auto &entry) { return entry.router == index; });
         }
     }
@@ -121,12 +124,13 @@
     auto choose(std::size_t index, int maxDelay) -> void
     {
         auto &chooser = m_routers[index];
-        if (m_now < chooser.suspendedUntil || m_now - chooser.startedAt < cold_budget::START_DELAY) {
+        if (chooser.isStopped || m_now < chooser.suspendedUntil
+            || m_now - chooser.startedAt < cold_budget::START_DELAY) {
             return;
         }
         const auto rank = cold_budget::rankOf("engine", 1'000 + index, chooser.known);
         const auto limit = cold_budget::fleetLimit(perSecond, overshoot, tolerance);
-        const auto share = cold_budget::shareOf(limit, rank, m_routers.size());
+        const auto share = cold_budget::shareOf(limit, rank, chooser.known.size() + 1);
         if (!chooser.budget.hasRoom(7, share, m_now)) {
             return;
         }
