Routers of a data centre decide together who takes new connections; refusals by account

Cause: a caller whose connections all reach a router of 0.09 of a core overloads it while others are idle. Each router decided alone, up to 10 of 15 could be out of rotation at once, and an overloaded router refused every request on open connections.

Change, with gateway.shared_rotation: routers relay size, use, arrivals, refusals and demand within their data centre (RouterDatagram.uses, under 4 KB a second). rotation_policy claims absence ahead of overload, grants at most a quarter of the routers, returns them one at a time, and keeps them while the fleet is full. An absent router that is still busy closes kept connections after their answers. With gateway.fair_refusals: fair_request_limit, an adaptive limit divided by max-min shares of the accounts, replaces the switch of event_loop_delay. Without the settings nothing changes.

--- a/include/marjoramloom/gateway/knowledge/gateway_settings.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_settings.h
@@ -18,6 +18,10 @@
     std::chrono::milliseconds gracePeriod{ 8'000 }; ///< From the stop signal until the process is killed.
     double cores = 1; ///< CPU cores that the router may use; routers with more cores are preferred as dispatchers.
     std::uint32_t maxFileDescriptors = 1'024; ///< File descriptors that the process may use.
+    /// The routers of a data centre decide together which of them take new connections.
+    bool sharedRotation = false;
+    /// A router that is behind refuses requests by the accounts' shares, not all of them.
+    bool fairRefusals = false;
     gateway_retry_budget_settings retryBudgetSettings; ///< Limits of the retries to the servers of each service.
 };
 
--- a/include/marjoramloom/gateway/knowledge/gateway_state.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_state.h
@@ -9,6 +9,7 @@
 #include "marjoramloom/gateway/decisions/connection_pacing.h"
 #include "marjoramloom/gateway/decisions/event_batching.h"
 #include "marjoramloom/gateway/decisions/event_loop_delay.h"
+#include "marjoramloom/gateway/decisions/fair_request_limit.h"
 #include "marjoramloom/gateway/decisions/gateway_retry_budget.h"
 #include "marjoramloom/gateway/decisions/pending_placements.h"
 #include "marjoramloom/gateway/decisions/plain_placement.h"
@@ -76,6 +77,8 @@
     bool rejectingRequests = false; ///< The stop is so far advanced that new requests are rejected.
     event_loop_delay loopDelay;
     connection_pacing pacing;
+    fair_request_limit requestLimit; ///< Used only with the setting fairRefusals.
+    bool shouldMoveCallers = false; ///< Kept connections are closed after the next answer, as other routers have room.
     key_freshness keys;
     store_contact storeContact;
     server_directory servers;
@@ -107,6 +110,8 @@
     counter &malformedNotices; ///< Answers in which a server's statement about itself was unreadable.
     counter &quarantinedRequests; ///< Requests kept from the engines for a block that crashes them.
     counter &truncatedStreams; ///< Streams that ended before their last event.
+    counter &requestsOverShare; ///< Requests refused as this router is behind and their account over its share.
+    counter &movedCallers; ///< Kept connections that were closed so that their callers go to another router.
     counter &abandonedRequests; ///< Requests whose callers disconnected before the router processed them.
 };
 
--- a/include/marjoramloom/gateway/knowledge/load_exchange.h
+++ b/include/marjoramloom/gateway/knowledge/load_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marjoramloom/gateway/decisions/rotation_policy.h"
 #include "marjoramloom/gateway/knowledge/store_update.h"
 #include "marjoramloom/gateway/traffic/placement_dispatch.h"
 
@@ -44,6 +45,12 @@
     /// Precondition: receive() was not called yet.
     auto setStoreHandlers(store_handlers handlers) -> void;
 
+    /// Sets the handler of the uses that other routers report or relay. Precondition: receive() was not called yet.
+    auto setUseHandler(std::function<void(const std::vector<router_use> &reports)> onUses) -> void;
+
+    /// Sends \p reports to the router with the id \p router.
+    auto sendUses(std::uint64_t router, const std::vector<router_use> &reports) -> void;
+
     /// Adds another router to the roster; if it is new, sends it this router's identity.
     auto addRouter(router_identity identity) -> void;
 
@@ -89,6 +96,7 @@
     auto sendHeartbeat(std::uint64_t router, time_point now) -> void;
     auto broadcast(wire::RouterDatagram &datagram) -> void;
     auto handleBlocks(std::uint64_t router, const wire::RouterDatagram &datagram, time_point now) -> void;
+    auto handleUses(const wire::RouterDatagram &datagram, time_point now) -> void;
     auto sendBlocks(std::uint64_t router, time_point now) -> void;
 
     boost::asio::any_io_executor m_executor;
@@ -101,6 +109,7 @@
     std::unordered_map<std::uint64_t, time_point> m_lastBlocksSent; ///< By id of the router that differed.
     std::unordered_map<std::uint64_t, time_point> m_lastProbeSent; ///< By id of the silent dispatcher.
     store_handlers m_storeHandlers;
+    std::function<void(const std::vector<router_use> &reports)> m_onUses;
     std::uint64_t m_reportSequence = 0;
     counter &m_unreadableDatagrams;
     counter &m_receivedDatagrams;
--- a/src/gateway/knowledge/datagram_codec.h
+++ b/src/gateway/knowledge/datagram_codec.h
@@ -2,6 +2,7 @@
 
 #include "load.pb.h"
 #include "marjoramloom/gateway/decisions/block_quarantine.h"
+#include "marjoramloom/gateway/decisions/rotation_policy.h"
 #include "marjoramloom/gateway/knowledge/fleet_loads.h"
 #include "marjoramloom/gateway/knowledge/router_roster.h"
 #include "marjoramloom/gateway/knowledge/store_contact.h"
@@ -32,6 +33,9 @@
 auto readRelease(const wire::SlotRelease &message) -> slot_release;
 auto write(const slot_release &release, wire::SlotRelease &message) -> void;
 
+auto readUse(const wire::RouterUse &message, time_point now) -> router_use;
+auto write(const router_use &use, time_point now, wire::RouterUse &message) -> void;
+
 auto readCrashReport(const wire::CrashReport &message) -> crash_report;
 auto write(const crash_report &report, wire::CrashReport &message) -> void;
 
--- a/src/gateway/knowledge/gateway_state.cpp
+++ b/src/gateway/knowledge/gateway_state.cpp
@@ -48,6 +48,8 @@
     , malformedNotices(registry.at("marjoramloom_server_notices_total", "notice=\"malformed\""))
     , quarantinedRequests(registry.at("marjoramloom_requests_quarantined_total"))
     , truncatedStreams(registry.at("marjoramloom_answers_cut_total"))
+    , requestsOverShare(registry.at("marjoramloom_requests_over_share_total"))
+    , movedCallers(registry.at("marjoramloom_callers_moved_total"))
     , abandonedRequests(registry.at("marjoramloom_abandoned_total"))
 {
     registry.setGauge("marjoramloom_blocks_quarantined", "",
--- a/src/gateway/knowledge/load_exchange.cpp
+++ b/src/gateway/knowledge/load_exchange.cpp
@@ -373,6 +373,7 @@
         handleReport(router, datagram.sender(), datagram.report());
     }
     handleBlocks(router, datagram, system_clock_source().now());
+    handleUses(datagram, system_clock_source().now());
     if (datagram.has_query()) {
         handleQuery(router, datagram.sender(), datagram.query());
     }
--- a/src/gateway/traffic/gateway_handler.cpp
+++ b/src/gateway/traffic/gateway_handler.cpp
@@ -66,10 +66,14 @@
         exchange.closeWithoutAnswer();
         co_return;
     }
+    if (m_state.shouldMoveCallers && exchange.reusable()) {
+        m_state.movedCallers.add();
+        exchange.closeAfterAnswer();
+    }
     if (m_state.stopping) {
         exchange.closeAfterAnswer();
     }
-    if (m_state.loopDelay.isOverloaded(system_clock_source().now())) {
+    if (!m_state.settings.fairRefusals && m_state.loopDelay.isOverloaded(system_clock_source().now())) {
         exchange.closeAfterAnswer();
         co_await refuse(exchange, *request, unavailable, "this router is behind with its work");
         co_return;
@@ -109,6 +113,12 @@
         }
         account = keyAccount->name;
     }
+    if (m_state.settings.fairRefusals
+        && !m_state.requestLimit.mayServe(account_usage::accountId(account), system_clock_source().now())) {
+        m_state.requestsOverShare.add();
+        co_await refuse(exchange, *request, unavailable, "this router is behind and the account over its share");
+        co_return;
+    }
     co_await forward(exchange, std::move(*request), *route, std::move(account));
 }
 
--- a/src/gateway/traffic/gateway_process.cpp
+++ b/src/gateway/traffic/gateway_process.cpp
@@ -7,6 +7,7 @@
 #include "marjoramloom/gateway/knowledge/router_discovery.h"
 #include "marjoramloom/gateway/knowledge/store_relay.h"
 #include "marjoramloom/gateway/traffic/gateway_handler.h"
+#include "marjoramloom/gateway/traffic/rotation.h"
 #include "marjoramloom/gateway/traffic/status_handler.h"
 #include "marjoramloom/peer/member.h"
 #include "marjoramloom/router/http_server.h"
@@ -97,6 +98,7 @@
     store_client store;
     load_exchange exchange;
     router_discovery discovery;
+    rotation connectionRotation;
     gateway_handler callerHandler;
     status_handler statusHandler;
     std::shared_ptr<http_server<gateway_handler>> callerServer;
@@ -112,6 +114,8 @@
     , exchange(context.get_executor(), state, identityOf(config), makeIncarnation())
     , discovery(context.get_executor(), store, config.instance, identityOf(config),
                 [this](router_identity identity) { exchange.addRouter(std::move(identity)); })
+    , connectionRotation(context.get_executor(), state,
+                         [this](auto router, const auto &reports) { exchange.sendUses(router, reports); })
     , callerHandler(state, exchange.dispatch())
     , statusHandler(ready, counters)
     , callerServer(std::make_shared<http_server<gateway_handler>>(context, callerHandler, counters, "callers",
@@ -136,9 +140,13 @@
                                     [this](const auto &update) {
                                         relay.onUpdate(update);
                                     } });
+    exchange.setUseHandler(
+        [this](const auto &reports) { connectionRotation.handleReports(reports, system_clock_source().now()); });
     callerServer->setConnectionGate([this] {
         const auto now = system_clock_source().now();
-        return !state.loopDelay.isOverloaded(now) && state.pacing.mayAccept(now);
+        connectionRotation.noteConnection();
+        const auto refusesAll = !state.settings.fairRefusals && state.loopDelay.isOverloaded(now);
+        return !refusesAll && state.pacing.mayAccept(now);
     });
     counters.setGauge("marjoramloom_log_lines_dropped", "", [] { return static_cast<double>(droppedLogLines()); });
 }
@@ -146,8 +154,12 @@
 auto gateway_process::components::refreshReadiness() -> void
 {
     const auto areKeysFresh = state.keys.isFresh(boot_clock::now());
-    const auto isLoopDelayed = state.loopDelay.shouldRefuseConnections(system_clock_source().now());
-    const auto isReady = state.routes && state.hasServers && !state.stopping && areKeysFresh && !isLoopDelayed;
+    const auto now = system_clock_source().now();
+    const auto isAvailable = state.routes && state.hasServers && !state.stopping && areKeysFresh;
+    connectionRotation.setAvailable(isAvailable, now);
+    const auto isLoopDelayed =
+        state.settings.sharedRotation ? connectionRotation.isAbsent() : state.loopDelay.shouldRefuseConnections(now);
+    const auto isReady = isAvailable && !isLoopDelayed;
     if (isReady != ready) {
         log_line(log_level::info, "readiness")
             .with("ready", isReady ? "yes" : "no")
@@ -199,6 +211,7 @@
         const auto now = system_clock_source().now();
         timer.expires_at(state.loopDelay.onTimer(now));
         state.pacing.onTimer(state.loopDelay.lastDelay(), now);
+        state.requestLimit.onTimer(state.loopDelay.lastDelay(), now);
         const auto isLimited = state.pacing.refusingFor(now) >= event_loop_delay::OVERLOAD_DURATION;
         // The callers whose connections are refused would most likely come to a smaller router next.
         if (isLimited && !state.roster.isLargerThanMost()) {
@@ -312,6 +325,7 @@
     runAlways("reports", [&components] { return components.exchange.sendReports(); });
     runAlways("datagrams", [&components] { return components.exchange.receive(); });
     runAlways("ticks", [&components] { return components.tickLoop(); });
+    runAlways("rotation", [&components] { return components.connectionRotation.run(); });
     runAlways("loop delay", [&components] { return components.measureLoopDelay(); });
     runAlways("stop", [&components] { return components.waitForStop(); });
     runAlways("reload", [&components] { return components.waitForReload(); });
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -110,6 +110,9 @@
          << "[platform]\naddresses = [\"" << store << "\"]\ntimeout_ms = 1000\n"
          << "[gateway]\nkey_revocation_ms = " << m_plan.revocationMs << "\ngrace_seconds = " << m_plan.graceSeconds
          << "\nrepeat_reserve = " << m_plan.retryReserve << "\n";
+    if (m_plan.sharesLoad) {
+        text << "shared_rotation = true\nfair_refusals = true\n";
+    }
 }
 
 auto gateway_fleet::start(router_handle &router, bool untilReady) -> void
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -22,6 +22,7 @@
     int eventMs = 5; ///< Time before each event of a stream.
     int revocationMs = 5'000; ///< Setting key_revocation_ms of the routers.
     double retryReserve = 2; ///< Setting repeat_reserve of the routers.
+    bool sharesLoad = false; ///< Settings shared_rotation and fair_refusals of the routers.
     double graceSeconds = 8; ///< Setting grace_seconds of the routers.
     int headerBytes = 16'384; ///< Limit of a request's head in the configuration.
     /// Optional. Returns the address at which the router with this index connects to the store, which listens at
