--- a/include/marjoramloom/gateway/knowledge/gateway_settings.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_settings.h
@@ -21,6 +21,10 @@
     double cores = 1; ///< CPU cores that the router may use; routers with more cores are preferred as dispatchers.
     std::uint32_t maxFileDescriptors = 1'024; ///< File descriptors that the process may use.
     bool limitEngineMemory = false; ///< Placements must not exceed the engines' KV memory: the contract `pressure`.
+    /// The routers of a data centre decide together which of them take new connections.
+    bool sharedRotation = false;
+    /// A router that is behind refuses requests by the accounts' shares, not all of them.
+    bool fairRefusals = false;
     gateway_retry_budget_settings retryBudgetSettings; ///< Limits of the retries to the servers of each service.
     /// From the store's acknowledgement of an evacuation until nothing is sent to the data centre any more; 0 where
     /// data centres are not evacuated.
--- a/src/gateway/traffic/gateway_process.cpp
+++ b/src/gateway/traffic/gateway_process.cpp
@@ -9,6 +9,7 @@
 #include "marjoramloom/gateway/knowledge/store_relay.h"
 #include "marjoramloom/gateway/traffic/gateway_handler.h"
 #include "marjoramloom/gateway/traffic/places_status.h"
+#include "marjoramloom/gateway/traffic/rotation.h"
 #include "marjoramloom/gateway/traffic/status_handler.h"
 #include "marjoramloom/peer/member.h"
 #include "marjoramloom/router/http_server.h"
@@ -101,6 +102,7 @@
     store_client store;
     load_exchange exchange;
     router_discovery discovery;
+    rotation connectionRotation;
     gateway_handler callerHandler;
     request_explainer explainer;
     status_handler statusHandler;
@@ -119,6 +121,8 @@
     , exchange(context.get_executor(), state, identityOf(config), makeIncarnation())
     , discovery(context.get_executor(), store, config.instance, identityOf(config),
                 [this](router_identity identity) { exchange.addRouter(std::move(identity)); })
+    , connectionRotation(context.get_executor(), state,
+                         [this](auto router, const auto &reports) { exchange.sendUses(router, reports); })
     , callerHandler(state, exchange.dispatch())
     , explainer(state, exchange.dispatch())
     , statusHandler(
@@ -162,9 +166,13 @@
                                             relay.notifyFollowers();
                                         } });
     }
+    exchange.setUseHandler(
+        [this](const auto &reports) { connectionRotation.handleReports(reports, system_clock_source().now()); });
     callerServer->setConnectionGate([this] {
         const auto now = system_clock_source().now();
-        return !state.loopDelay.isOverloaded(now) && state.pacing.mayAccept(now);
+        connectionRotation.noteConnection();
+        const auto refusesAll = !state.settings.fairRefusals && state.loopDelay.isOverloaded(now);
+        return !refusesAll && state.pacing.mayAccept(now);
     });
     counters.setGauge("marjoramloom_log_lines_dropped", "", [] { return static_cast<double>(droppedLogLines()); });
 }
@@ -179,9 +187,13 @@
 auto gateway_process::components::refreshReadiness() -> void
 {
     const auto areKeysFresh = state.keys.isFresh(boot_clock::now());
-    const auto isLoopDelayed = state.loopDelay.shouldRefuseConnections(system_clock_source().now());
+    const auto now = system_clock_source().now();
     const auto isConfigured = state.routes && state.hasServers && state.areEvacuationsKnown();
-    const auto isReady = isConfigured && !state.stopping && areKeysFresh && !isLoopDelayed;
+    const auto isAvailable = isConfigured && !state.stopping && areKeysFresh;
+    connectionRotation.setAvailable(isAvailable, now);
+    const auto isLoopDelayed =
+        state.settings.sharedRotation ? connectionRotation.isAbsent() : state.loopDelay.shouldRefuseConnections(now);
+    const auto isReady = isAvailable && !isLoopDelayed;
     if (isReady != ready) {
         log_line(log_level::info, "readiness")
             .with("ready", isReady ? "yes" : "no")
@@ -237,6 +249,7 @@
         const auto now = system_clock_source().now();
         timer.expires_at(state.loopDelay.onTimer(now));
         state.pacing.onTimer(state.loopDelay.lastDelay(), now);
+        state.requestLimit.onTimer(state.loopDelay.lastDelay(), now);
         const auto isLimited = state.pacing.refusingFor(now) >= event_loop_delay::OVERLOAD_DURATION;
         // The callers whose connections are refused would most likely come to a smaller router next.
         if (isLimited && !state.roster.isLargerThanMost()) {
@@ -356,6 +369,7 @@
     runAlways("reports", [&components] { return components.exchange.sendReports(); });
     runAlways("datagrams", [&components] { return components.exchange.receive(); });
     runAlways("ticks", [&components] { return components.tickLoop(); });
+    runAlways("rotation", [&components] { return components.connectionRotation.run(); });
     runAlways("loop delay", [&components] { return components.measureLoopDelay(); });
     runAlways("stop", [&components] { return components.waitForStop(); });
     runAlways("reload", [&components] { return components.waitForReload(); });
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -189,6 +189,8 @@
         reader.texts("contracts", contracts);
         gateway.limitEngineMemory = platform::limitsEngineMemory(contracts);
         reader.whole("descriptors", gateway.maxFileDescriptors, 64, 1'000'000);
+        reader.flag("shared_rotation", gateway.sharedRotation);
+        reader.flag("fair_refusals", gateway.fairRefusals);
         reader.number("repeat_ratio", gateway.retryBudgetSettings.ratio, 0, 1);
         reader.number("repeat_window_seconds", windowSeconds, 0.1, 3'600);
         reader.number("repeat_reserve", gateway.retryBudgetSettings.reserve, 0, 1e6);
