Admission counts the prefill of prefixes that other engines cache

In bursts, prompts were placed away from the engine that caches their shared prefix and took three times the prefill, so overload fed itself. Where KV memory is short, that time, weighted, now counts like a wait, except for accounts under an even share.

--- a/bench/placement_sim.cpp
+++ b/bench/placement_sim.cpp
@@ -260,6 +260,7 @@
                    .prefillTokens = answer->prefillTokens,
                    .wait = answer->wait,
                    .firstEvent = answer->firstEvent,
+                   .delayToOthers = {},
                    .running = answer->running,
                    .candidates = answer->candidates,
                    .lease = nullptr });
--- a/include/marjoramloom/gateway/decisions/prompt_placement.h
+++ b/include/marjoramloom/gateway/decisions/prompt_placement.h
@@ -29,6 +29,9 @@
     std::uint32_t prefillTokens = 0; ///< Tokens of the prompt that are not cached.
     duration wait{}; ///< Expected time until the engine begins to prefill the prompt.
     duration firstEvent{}; ///< Expected time to the first event.
+    /// Weighted time to prefill shared tokens that another engine has cached. Other prompts wait for it, so admission
+    /// counts it like a wait; 0 where memory is not short.
+    duration delayToOthers{};
 };
 
 /// What prefilling a shared prefix again costs the other prompts.
--- a/include/marjoramloom/gateway/decisions/server_choice.h
+++ b/include/marjoramloom/gateway/decisions/server_choice.h
@@ -22,6 +22,7 @@
     std::uint32_t prefillTokens = 0; ///< Prompt tokens that the server is expected to prefill.
     duration wait{}; ///< Expected time until the server starts on the request.
     duration firstEvent{}; ///< Expected time to the first event; 0 for plain services.
+    duration delayToOthers{}; ///< See engine_choice.
     std::uint32_t running = 0; ///< Requests at the server, as far as known.
     std::size_t candidates = 0; ///< Servers among which it was chosen.
     std::shared_ptr<slot_lease> lease; ///< The place that a dispatcher granted there; null for none.
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -21,7 +21,9 @@
     const auto prefillTime = chosen->firstEvent - chosen->wait;
     const auto evenShare = state.accounts.evenShare();
     const auto maxWait = state.admission.maxWait(query.objective, prefillTime, accountShare, evenShare);
-    if (!query.alreadySent && chosen->wait > maxWait) {
+    // Accounts under an even share are not refused for the sake of those over it.
+    const auto delayToOthers = accountShare < evenShare ? duration::zero() : chosen->delayToOthers;
+    if (!query.alreadySent && chosen->wait + delayToOthers > maxWait) {
         why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
         return engine_decision{ .chosen = std::nullopt, .allEnginesFull = false };
     }
--- a/src/gateway/decisions/prompt_placement.cpp
+++ b/src/gateway/decisions/prompt_placement.cpp
@@ -20,6 +20,9 @@
 /// adds to it, as more prompts wait behind. Higher weights let queues at home engines grow beyond objectives.
 constexpr double rereadBaseWeight = 1;
 constexpr double rereadWeightPerQueue = 0.5;
+/// Weight, relative to that, with which admission counts the time to prefill shared tokens again. With 4, fewer long
+/// prompts were in time in bursts than with 2.
+constexpr double rereadAdmissionWeight = 2;
 constexpr auto rereadQueueUnit = std::chrono::milliseconds(100);
 
 /// Up to this number of requests, the steps of an engine hardly lengthen with each one more.
@@ -56,10 +59,12 @@
     const auto weight = rereadWeight(candidates, reread.memoryShortage);
     const auto advantage =
         duration(homeAdvantage) + std::chrono::duration_cast<duration>(homeAdvantageInShortage * reread.memoryShortage);
+    auto mostCached = std::uint32_t(0);
     auto best = std::optional<std::size_t>();
     auto bestCost = duration::max();
     for (auto index = std::size_t(0); index < candidates.size(); ++index) {
         const auto &candidate = candidates[index];
+        mostCached = std::max(mostCached, std::min(candidate.cachedTokens, reread.sharedTokens));
         if (candidate.outOfMemory || candidate.running >= usableSlots(candidate.slots)) {
             continue;
         }
@@ -79,10 +84,15 @@
     }
     const auto &chosen = candidates[*best];
     const auto cached = std::min(chosen.cachedTokens, promptTokens);
+    const auto rereadTokens = mostCached - std::min(cached, mostCached);
+    const auto delayToOthers = weight > 0
+        ? prefillTime(rereadTokens, m_rate.tokensPerMs / (weight * rereadAdmissionWeight))
+        : duration::zero();
     return engine_choice{ .index = *best,
                           .prefillTokens = promptTokens - cached,
                           .wait = queueWait(chosen),
-                          .firstEvent = expectedFirstEvent(chosen, promptTokens) };
+                          .firstEvent = expectedFirstEvent(chosen, promptTokens),
+                          .delayToOthers = delayToOthers };
 }
 
 auto prompt_placement::homeScore(std::string_view server, std::uint64_t sharedPrefixId) -> std::uint64_t
--- a/src/gateway/decisions/server_choice.cpp
+++ b/src/gateway/decisions/server_choice.cpp
@@ -96,6 +96,7 @@
                           .prefillTokens = choice->prefillTokens,
                           .wait = choice->wait,
                           .firstEvent = choice->firstEvent,
+                          .delayToOthers = choice->delayToOthers,
                           .running = candidates[choice->index].running,
                           .candidates = servers->size(),
                           .lease = nullptr,
@@ -135,6 +136,7 @@
                           .prefillTokens = 0,
                           .wait = choice->wait,
                           .firstEvent = {},
+                          .delayToOthers = {},
                           .running = candidates[choice->index].running,
                           .candidates = servers->size(),
                           .lease = nullptr };
--- a/src/gateway/traffic/placement_dispatch.cpp
+++ b/src/gateway/traffic/placement_dispatch.cpp
@@ -123,6 +123,7 @@
                                                      .prefillTokens = answer.prefillTokens,
                                                      .wait = answer.wait,
                                                      .firstEvent = answer.firstEvent,
+                                                     .delayToOthers = {},
                                                      .running = answer.running,
                                                      .candidates = answer.candidates,
                                                      .lease = answered.lease,
--- a/tests/unit/gateway/engine_memory_test.cpp
+++ b/tests/unit/gateway/engine_memory_test.cpp
@@ -135,6 +135,33 @@
     BOOST_TEST(memory_limit::ofDispatcher(kvTokens, 1) + memory_limit::ofRouter(kvTokens, "a", 1, {}) <= kvTokens);
 }
 
+// Guards against small accounts that are refused for the sake of large ones when prefixes would be read again.
+BOOST_AUTO_TEST_CASE(an_account_under_an_even_share_may_read_a_prefix_again)
+{
+    auto other = server;
+    other.id = "b";
+    state.servers.put(other, now);
+    auto &caching = state.loads.at(server);
+    caching.pendingPrefillTokens = 60'000;
+    constexpr std::uint64_t large = 1;
+    constexpr std::uint64_t small = 2;
+    state.accounts.noteStarted(large, 500'000, now); // Memory is short.
+    state.accounts.noteStarted(small, 1'000, now);
+    auto query = placement_query();
+    query.service = "pool";
+    query.prompt = { .parts = { { 1, 6'000 }, { 2, 2'000 } }, .promptTokens = 8'000, .outputTokens = 100 };
+    query.objective = 600ms;
+    caching.prefixCache.setCapacity(kvTokens);
+    caching.prefixCache.recordPrefill({ query.prompt.parts.front() }, 0);
+    const auto isPlaced = [&](std::uint64_t account) {
+        query.account = account;
+        const auto decision = decideEngine(state, query, now, why);
+        return decision && decision->chosen;
+    };
+    BOOST_TEST(!isPlaced(large));
+    BOOST_TEST(isPlaced(small));
+}
+
 // Guards against changed placements where the engines keep all shared prefixes anyway.
 BOOST_AUTO_TEST_CASE(memory_is_short_only_where_recent_prompts_exceed_it)
 {
--- a/tests/unit/gateway/placement_test.cpp
+++ b/tests/unit/gateway/placement_test.cpp
@@ -53,6 +53,24 @@
     BOOST_TEST(chosen(1) == 1U);
 }
 
+// Guards against overload that feeds itself: prompts of which the prefix is prefilled again take three times the time.
+BOOST_AUTO_TEST_CASE(where_memory_is_short_a_copy_of_a_cached_prefix_counts_as_a_wait)
+{
+    auto caching = engine_candidate{ .slots = 8, .pendingPrefillTokens = 90'000, .cachedTokens = 6'000 };
+    const auto delay = [&](double memoryShortage) {
+        const auto candidates = std::vector{ engine_candidate{ .slots = 8 }, caching };
+        const auto choice =
+            placement.choose(candidates, 9'000, { .sharedTokens = 6'000, .memoryShortage = memoryShortage });
+        BOOST_REQUIRE(choice.has_value());
+        BOOST_TEST(choice->index == 0U);
+        return choice->delayToOthers;
+    };
+    BOOST_TEST((delay(0) == duration::zero()));
+    BOOST_TEST((delay(1) > 500ms));
+    caching.cachedTokens = 0; // The first read of a prefix is no copy.
+    BOOST_TEST((delay(1) == duration::zero()));
+}
+
 BOOST_AUTO_TEST_CASE(full_engines_are_excluded_and_failing_ones_come_last)
 {
     const auto full = engine_candidate{ .running = 8, .slots = 8, .cachedTokens = 2'000 };
