--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -70,14 +70,16 @@
     const auto prefillTime = chosen->firstEvent - chosen->wait;
     const auto evenShare = state.accounts.evenShare();
     const auto maxWait = state.admission.maxWait(query.objective, prefillTime, accountShare, evenShare);
+    // Accounts under an even share are not refused for the sake of those over it.
+    const auto delayToOthers = accountShare < evenShare ? duration::zero() : chosen->delayToOthers;
     if (query.trace != nullptr) {
         query.trace->note("share",
                           formatPercent(accountShare) + " of the tokens, an even one is " + formatPercent(evenShare));
         query.trace->note("admission",
-                          "expected wait " + formatMs(chosen->wait) + ", limit " + formatMs(maxWait) + ", objective "
-                              + formatMs(query.objective));
+                          "expected wait " + formatMs(chosen->wait) + ", delay to others " + formatMs(delayToOthers)
+                              + ", limit " + formatMs(maxWait) + ", objective " + formatMs(query.objective));
     }
-    if (!query.alreadySent && chosen->wait > maxWait) {
+    if (!query.alreadySent && chosen->wait + delayToOthers > maxWait) {
         why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
         return engine_decision{ .chosen = std::nullopt, .allEnginesFull = false };
     }
