Reports of uses relay the largest routers beside the most loaded ones

Cause: in a data centre with more routers than a datagram relays, those with the highest demand displaced the large idle ones, so a flooded small router might not know of room at a larger one and stayed. Change: after the absent ones, half of the places go to the highest demands and half to the largest others.

--- a/include/marjoramloom/gateway/knowledge/router_uses.h
+++ b/include/marjoramloom/gateway/knowledge/router_uses.h
@@ -14,7 +14,8 @@
 {
 public:
     /// Reports that one datagram relays. Twelve take about 400 bytes; in a data centre with more routers, those that
-    /// ask for no connections and those with the highest demand are relayed.
+    /// ask for no connections, then in equal parts those with the highest demand and the largest others, of which
+    /// rotation_policy needs one with room.
     static constexpr std::size_t MAX_RELAYED = 12;
     /// Values beyond these are not credible, and are lowered to them.
     static constexpr double MAX_DEMAND = 20;
--- a/src/gateway/knowledge/router_uses.cpp
+++ b/src/gateway/knowledge/router_uses.cpp
@@ -35,13 +35,18 @@
 auto router_uses::forRelay(const router_use &own, time_point now) -> std::vector<router_use>
 {
     auto reports = recent(now);
-    std::sort(reports.begin(), reports.end(), [](const router_use &one, const router_use &other) {
-        const auto isAbsent = [](const router_use &use) {
-            return use.reason != absence_reason::none;
-        };
+    const auto isAbsent = [](const router_use &use) {
+        return use.reason != absence_reason::none;
+    };
+    std::sort(reports.begin(), reports.end(), [&](const router_use &one, const router_use &other) {
         return std::make_tuple(isAbsent(one), one.demand) > std::make_tuple(isAbsent(other), other.demand);
     });
     if (reports.size() >= MAX_RELAYED) {
+        const auto absent = std::min(static_cast<std::size_t>(std::count_if(reports.begin(), reports.end(), isAbsent)),
+                                     MAX_RELAYED - 1);
+        const auto loaded = (MAX_RELAYED - 1 - absent) / 2;
+        std::sort(reports.begin() + static_cast<std::ptrdiff_t>(absent + loaded), reports.end(),
+                  [](const router_use &one, const router_use &other) { return one.cores > other.cores; });
         reports.resize(MAX_RELAYED - 1);
     }
     reports.insert(reports.begin(), own);
--- a/tests/unit/gateway/router_uses_test.cpp
+++ b/tests/unit/gateway/router_uses_test.cpp
@@ -53,7 +53,7 @@
     BOOST_TEST(uses.recent(now + rotation_policy::MAX_REPORT_AGE + 1ms).empty());
 }
 
-BOOST_AUTO_TEST_CASE(a_datagram_relays_the_absent_and_the_most_loaded_routers)
+BOOST_AUTO_TEST_CASE(a_datagram_relays_the_absent_the_most_loaded_and_the_largest_routers)
 {
     const auto now = time_point(100s);
     auto uses = router_uses();
@@ -61,6 +61,7 @@
         auto use = router_use{
             .router = router, .cores = 0.1, .demand = 0.01 * static_cast<double>(router), .measuredAt = now
         };
+        use.cores = router == 5 ? 0.5 : 0.1;
         use.reason = router == 3 ? absence_reason::overload : absence_reason::none;
         uses.note(use, now);
     }
@@ -69,6 +70,8 @@
     BOOST_TEST(relayed[0].router == 100U);
     BOOST_TEST(relayed[1].router == 3U);
     BOOST_TEST(relayed[2].router == 85U);
+    // Without it, routers of a large data centre would not know of room at a larger one.
+    BOOST_TEST(relayed[7].router == 5U);
     auto datagram = wire::RouterDatagram();
     for (const auto &use : relayed) {
         write(use, now, *datagram.add_uses());
