--- a/include/marjoramloom/gateway/knowledge/gateway_settings.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_settings.h
@@ -18,6 +18,7 @@
     std::chrono::milliseconds gracePeriod{ 8'000 }; ///< From the stop signal until the process is killed.
     double cores = 1; ///< CPU cores that the router may use; routers with more cores are preferred as dispatchers.
     std::uint32_t maxFileDescriptors = 1'024; ///< File descriptors that the process may use.
+    std::uint32_t memoryMegabytes = 0; ///< Memory that the process may use, in units of 2^20 bytes; 0 if not known.
     gateway_retry_budget_settings retryBudgetSettings; ///< Limits of the retries to the servers of each service.
 };
 
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -184,6 +184,7 @@
         reader.number("grace_seconds", graceSeconds, 0.5, 3'600);
         reader.number("cores", gateway.cores, 0.01, 1'024);
         reader.whole("descriptors", gateway.maxFileDescriptors, 64, 1'000'000);
+        reader.whole("memory_mb", gateway.memoryMegabytes, 32, 1'048'576);
         reader.number("repeat_ratio", gateway.retryBudgetSettings.ratio, 0, 1);
         reader.number("repeat_window_seconds", windowSeconds, 0.1, 3'600);
         reader.number("repeat_reserve", gateway.retryBudgetSettings.reserve, 0, 1e6);
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -110,6 +110,12 @@
          << "[platform]\naddresses = [\"" << store << "\"]\ntimeout_ms = 1000\n"
          << "[gateway]\nkey_revocation_ms = " << m_plan.revocationMs << "\ngrace_seconds = " << m_plan.graceSeconds
          << "\nrepeat_reserve = " << m_plan.retryReserve << "\n";
+    if (m_plan.memoryMb > 0) {
+        text << "memory_mb = " << m_plan.memoryMb << "\n";
+    }
+    if (m_plan.descriptors > 0) {
+        text << "descriptors = " << m_plan.descriptors << "\n";
+    }
 }
 
 auto gateway_fleet::start(router_handle &router, bool untilReady) -> void
@@ -146,8 +152,8 @@
                                      { "backend", json::object{ { "slots", 8 }, { "kv_capacity", 50'000 } } } } } },
         { "limits",
           json::object{ { "max_header_bytes", m_plan.headerBytes },
-                        { "max_body_bytes", 100'000 },
-                        { "header_timeout_ms", 2'000 },
+                        { "max_body_bytes", m_plan.bodyBytes },
+                        { "header_timeout_ms", m_plan.headerTimeoutMs },
                         { "idle_timeout_ms", 5'000 } } },
         { "tenants",
           json::array{ json::object{ { "name", "alpha" }, { "api_keys", std::move(keys) } },
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -24,6 +24,10 @@
     double retryReserve = 2; ///< Setting repeat_reserve of the routers.
     double graceSeconds = 8; ///< Setting grace_seconds of the routers.
     int headerBytes = 16'384; ///< Limit of a request's head in the configuration.
+    int bodyBytes = 100'000; ///< Limit of a request's body in the configuration.
+    int headerTimeoutMs = 2'000; ///< Time limit of a request's head and body in the configuration.
+    int memoryMb = 0; ///< Setting memory_mb of the routers; 0 if it is not set.
+    int descriptors = 0; ///< Setting descriptors of the routers; 0 if it is not set.
     /// Optional. Returns the address at which the router with this index connects to the store, which listens at
     /// \p address.
     std::function<std::string(int router, const std::string &address)> storeAddressForRouter;
--- a/tests/unit/router/settings_test.cpp
+++ b/tests/unit/router/settings_test.cpp
@@ -79,8 +79,9 @@
     BOOST_TEST(contains(errorOf(complete + "[gateway]\n"), "instance.threads must be 1"));
     const auto single = std::string("[instance]\nthreads = 1\n") + complete.substr(complete.find('\n') + 1);
     auto why = last_reason();
-    const auto text =
-        single + "[gateway]\nkey_revocation_ms = 3000\ngrace_seconds = 2.5\nrepeat_ratio = 0.3\ndescriptors = 4100\n";
+    const auto text = single
+        + "[gateway]\nkey_revocation_ms = 3000\ngrace_seconds = 2.5\nrepeat_ratio = 0.3\ndescriptors = 4100\n"
+        + "memory_mb = 88\n";
     const auto parsed = parseSettings(text, "router.toml", why);
     BOOST_REQUIRE_MESSAGE(parsed, why.text());
     BOOST_REQUIRE(parsed->gateway.has_value());
@@ -88,6 +89,7 @@
     BOOST_TEST(parsed->gateway->gracePeriod.count() == 2'500);
     BOOST_TEST(parsed->gateway->retryBudgetSettings.ratio == 0.3);
     BOOST_TEST(parsed->gateway->maxFileDescriptors == 4'100U);
+    BOOST_TEST(parsed->gateway->memoryMegabytes == 88U);
 }
 
 BOOST_AUTO_TEST_CASE(missing_keys_and_invalid_toml_are_rejected)
