A gateway bounds the memory and the connections that it holds for its callers

Cause: the size of one body, head and answer was limited, the sum over connections was not. A crowd of clients with unfinished bodies or unread answers filled a router's memory, and silent connections took its descriptors.

Bodies and answers are sent without a copy. Large blocks of memory return to the system when they are freed.

--- a/include/marjoramloom/call/http_connection.h
+++ b/include/marjoramloom/call/http_connection.h
@@ -38,6 +38,10 @@
     auto send(const request &message, duration limit, last_reason &why, std::string extraFields = {})
         -> boost::asio::awaitable<bool>;
 
+    /// Sends the head of \p message with \p body in place of its own, which is not copied. \p body outlives the call.
+    auto sendWithBody(const request &message, std::string_view body, duration limit, last_reason &why,
+                      std::string extraFields) -> boost::asio::awaitable<bool>;
+
     /// Reads the head of the answer, and skips interim (1xx) answers. Precondition: send() succeeded.
     auto readHead(duration limit, last_reason &why) -> boost::asio::awaitable<bool>;
 
--- a/include/marjoramloom/router/http_exchange.h
+++ b/include/marjoramloom/router/http_exchange.h
@@ -3,6 +3,8 @@
 #include "marjoramloom/core/clock.h"
 #include "marjoramloom/core/header_field.h"
 #include "marjoramloom/core/last_reason.h"
+#include "marjoramloom/router/memory_budget.h"
+#include "marjoramloom/router/output_queue.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -10,6 +12,7 @@
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -38,10 +41,13 @@
 public:
     using request_type = boost::beast::http::request<boost::beast::http::string_body>;
 
-    /// Preconditions: \p stream and \p buffer outlive the exchange. \p longFields are the fields that \p request could
+    /// Preconditions: \p stream and \p memory outlive the exchange. \p longFields are the fields that \p request could
     /// not hold.
-    http_exchange(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, request_type request,
-                  std::string peer, duration writeTimeout, long_fields longFields = {});
+    http_exchange(boost::beast::tcp_stream &stream, connection_memory &memory, request_type request, std::string peer,
+                  duration writeTimeout, long_fields longFields = {});
+    ~http_exchange();
+    http_exchange(const http_exchange &) = delete;
+    auto operator=(const http_exchange &) -> http_exchange & = delete;
 
     [[nodiscard]] auto request() const -> const request_type &;
 
@@ -60,6 +66,9 @@
     /// Returns the token of `Authorization: Bearer`, or an empty text if it is absent.
     [[nodiscard]] auto bearerToken() const -> std::string_view;
 
+    /// The memory that the connection holds.
+    [[nodiscard]] auto memory() -> connection_memory &;
+
     /// Makes the connection close after this answer.
     auto closeAfterAnswer() -> void;
 
@@ -81,10 +90,14 @@
     /// Begins a response that is forwarded in chunks. The head is sent together with the first chunk.
     auto beginRelay(const boost::beast::http::response_header<> &head) -> void;
 
-    /// Sends \p data as one chunk, after the head if that is not sent yet. Returns false if the write failed.
-    /// Precondition: beginRelay() was called.
+    /// Sends \p data as one chunk, after the head if that is not sent yet. Returns once it is sent or queued; waits
+    /// only if the caller has left too much unread. Returns false if the write failed. Precondition: beginRelay() was
+    /// called.
     auto relayChunk(std::string_view data) -> boost::asio::awaitable<bool>;
 
+    /// Waits until all chunks are sent, for example before abortEvents(). Returns false if a write failed.
+    auto flushRelay() -> boost::asio::awaitable<bool>;
+
     /// Ends the response that beginRelay() began. Returns false if the write failed.
     auto finishRelay() -> boost::asio::awaitable<bool>;
 
@@ -109,16 +122,18 @@
     [[nodiscard]] auto reusable() const -> bool;
 
 private:
-    auto write(std::string text) -> boost::asio::awaitable<bool>;
+    auto write(std::string text, std::string_view body = {}) -> boost::asio::awaitable<bool>;
+    auto output() -> output_queue &;
 
     boost::beast::tcp_stream &m_stream;
-    boost::beast::flat_buffer &m_buffer;
+    connection_memory &m_memory;
     request_type m_request;
     long_fields m_longFields;
     std::string m_peer;
     duration m_writeTimeout;
     bool m_answered = false;
     bool m_reusable = true;
+    std::shared_ptr<output_queue> m_output; ///< Null until a part of a relayed response is sent.
     std::string m_unsentHead; ///< Head of a relayed response, until the first chunk is sent.
 };
 
@@ -128,6 +143,10 @@
 /// Returns the HTTP status code for a failure of \p kind. Thread safe.
 auto statusOf(failure_kind kind) -> unsigned;
 
+/// Returns the response to a request that was not read because there was no room for it: 503 with Retry-After. Thread
+/// safe.
+auto refuseForMemory() -> http_reply;
+
 /// Returns the error response for \p why. Thread safe.
 auto errorReply(const last_reason &why) -> http_reply;
 
--- a/include/marjoramloom/router/http_server.h
+++ b/include/marjoramloom/router/http_server.h
@@ -2,7 +2,10 @@
 
 #include "marjoramloom/core/counters.h"
 #include "marjoramloom/core/last_reason.h"
+#include "marjoramloom/router/connection_registry.h"
 #include "marjoramloom/router/http_exchange.h"
+#include "marjoramloom/router/http_limits.h"
+#include "marjoramloom/router/memory_budget.h"
 
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
@@ -27,17 +30,6 @@
         } -> std::same_as<boost::asio::awaitable<void>>;
 };
 
-/// Size and time limits of the connections of one listener.
-struct http_limits
-{
-    std::uint32_t bodyBytes = 4U << 20U;
-    std::uint32_t headerBytes = 32U << 10U;
-    duration headerTimeout = std::chrono::seconds(10); ///< From the first byte of a request to its last.
-    duration idleTimeout = std::chrono::seconds(60); ///< Between two requests, and for one write.
-    /// If more connections than this are open, each one is closed after its next answer.
-    std::size_t maxKeepAliveConnections = std::numeric_limits<std::size_t>::max();
-};
-
 /// How the connections of a server are synchronized.
 enum class session_concurrency {
     strands, ///< Several threads run the context; each connection has its own strand.
@@ -46,9 +38,9 @@
 
 /// Listens on one address and serves HTTP/1.1 connections.
 ///
-/// Thread safe, except for setLimits() and setConnectionGate(). After stopAccepting(), connections with a running
-/// request finish it. Idle connections stay open for a short time and answer one more request, so that a request
-/// already on its way is not lost.
+/// Thread safe, except for setLimits(), setConnectionGate() and setMemoryBudget(). After stopAccepting(), connections
+/// with a running request finish it. Idle connections stay open for a short time and answer one more request, so that a
+/// request already on its way is not lost.
 template<http_handler Handler>
 class http_server : public std::enable_shared_from_this<http_server<Handler>>
 {
@@ -64,6 +56,10 @@
     /// being read, so that the caller retries on another router at the lowest cost for this one. Call before listen().
     auto setConnectionGate(std::function<bool()> mayAccept) -> void;
 
+    /// Counts the memory of all connections in \p budget, which outlives the server, and applies
+    /// http_limits::maxConnections. Call before listen(). Precondition: session_concurrency::singleThread.
+    auto setMemoryBudget(memory_budget &budget) -> void;
+
     /// Starts listening. Returns the port, or nothing if the server cannot listen on \p address.
     auto listen(const std::string &address, last_reason &why) -> std::optional<std::uint16_t>;
 
@@ -83,11 +79,9 @@
     auto serveRequests(boost::beast::tcp_stream &stream, std::string peer) -> boost::asio::awaitable<void>;
     auto waitForRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer)
         -> boost::asio::awaitable<bool>;
-    auto serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, const std::string &peer)
-        -> boost::asio::awaitable<bool>;
-    auto readHead(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, boost::system::error_code &error)
-        -> boost::asio::awaitable<bool>;
-    auto rejectRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, const std::string &peer,
+    auto serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, connection_memory &memory,
+                      const std::string &peer) -> boost::asio::awaitable<bool>;
+    auto rejectRequest(boost::beast::tcp_stream &stream, connection_memory &memory, const std::string &peer,
                        boost::system::error_code error) -> boost::asio::awaitable<void>;
     auto runHandler(http_exchange &exchange) -> boost::asio::awaitable<void>;
 
@@ -98,7 +92,10 @@
     http_limits m_limits;
     session_concurrency m_concurrency;
     std::function<bool()> m_connectionGate;
+    memory_budget *m_memoryBudget = nullptr;
+    connection_registry m_registry; ///< Used if there is a memory budget.
     counter &m_refusedConnections;
+    counter &m_connectionsOverLimit;
     tcp::acceptor m_acceptor;
     tcp m_protocol = tcp::v4();
     std::atomic<bool> m_stopping = false;
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -1,7 +1,7 @@
 #include "marjoramloom/core/endpoint.h"
 #include "marjoramloom/core/event_loop.h"
 #include "marjoramloom/core/log.h"
-#include "marjoramloom/router/request_head.h"
+#include "marjoramloom/router/request_reader.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -11,8 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
+#include <cassert>
 #include <cerrno>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -27,8 +26,8 @@
 constexpr int listenBacklog = 128;
 /// Connections accepted in one iteration of the event loop, so that an overloaded server still accepts new connections.
 constexpr std::size_t maxAcceptBatch = 128;
-/// Limit of the bytes that are buffered for the parser after a head: the frame of a chunk, or the trailers.
-constexpr std::size_t maxFramingBytes = 48U << 10U;
+/// An idle connection keeps a buffer of this size at most.
+constexpr std::size_t maxIdleBufferBytes = 4U << 10U;
 /// Delay after a failed accept, for example when no file descriptor is free.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -62,6 +61,7 @@
     , m_limits(limits)
     , m_concurrency(concurrency)
     , m_refusedConnections(counters.at("marjoramloom_connections_turned_away_total", "listener=\"" + m_name + "\""))
+    , m_connectionsOverLimit(counters.at("marjoramloom_connections_over_limit_total", "listener=\"" + m_name + "\""))
     , m_acceptor(makeExecutor())
 {
 }
@@ -103,6 +103,13 @@
     m_connectionGate = std::move(mayAccept);
 }
 
+template<http_handler Handler>
+auto http_server<Handler>::setMemoryBudget(memory_budget &budget) -> void
+{
+    assert(m_concurrency == session_concurrency::singleThread);
+    m_memoryBudget = &budget;
+}
+
 template<http_handler Handler>
 auto http_server<Handler>::stopAccepting() -> void
 {
@@ -142,6 +149,8 @@
                 socket.assign(m_protocol, descriptor, error);
                 if (error) {
                     ::close(descriptor);
+                } else if (!m_registry.makeRoom(m_limits.maxConnections)) {
+                    m_connectionsOverLimit.add();
                 } else {
                     spawnConnection(std::move(socket));
                 }
@@ -197,11 +206,32 @@
 auto http_server<Handler>::serveRequests(boost::beast::tcp_stream &stream, std::string peer)
     -> boost::asio::awaitable<void>
 {
+    auto memory = connection_memory(m_memoryBudget, peer);
+    if (!memory.hold(memory_use::connection, connection_memory::CONNECTION_BYTES)) {
+        co_return;
+    }
+    auto place = std::optional<connection_registry::entry>();
+    if (m_memoryBudget != nullptr) {
+        place.emplace(m_registry, [&stream] {
+            auto ignored = boost::system::error_code();
+            stream.socket().close(ignored);
+        });
+    }
     auto buffer = boost::beast::flat_buffer();
     while (co_await waitForRequest(stream, buffer)) {
-        if (!co_await serveRequest(stream, buffer, peer)) {
+        if (place) {
+            place->setState(connection_registry::state::busy);
+        }
+        if (!co_await serveRequest(stream, buffer, memory, peer)) {
             co_return;
         }
+        if (buffer.size() == 0 && buffer.capacity() > maxIdleBufferBytes) {
+            buffer.shrink_to_fit();
+        }
+        memory.hold(memory_use::request, buffer.capacity());
+        if (place) {
+            place->setState(connection_registry::state::idle);
+        }
     }
 }
 
@@ -240,37 +270,16 @@
 
 template<http_handler Handler>
 auto http_server<Handler>::serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer,
-                                        const std::string &peer) -> boost::asio::awaitable<bool>
+                                        connection_memory &memory, const std::string &peer)
+    -> boost::asio::awaitable<bool>
 {
-    auto parser = boost::beast::http::request_parser<boost::beast::http::string_body>();
-    parser.body_limit(m_limits.bodyBytes);
-    parser.header_limit(m_limits.headerBytes);
-    auto error = boost::system::error_code();
-    stream.expires_after(m_limits.headerTimeout);
-    if (!co_await readHead(stream, buffer, error)) {
-        stream.expires_never();
-        co_await rejectRequest(stream, buffer, peer, error);
+    auto reader = request_reader(stream, buffer, m_limits, memory);
+    if (!co_await reader.read()) {
+        co_await rejectRequest(stream, memory, peer, reader.error());
         co_return false;
     }
-    auto longFields = takeLongFields(buffer);
-    parser.eager(true);
-    buffer.consume(parser.put(buffer.data(), error));
-    if (error == boost::beast::http::error::need_more) {
-        error = {};
-    }
-    if (!error && !parser.is_done()) {
-        // Bounds the frames of chunks and the trailers, which the library buffers as a whole.
-        buffer.max_size(std::max(buffer.size(), maxFramingBytes));
-        co_await boost::beast::http::async_read(stream, buffer, parser,
-                                                boost::asio::redirect_error(boost::asio::use_awaitable, error));
-        buffer.max_size(std::numeric_limits<std::size_t>::max());
-    }
-    stream.expires_never();
-    if (error) {
-        co_await rejectRequest(stream, buffer, peer, error);
-        co_return false;
-    }
-    auto exchange = http_exchange(stream, buffer, parser.release(), peer, m_limits.idleTimeout, std::move(longFields));
+    auto exchange =
+        http_exchange(stream, memory, reader.releaseRequest(), peer, m_limits.idleTimeout, reader.releaseLongFields());
     if (m_stopping || m_connections > m_limits.maxKeepAliveConnections) {
         exchange.closeAfterAnswer();
     }
@@ -278,41 +287,18 @@
     co_return exchange.reusable() && !m_stopping;
 }
 
-/// Reads the complete head of the request and validates it. Returns false and sets \p error if the request cannot be
-/// served.
-template<http_handler Handler>
-auto http_server<Handler>::readHead(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer,
-                                    boost::system::error_code &error) -> boost::asio::awaitable<bool>
-{
-    constexpr std::size_t readSize = 16U << 10U;
-    while (true) {
-        const auto bytes = std::string_view(static_cast<const char *>(buffer.data().data()), buffer.size());
-        const auto state = checkRequestHead(bytes);
-        if (state == head_state::valid) {
-            co_return true;
-        }
-        if (state == head_state::malformed) {
-            error = boost::beast::http::error::bad_field;
-            co_return false;
-        }
-        if (bytes.size() > m_limits.headerBytes) {
-            error = boost::beast::http::error::header_limit;
-            co_return false;
-        }
-        const auto count = co_await stream.async_read_some(
-            buffer.prepare(readSize), boost::asio::redirect_error(boost::asio::use_awaitable, error));
-        if (error) {
-            co_return false;
-        }
-        buffer.commit(count);
-    }
-}
-
 template<http_handler Handler>
-auto http_server<Handler>::rejectRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer,
+auto http_server<Handler>::rejectRequest(boost::beast::tcp_stream &stream, connection_memory &memory,
                                          const std::string &peer, boost::system::error_code error)
     -> boost::asio::awaitable<void>
 {
+    if (error == boost::system::errc::not_enough_memory) {
+        log_line(log_level::warning, "memory_refusal").with("peer", peer);
+        auto exchange = http_exchange(stream, memory, {}, peer, m_limits.headerTimeout);
+        exchange.closeAfterAnswer();
+        co_await exchange.reply(refuseForMemory());
+        co_return;
+    }
     m_counters.at("marjoramloom_bad_requests_total", "listener=\"" + m_name + "\"").add();
     log_line(log_level::warning, "bad_request").with("peer", peer).with("detail", error.message());
     if (error == boost::beast::http::error::end_of_stream || error == boost::asio::error::eof
@@ -330,7 +316,7 @@
         answer.status = 408;
     }
     answer.headers.emplace_back("X-Not-Run", "invalid_input");
-    auto exchange = http_exchange(stream, buffer, {}, peer, m_limits.headerTimeout);
+    auto exchange = http_exchange(stream, memory, {}, peer, m_limits.headerTimeout);
     exchange.closeAfterAnswer();
     co_await exchange.reply(std::move(answer));
 }
--- a/src/call/http_connection.cpp
+++ b/src/call/http_connection.cpp
@@ -85,11 +85,17 @@
 
 auto http_connection::send(const request &message, duration limit, last_reason &why, std::string extraFields)
     -> asio::awaitable<bool>
+{
+    co_return co_await sendWithBody(message, message.body(), limit, why, std::move(extraFields));
+}
+
+auto http_connection::sendWithBody(const request &message, std::string_view body, duration limit, last_reason &why,
+                                   std::string extraFields) -> asio::awaitable<bool>
 {
     assert(!message.chunked());
     auto error = error_code();
     const auto head = formatHead(message, extraFields);
-    const auto buffers = std::array{ asio::buffer(head), asio::buffer(message.body()) };
+    const auto buffers = std::array{ asio::buffer(head), asio::const_buffer(body.data(), body.size()) };
     m_anythingSent = true;
     m_expectsNoBody = message.method() == http::verb::head;
     m_parser.reset();
--- a/src/gateway/traffic/answer_buffer.h
+++ b/src/gateway/traffic/answer_buffer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "marjoramloom/router/memory_budget.h"
+
 #include <algorithm>
 #include <cstddef>
 #include <string>
@@ -15,19 +17,22 @@
     /// forwarded.
     static constexpr auto MAX_BUFFERED_BYTES = std::size_t(16) << 20U;
 
-    /// Precondition: \p total, the bytes of all answers, outlives the object.
-    explicit answer_buffer(std::size_t &total)
+    /// Preconditions: \p total, the bytes of all answers, and \p memory outlive the object.
+    answer_buffer(std::size_t &total, connection_memory &memory)
         : m_total(total)
+        , m_memory(memory)
     {
     }
     ~answer_buffer()
     {
         m_total -= m_content.size();
+        m_memory.hold(memory_use::answer, 0);
     }
     answer_buffer(const answer_buffer &) = delete;
     auto operator=(const answer_buffer &) -> answer_buffer & = delete;
 
-    /// Appends \p part unless the answer would use more than half of the memory that the other answers leave.
+    /// Appends \p part unless the answer would use more than half of the memory that the other answers leave, or the
+    /// router has no room for it.
     auto append(std::string_view part) -> bool
     {
         const auto others = m_total - m_content.size();
@@ -35,11 +40,25 @@
         if (m_content.size() + part.size() > left / 2) {
             return false;
         }
+        const auto wanted = m_content.size() + part.size();
+        const auto capacity =
+            wanted > m_content.capacity() ? std::max(wanted, 2 * m_content.capacity()) : m_content.capacity();
+        if (!m_memory.hold(memory_use::answer, capacity)) {
+            m_lacksMemory = true;
+            return false;
+        }
+        m_content.reserve(capacity);
         m_content += part;
         m_total += part.size();
         return true;
     }
 
+    /// Whether append() failed because the router has no room, and not because the answer is too large.
+    [[nodiscard]] auto lacksMemory() const -> bool
+    {
+        return m_lacksMemory;
+    }
+
     [[nodiscard]] auto content() const -> const std::string &
     {
         return m_content;
@@ -47,6 +66,8 @@
 
 private:
     std::size_t &m_total;
+    connection_memory &m_memory;
+    bool m_lacksMemory = false;
     std::string m_content;
 };
 
--- a/src/gateway/traffic/gateway_call.cpp
+++ b/src/gateway/traffic/gateway_call.cpp
@@ -141,6 +141,7 @@
     if (m_streaming) {
         m_state.truncatedStreams.add();
         logCompletion("cut: " + m_why.text(), 200);
+        co_await m_exchange.flushRelay();
         m_exchange.abortEvents();
         co_return;
     }
--- a/src/gateway/traffic/gateway_call_answer.cpp
+++ b/src/gateway/traffic/gateway_call_answer.cpp
@@ -58,7 +58,8 @@
     const auto added = addedFields(attempt.chosen);
     const auto request = makeUpstreamRequest(added);
     auto longFields = platform::formatLongFields(m_exchange.request().base(), m_exchange.longFields(), added);
-    if (!co_await attempt.connection->send(request, remainingTime(), m_why, std::move(longFields))
+    if (!co_await attempt.connection->sendWithBody(request, m_exchange.request().body(), remainingTime(), m_why,
+                                                   std::move(longFields))
         || !co_await readMatchingHead(attempt)) {
         noteServerFailed(server);
         noteBroken(attempt, crash_sign::noAnswer);
@@ -122,11 +123,17 @@
 
 auto gateway_call::relayCompleteAnswer(send_attempt &attempt) -> asio::awaitable<attempt_outcome>
 {
-    auto body = answer_buffer(m_state.bufferedAnswerBytes);
+    auto body = answer_buffer(m_state.bufferedAnswerBytes, m_exchange.memory());
     const auto append = [&](std::string_view part) {
         return body.append(part);
     };
     if (!co_await attempt.connection->readAllParts(append, remainingTime(), m_why)) {
+        if (body.lacksMemory()) {
+            // The server has run the request and is not at fault.
+            m_why.fail(failure_kind::unknownOutcome, "read answer", attempt.chosen.server->id,
+                       "no memory for the answer");
+            co_return attempt_outcome::failed;
+        }
         noteServerFailed(*attempt.chosen.server);
         noteBroken(attempt, crash_sign::beganAnswer);
         co_return attempt_outcome::incomplete;
--- a/src/gateway/traffic/gateway_call_send.cpp
+++ b/src/gateway/traffic/gateway_call_send.cpp
@@ -136,6 +136,7 @@
     return added;
 }
 
+/// The head of the request to the server; the body is sent as the caller sent it.
 auto gateway_call::makeUpstreamRequest(const platform::forwarding_headers &added) const -> http_connection::request
 {
     const auto &original = m_exchange.request();
@@ -144,10 +145,9 @@
     request.method_string(original.method_string());
     request.target(original.target());
     platform::copyRequestFields(original.base(), added, request);
-    request.body() = original.body();
     const auto hadBody = original.find(http::field::content_length) != original.end() || original.chunked();
-    if (!request.body().empty() || hadBody) {
-        request.content_length(request.body().size());
+    if (!original.body().empty() || hadBody) {
+        request.content_length(original.body().size());
     }
     return request;
 }
--- a/src/gateway/traffic/gateway_handler.cpp
+++ b/src/gateway/traffic/gateway_handler.cpp
@@ -108,6 +108,7 @@
             co_return;
         }
         account = keyAccount->name;
+        exchange.memory().setAccount(account);
     }
     co_await forward(exchange, std::move(*request), *route, std::move(account));
 }
@@ -116,11 +117,16 @@
                               std::string account) -> asio::awaitable<void>
 {
     using namespace asio::experimental::awaitable_operators;
+    if (!exchange.memory().hold(memory_use::forwarding, connection_memory::FORWARDING_BYTES)) {
+        co_await refuse(exchange, request, unavailable, "no memory for the request");
+        co_return;
+    }
     auto call =
         gateway_call(m_state, m_dispatch, exchange, std::move(request), m_state.routes, route, std::move(account));
     auto control = call_control::make(co_await asio::this_coro::executor);
     const auto counted = running_request(m_state);
     co_await (call.run(control) || cancelOnCallerDisconnect(exchange, control));
+    exchange.memory().hold(memory_use::forwarding, 0);
 }
 
 auto gateway_handler::refuse(http_exchange &exchange, const routed_request &request, unsigned status,
--- a/src/gateway/traffic/gateway_process.cpp
+++ b/src/gateway/traffic/gateway_process.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cassert>
+#include <malloc.h>
 #include <random>
 
 namespace marjoramloom {
@@ -61,14 +62,30 @@
 /// connections, and each running request needs another descriptor for the connection to its backend server.
 constexpr auto idleConnectionFraction = 0.4;
 
+/// Fraction of the file descriptors for callers' connections in all. The rest is for connections to backend servers, to
+/// the store and between routers; a running request needs one of each kind.
+constexpr auto callerConnectionFraction = 0.6;
+
 auto httpLimits(const caller_limits &limits, const gateway_settings &settings) -> http_limits
 {
     return { .bodyBytes = limits.bodyBytes,
              .headerBytes = limits.headerBytes,
              .headerTimeout = limits.headerTimeout,
              .idleTimeout = limits.idleTimeout,
-             .maxKeepAliveConnections =
-                 static_cast<std::size_t>(settings.maxFileDescriptors * idleConnectionFraction) };
+             .maxKeepAliveConnections = static_cast<std::size_t>(settings.maxFileDescriptors * idleConnectionFraction),
+             .maxConnections = static_cast<std::size_t>(settings.maxFileDescriptors * callerConnectionFraction) };
+}
+
+/// Sets up the allocator so that the memory of bodies and answers returns to the system as soon as it is freed. By
+/// default, the size from which blocks are mapped grows with the blocks that are freed.
+auto releaseFreedMemory() -> void
+{
+#ifdef __GLIBC__
+    constexpr auto mappedBytes = 128 << 10;
+    constexpr auto keptFreeBytes = 1 << 20;
+    mallopt(M_MMAP_THRESHOLD, mappedBytes);
+    mallopt(M_TRIM_THRESHOLD, keptFreeBytes);
+#endif
 }
 
 } // namespace
@@ -90,8 +107,9 @@
     auto refreshReadiness() -> void;
 
     settings config;
-    asio::io_context context{ 1 };
     counter_registry counters;
+    memory_budget memory; ///< Outlives the connections, which the context owns.
+    asio::io_context context{ 1 };
     bool ready = false;
     gateway_state state;
     store_client store;
@@ -107,6 +125,7 @@
 
 gateway_process::components::components(settings initialSettings)
     : config(std::move(initialSettings))
+    , memory(memory_budget::limitFor(config.gateway->memoryMegabytes), counters)
     , state(*config.gateway, identityOf(config), counters, std::random_device()())
     , store(context.get_executor(), storeOptions(config), counters)
     , exchange(context.get_executor(), state, identityOf(config), makeIncarnation())
@@ -136,6 +155,8 @@
                                     [this](const auto &update) {
                                         relay.onUpdate(update);
                                     } });
+    releaseFreedMemory();
+    callerServer->setMemoryBudget(memory);
     callerServer->setConnectionGate([this] {
         const auto now = system_clock_source().now();
         return !state.loopDelay.isOverloaded(now) && state.pacing.mayAccept(now);
@@ -249,6 +270,7 @@
         || next->platform != config.platform;
     config.gateway = next->gateway;
     state.applySettings(*next->gateway);
+    memory.setLimit(memory_budget::limitFor(next->gateway->memoryMegabytes));
     log_line(log_level::info, "reload").with("outcome", needsRestart ? "taken over but for addresses" : "taken over");
 }
 
--- a/src/router/http_exchange.cpp
+++ b/src/router/http_exchange.cpp
@@ -1,10 +1,12 @@
 #include "marjoramloom/router/http_exchange.h"
 
+#include <algorithm>
+#include <array>
+#include <atomic>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/json.hpp>
@@ -69,10 +71,10 @@
 
 } // namespace
 
-http_exchange::http_exchange(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, request_type request,
+http_exchange::http_exchange(boost::beast::tcp_stream &stream, connection_memory &memory, request_type request,
                              std::string peer, duration writeTimeout, long_fields longFields)
     : m_stream(stream)
-    , m_buffer(buffer)
+    , m_memory(memory)
     , m_request(std::move(request))
     , m_longFields(std::move(longFields))
     , m_peer(std::move(peer))
@@ -81,6 +83,13 @@
 {
 }
 
+http_exchange::~http_exchange()
+{
+    if (m_output) {
+        m_output->detach();
+    }
+}
+
 auto http_exchange::request() const -> const request_type &
 {
     return m_request;
@@ -117,6 +126,11 @@
     return value.starts_with(bearerPrefix) ? value.substr(bearerPrefix.size()) : std::string_view();
 }
 
+auto http_exchange::memory() -> connection_memory &
+{
+    return m_memory;
+}
+
 auto http_exchange::closeAfterAnswer() -> void
 {
     m_reusable = false;
@@ -194,13 +208,22 @@
     assert(m_answered);
     auto text = std::exchange(m_unsentHead, {});
     text += formatChunk(data);
-    co_return co_await write(std::move(text));
+    m_reusable = co_await output().write(text) && m_reusable;
+    co_return !m_output->hasFailed();
+}
+
+auto http_exchange::flushRelay() -> asio::awaitable<bool>
+{
+    co_return !m_output || co_await m_output->drain();
 }
 
 auto http_exchange::finishRelay() -> asio::awaitable<bool>
 {
     assert(m_answered);
-    co_return co_await write(std::exchange(m_unsentHead, {}) + "0\r\n\r\n");
+    const auto written = co_await output().write(std::exchange(m_unsentHead, {}) + "0\r\n\r\n");
+    const auto isDone = written && co_await m_output->drain();
+    m_reusable = isDone && m_reusable;
+    co_return isDone;
 }
 
 auto http_exchange::relayComplete(const http::response_header<> &head, std::string_view body) -> asio::awaitable<bool>
@@ -215,10 +238,8 @@
         text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
     }
     text += "\r\n";
-    if (m_request.method() != http::verb::head) {
-        text += body;
-    }
-    co_return co_await write(std::move(text));
+    const auto hasBody = m_request.method() != http::verb::head;
+    co_return co_await write(std::move(text), hasBody ? body : std::string_view());
 }
 
 auto http_exchange::isCallerDisconnected() -> bool
@@ -262,7 +283,16 @@
     return m_reusable;
 }
 
-auto http_exchange::write(std::string text) -> asio::awaitable<bool>
+auto http_exchange::output() -> output_queue &
+{
+    if (!m_output) {
+        m_output = std::make_shared<output_queue>(m_stream.socket(), m_memory, m_writeTimeout);
+    }
+    return *m_output;
+}
+
+/// Sends \p text and then \p body, which outlives the write.
+auto http_exchange::write(std::string text, std::string_view body) -> asio::awaitable<bool>
 {
     auto error = boost::system::error_code();
     auto &socket = m_stream.socket();
@@ -270,17 +300,26 @@
     if (!socket.non_blocking()) {
         socket.non_blocking(true, error);
     }
-    const auto written = error ? std::size_t(0) : socket.write_some(asio::buffer(text), error);
-    if (!error && written == text.size()) {
-        co_return true;
+    auto rest = std::array{ asio::const_buffer(asio::buffer(text)), asio::const_buffer(body.data(), body.size()) };
+    const auto take = [&rest](std::size_t written) {
+        const auto ofText = std::min(written, rest[0].size());
+        rest[0] += ofText;
+        rest[1] += written - ofText;
+    };
+    take(error ? std::size_t(0) : socket.write_some(rest, error));
+    if (error == asio::error::would_block) {
+        error = {};
     }
-    if (error && error != asio::error::would_block) {
-        m_reusable = false;
-        co_return false;
+    if (asio::buffer_size(rest) > 0 && !error) {
+        const auto scope = eviction_scope(m_memory, "unread answer", [this] { abortEvents(); });
+        m_memory.noteProgress();
+        m_stream.expires_after(m_writeTimeout);
+        while (asio::buffer_size(rest) > 0 && !error) {
+            take(co_await m_stream.async_write_some(rest, asio::redirect_error(asio::use_awaitable, error)));
+            m_memory.noteProgress();
+        }
+        m_stream.expires_never();
     }
-    m_stream.expires_after(m_writeTimeout);
-    const auto buffer = asio::buffer(text) + written;
-    co_await asio::async_write(m_stream, buffer, asio::redirect_error(asio::use_awaitable, error));
     m_reusable = m_reusable && !error;
     co_return !error;
 }
@@ -336,4 +375,22 @@
     return answer;
 }
 
+auto refuseForMemory() -> http_reply
+{
+    // The values are spread so that callers refused together do not retry at the same moment.
+    constexpr auto firstRetrySeconds = 0.3;
+    constexpr auto retrySteps = 16U;
+    constexpr auto stepSeconds = 0.05;
+    static std::atomic<unsigned> refusals = 0;
+    auto seconds = std::array<char, 16>{};
+    std::snprintf(seconds.data(), seconds.size(), "%.2f", firstRetrySeconds + (refusals++ % retrySteps) * stepSeconds);
+    auto answer = http_reply();
+    answer.status = 503;
+    answer.contentType = "text/plain";
+    answer.body = "no memory for the request\n";
+    answer.headers.emplace_back("Retry-After", seconds.data());
+    answer.headers.emplace_back("X-Not-Run", nameOf(failure_kind::overloaded));
+    return answer;
+}
+
 } // namespace marjoramloom
