A refusal for lack of memory names the request

Cause: the gateway's other refusals carry the request's id; the 503 of a request that was not read to its end had none.

Change: a handler may add fields to such a refusal; the gateway adds the id and counts the refusal by its status.

--- a/include/marjoramloom/gateway/traffic/gateway_handler.h
+++ b/include/marjoramloom/gateway/traffic/gateway_handler.h
@@ -19,6 +19,9 @@
     /// Answers the request of \p exchange, or closes its connection where the caller has disconnected.
     auto handle(http_exchange &exchange) -> boost::asio::awaitable<void>;
 
+    /// Adds the request's id to its refusal.
+    auto addToRefusal(const boost::beast::http::request_header<> &head, http_reply &refusal) const -> void;
+
 private:
     auto refuse(http_exchange &exchange, const routed_request &request, unsigned status, std::string_view reason)
         -> boost::asio::awaitable<void>;
--- a/include/marjoramloom/router/http_server.h
+++ b/include/marjoramloom/router/http_server.h
@@ -6,6 +6,7 @@
 #include "marjoramloom/router/http_exchange.h"
 #include "marjoramloom/router/http_limits.h"
 #include "marjoramloom/router/memory_budget.h"
+#include "marjoramloom/router/request_reader.h"
 
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
@@ -21,7 +22,8 @@
 namespace marjoramloom {
 
 /// Requirements of a request handler. handle() is called on the strand of each connection, concurrently for several
-/// connections.
+/// connections. A handler may also have addToRefusal(head, reply), which adds fields to the refusal of a request that
+/// was not read to its end.
 template<typename Handler>
 concept http_handler = requires(Handler &handler, http_exchange &exchange)
 {
@@ -83,6 +85,8 @@
                       const std::string &peer) -> boost::asio::awaitable<bool>;
     auto rejectRequest(boost::beast::tcp_stream &stream, connection_memory &memory, const std::string &peer,
                        boost::system::error_code error) -> boost::asio::awaitable<void>;
+    auto refuseForLackOfMemory(boost::beast::tcp_stream &stream, connection_memory &memory, const std::string &peer,
+                               const request_reader &reader) -> boost::asio::awaitable<void>;
     auto runHandler(http_exchange &exchange) -> boost::asio::awaitable<void>;
 
     boost::asio::io_context &m_context;
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -1,7 +1,6 @@
 #include "marjoramloom/core/endpoint.h"
 #include "marjoramloom/core/event_loop.h"
 #include "marjoramloom/core/log.h"
-#include "marjoramloom/router/request_reader.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -275,7 +274,11 @@
 {
     auto reader = request_reader(stream, buffer, m_limits, memory);
     if (!co_await reader.read()) {
-        co_await rejectRequest(stream, memory, peer, reader.error());
+        if (reader.error() == boost::system::errc::not_enough_memory) {
+            co_await refuseForLackOfMemory(stream, memory, peer, reader);
+        } else {
+            co_await rejectRequest(stream, memory, peer, reader.error());
+        }
         co_return false;
     }
     auto exchange =
@@ -292,13 +295,6 @@
                                          const std::string &peer, boost::system::error_code error)
     -> boost::asio::awaitable<void>
 {
-    if (error == boost::system::errc::not_enough_memory) {
-        log_line(log_level::warning, "memory_refusal").with("peer", peer);
-        auto exchange = http_exchange(stream, memory, {}, peer, m_limits.headerTimeout);
-        exchange.closeAfterAnswer();
-        co_await exchange.reply(refuseForMemory());
-        co_return;
-    }
     m_counters.at("marjoramloom_bad_requests_total", "listener=\"" + m_name + "\"").add();
     log_line(log_level::warning, "bad_request").with("peer", peer).with("detail", error.message());
     if (error == boost::beast::http::error::end_of_stream || error == boost::asio::error::eof
@@ -321,6 +317,21 @@
     co_await exchange.reply(std::move(answer));
 }
 
+template<http_handler Handler>
+auto http_server<Handler>::refuseForLackOfMemory(boost::beast::tcp_stream &stream, connection_memory &memory,
+                                                 const std::string &peer, const request_reader &reader)
+    -> boost::asio::awaitable<void>
+{
+    log_line(log_level::warning, "memory_refusal").with("peer", peer);
+    auto answer = refuseForMemory();
+    if constexpr (requires { m_handler.addToRefusal(reader.head(), answer); }) {
+        m_handler.addToRefusal(reader.head(), answer);
+    }
+    auto exchange = http_exchange(stream, memory, {}, peer, m_limits.headerTimeout);
+    exchange.closeAfterAnswer();
+    co_await exchange.reply(std::move(answer));
+}
+
 template<http_handler Handler>
 auto http_server<Handler>::runHandler(http_exchange &exchange) -> boost::asio::awaitable<void>
 {
--- a/src/gateway/traffic/gateway_handler.cpp
+++ b/src/gateway/traffic/gateway_handler.cpp
@@ -113,6 +113,14 @@
     co_await forward(exchange, std::move(*request), *route, std::move(account));
 }
 
+auto gateway_handler::addToRefusal(const boost::beast::http::request_header<> &head, http_reply &refusal) const -> void
+{
+    m_state.counters.at("marjoramloom_refused_total", "status=\"" + std::to_string(refusal.status) + "\"").add();
+    if (const auto id = platform::requestId(head); !id.empty()) {
+        refusal.headers.emplace_back(platform::requestIdField, id);
+    }
+}
+
 auto gateway_handler::forward(http_exchange &exchange, routed_request request, const route_rule &route,
                               std::string account) -> asio::awaitable<void>
 {
--- a/tests/unit/router/http_server_test.cpp
+++ b/tests/unit/router/http_server_test.cpp
@@ -14,6 +14,11 @@
 /// Counts the requests and answers each with the same body.
 struct counting_handler
 {
+    auto addToRefusal(const boost::beast::http::request_header<> &head, http_reply &refusal) -> void
+    {
+        refusal.headers.emplace_back("X-Refused", std::string(head["X-Id"]));
+    }
+
     auto handle(http_exchange &exchange) -> boost::asio::awaitable<void>
     {
         ++handled;
@@ -110,4 +115,34 @@
     loop.join();
 }
 
+// A body that there is no room for is refused as not run, and others are served.
+BOOST_AUTO_TEST_CASE(a_body_without_room_is_refused_with_a_time_to_retry)
+{
+    auto counters = counter_registry();
+    auto budget = memory_budget(60'000, counters);
+    auto context = boost::asio::io_context(1);
+    auto handler = counting_handler();
+    auto server = std::make_shared<http_server<counting_handler>>(context, handler, counters, "test", http_limits(),
+                                                                  session_concurrency::singleThread);
+    server->setMemoryBudget(budget);
+    auto why = last_reason();
+    const auto port = server->listen("127.0.0.1:0", why);
+    BOOST_REQUIRE(port.has_value());
+    auto loop = std::thread([&] { context.run(); });
+    const auto address = "127.0.0.1:" + std::to_string(*port);
+    auto request = test::http_request();
+    request.method = "POST";
+    request.headers["X-Id"] = "large";
+    request.body = std::string(100'000, 'a');
+    const auto refusal = test::httpCall(address, request);
+    BOOST_TEST(refusal.status == 503U);
+    BOOST_TEST(refusal.headers.contains("retry-after"));
+    BOOST_TEST(refusal.headers.at("x-refused") == "large");
+    BOOST_TEST(handler.handled == 0);
+    request.body.resize(10'000);
+    BOOST_TEST(test::httpCall(address, request).body == "served");
+    context.stop();
+    loop.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
