--- a/src/gateway/traffic/gateway_call_answer.cpp
+++ b/src/gateway/traffic/gateway_call_answer.cpp
@@ -58,7 +58,8 @@
     const auto added = addedFields(attempt.chosen);
     const auto request = makeUpstreamRequest(added);
     auto longFields = platform::formatLongFields(m_exchange.request().base(), m_exchange.longFields(), added);
-    const auto isSent = co_await attempt.connection->send(request, remainingTime(), m_why, std::move(longFields));
+    const auto isSent = co_await attempt.connection->sendWithBody(request, m_exchange.request().body(), remainingTime(),
+                                                                  m_why, std::move(longFields));
     const auto standing = isSent ? co_await readMatchingHead(attempt) : std::nullopt;
     if (standing != answer_standing::own) {
         noteServerFailed(server);
@@ -149,11 +150,17 @@
 
 auto gateway_call::relayCompleteAnswer(send_attempt &attempt) -> asio::awaitable<attempt_outcome>
 {
-    auto body = answer_buffer(m_state.bufferedAnswerBytes);
+    auto body = answer_buffer(m_state.bufferedAnswerBytes, m_exchange.memory());
     const auto append = [&](std::string_view part) {
         return body.append(part);
     };
     if (!co_await attempt.connection->readAllParts(append, remainingTime(), m_why)) {
+        if (body.lacksMemory()) {
+            // The server has run the request and is not at fault.
+            m_why.fail(failure_kind::unknownOutcome, "read answer", attempt.chosen.server->id,
+                       "no memory for the answer");
+            co_return attempt_outcome::failed;
+        }
         noteServerFailed(*attempt.chosen.server);
         noteBroken(attempt, crash_sign::beganAnswer);
         co_return attempt_outcome::incomplete;
--- a/src/gateway/traffic/gateway_handler.cpp
+++ b/src/gateway/traffic/gateway_handler.cpp
@@ -112,6 +112,7 @@
             co_return;
         }
         account = keyAccount->name;
+        exchange.memory().setAccount(account);
     }
     if (m_state.settings.fairRefusals
         && !m_state.requestLimit.mayServe(account_usage::accountId(account), system_clock_source().now())) {
@@ -122,15 +123,28 @@
     co_await forward(exchange, std::move(*request), *route, std::move(account));
 }
 
+auto gateway_handler::addToRefusal(const boost::beast::http::request_header<> &head, http_reply &refusal) const -> void
+{
+    m_state.counters.at("marjoramloom_refused_total", "status=\"" + std::to_string(refusal.status) + "\"").add();
+    if (const auto id = platform::requestId(head); !id.empty()) {
+        refusal.headers.emplace_back(platform::requestIdField, id);
+    }
+}
+
 auto gateway_handler::forward(http_exchange &exchange, routed_request request, const route_rule &route,
                               std::string account) -> asio::awaitable<void>
 {
     using namespace asio::experimental::awaitable_operators;
+    if (!exchange.memory().hold(memory_use::forwarding, connection_memory::FORWARDING_BYTES)) {
+        co_await refuse(exchange, request, unavailable, "no memory for the request");
+        co_return;
+    }
     auto call =
         gateway_call(m_state, m_dispatch, exchange, std::move(request), m_state.routes, route, std::move(account));
     auto control = call_control::make(co_await asio::this_coro::executor);
     const auto counted = running_request(m_state);
     co_await (call.run(control) || cancelOnCallerDisconnect(exchange, control));
+    exchange.memory().hold(memory_use::forwarding, 0);
 }
 
 auto gateway_handler::refuse(http_exchange &exchange, const routed_request &request, unsigned status,
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -28,6 +28,10 @@
     std::string gatewaySettings; ///< Further lines of the routers' table `gateway`.
     double coldPerSecond = 0; ///< `cold_per_s` of the service.
     std::vector<std::string> serverZones; ///< Data centres of the backend servers; "north" for further ones.
+    int bodyBytes = 100'000; ///< Limit of a request's body in the configuration.
+    int headerTimeoutMs = 2'000; ///< Time limit of a request's head and body in the configuration.
+    int memoryMb = 0; ///< Setting memory_mb of the routers; 0 if it is not set.
+    int descriptors = 0; ///< Setting descriptors of the routers; 0 if it is not set.
     /// Optional. Returns the address at which the router with this index connects to the store, which listens at
     /// \p address.
     std::function<std::string(int router, const std::string &address)> storeAddressForRouter;
