A refusal reaches a client that is still sending

Cause: a connection that is closed with unread bytes is reset, by which the caller may lose the 413 or 503.

Change: after a refusal, the router ends its side and reads on for up to 0.2 s and 256 KB. A refused request keeps no buffer of what followed, which would have held 64 KB for each connection in that time.

--- a/include/marjoramloom/router/http_server.h
+++ b/include/marjoramloom/router/http_server.h
@@ -87,6 +87,7 @@
                        boost::system::error_code error) -> boost::asio::awaitable<void>;
     auto refuseForLackOfMemory(boost::beast::tcp_stream &stream, connection_memory &memory, const std::string &peer,
                                const request_reader &reader) -> boost::asio::awaitable<void>;
+    auto discardInput(boost::beast::tcp_stream &stream) -> boost::asio::awaitable<void>;
     auto runHandler(http_exchange &exchange) -> boost::asio::awaitable<void>;
 
     boost::asio::io_context &m_context;
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -27,6 +27,10 @@
 constexpr std::size_t maxAcceptBatch = 128;
 /// An idle connection keeps a buffer of this size at most.
 constexpr std::size_t maxIdleBufferBytes = 4U << 10U;
+/// Limits of what is read after the refusal of a request that was not read to its end.
+constexpr std::size_t maxDiscardedBytes = 256U << 10U;
+constexpr std::size_t discardReadBytes = 4U << 10U;
+constexpr auto discardTime = std::chrono::milliseconds(200);
 /// Delay after a failed accept, for example when no file descriptor is free.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -279,6 +283,7 @@
         } else {
             co_await rejectRequest(stream, memory, peer, reader.error());
         }
+        co_await discardInput(stream);
         co_return false;
     }
     auto exchange =
@@ -332,6 +337,21 @@
     co_await exchange.reply(std::move(answer));
 }
 
+/// Reads on for a short time after a refusal. A connection that is closed with unread bytes is reset, and the caller
+/// may lose the answer by that.
+template<http_handler Handler>
+auto http_server<Handler>::discardInput(boost::beast::tcp_stream &stream) -> boost::asio::awaitable<void>
+{
+    auto bytes = std::array<char, discardReadBytes>();
+    auto error = boost::system::error_code();
+    stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    stream.expires_after(discardTime);
+    for (auto discarded = std::size_t(0); !error && discarded < maxDiscardedBytes;) {
+        discarded += co_await stream.async_read_some(boost::asio::buffer(bytes),
+                                                     boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    }
+}
+
 template<http_handler Handler>
 auto http_server<Handler>::runHandler(http_exchange &exchange) -> boost::asio::awaitable<void>
 {
--- a/src/router/request_reader.cpp
+++ b/src/router/request_reader.cpp
@@ -156,6 +156,9 @@
     if (!m_error && !m_parser.is_done() && rest.size() > maxFramingBytes) {
         fail(http::error::buffer_overflow);
     }
+    if (m_error) {
+        return; // The request is refused, and what follows is not needed.
+    }
     m_buffer.commit(asio::buffer_copy(m_buffer.prepare(rest.size()), asio::buffer(rest)));
     countMemory(0);
 }
