The rest of a read behind a request stays within the reader's buffer

Callers saw: nothing yet; a caller could write past a thread-local buffer. Cause: bytes that arrived with an earlier request on a kept connection were kept without a limit, and only an assertion guarded the copy. Change: the limit of unparsed bytes holds for the rest of a read too, and a read never exceeds the buffer. A request's stall time starts with the request, not with the idle time of its connection before it. Test: an_endless_chunk_frame_behind_another_request_ends_its_connection_only.

--- a/include/marjoramloom/router/request_reader.h
+++ b/include/marjoramloom/router/request_reader.h
@@ -47,6 +47,7 @@
     auto readSome() -> boost::asio::awaitable<void>;
     auto parseAvailable() -> void;
     auto parse(std::string_view bytes) -> std::size_t;
+    auto limitFraming(std::size_t unparsed) -> void;
     auto countMemory(std::size_t added) -> void;
     auto evict() -> void;
     auto fail(boost::system::error_code error) -> void;
--- a/src/router/request_reader.cpp
+++ b/src/router/request_reader.cpp
@@ -57,12 +57,16 @@
 auto request_reader::read() -> asio::awaitable<bool>
 {
     m_stream.expires_after(m_limits.headerTimeout);
+    // The time for which the connection was idle before is no stall of this request.
+    m_memory.noteProgress();
     countMemory(0);
     co_await readHead();
     if (!m_error) {
         m_headBytes = m_buffer.size();
         m_longFields = takeLongFields(m_buffer);
         m_buffer.consume(parse(textOf(m_buffer)));
+        // Bytes that arrived with an earlier request may exceed what one read adds.
+        limitFraming(m_buffer.size());
         countMemory(0);
         co_await readBody();
     }
@@ -147,15 +151,14 @@
     assert(kept <= maxFramingBytes + waitReadBytes);
     std::memcpy(shared.data(), m_buffer.data().data(), kept);
     m_buffer.consume(kept);
-    const auto received = ::recv(m_stream.socket().native_handle(), shared.data() + kept, bodyReadBytes, MSG_DONTWAIT);
+    const auto received = ::recv(m_stream.socket().native_handle(), shared.data() + kept,
+                                 std::min(bodyReadBytes, shared.size() - kept), MSG_DONTWAIT);
     // The end of the connection, and errors, show at the next wait.
     const auto size = kept + static_cast<std::size_t>(std::max<ssize_t>(received, 0));
     const auto bytes = std::string_view(shared.data(), size);
     const auto parsed = parse(bytes);
     const auto rest = bytes.substr(parsed);
-    if (!m_error && !m_parser.is_done() && rest.size() > maxFramingBytes) {
-        fail(http::error::buffer_overflow);
-    }
+    limitFraming(rest.size());
     if (m_error) {
         return; // The request is refused, and what follows is not needed.
     }
@@ -163,6 +166,14 @@
     countMemory(0);
 }
 
+/// Ends the request if the parser leaves \p unparsed bytes of it, more than any frame of a chunk or trailer needs.
+auto request_reader::limitFraming(std::size_t unparsed) -> void
+{
+    if (!m_error && !m_parser.is_done() && unparsed > maxFramingBytes) {
+        fail(http::error::buffer_overflow);
+    }
+}
+
 /// Passes \p bytes to the parser. Returns how many it consumed.
 auto request_reader::parse(std::string_view bytes) -> std::size_t
 {
--- a/tests/unit/router/http_server_test.cpp
+++ b/tests/unit/router/http_server_test.cpp
@@ -3,6 +3,7 @@
 #include "support/fleet.h"
 #include "support/http_call.h"
 #include "support/keep_alive_client.h"
+#include "support/raw_connection.h"
 
 #include <boost/test/unit_test.hpp>
 #include <thread>
@@ -145,4 +146,31 @@
     loop.join();
 }
 
+// Guards against a write beyond the buffer of the reader: the rest of one read, which holds the next request, may be
+// larger than what a frame of a chunk may take.
+BOOST_AUTO_TEST_CASE(an_endless_chunk_frame_behind_another_request_ends_its_connection_only)
+{
+    auto counters = counter_registry();
+    auto context = boost::asio::io_context(1);
+    auto handler = counting_handler();
+    auto server = std::make_shared<http_server<counting_handler>>(context, handler, counters, "test", http_limits(),
+                                                                  session_concurrency::singleThread);
+    auto why = last_reason();
+    const auto port = server->listen("127.0.0.1:0", why);
+    BOOST_REQUIRE(port.has_value());
+    auto loop = std::thread([&] { context.run(); });
+    const auto address = "127.0.0.1:" + std::to_string(*port);
+    const auto first = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + std::string(5'000, 'b');
+    const auto second =
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(200'000, 'c');
+    for (auto round = 0; round < 5; ++round) {
+        auto caller = test::raw_connection(address);
+        caller.sendRepeatedly(first + second, 1);
+        caller.readAll();
+    }
+    BOOST_TEST(test::httpCall(address, {}).body == "served");
+    context.stop();
+    loop.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
