A router that does not know which data centres are evacuated refuses requests

Cause: only readiness checked the set; the balancer also sends to routers that are not ready. A server that stopped being cold between two reads of the clock left a null reservation. 413 for a prompt that fits no engine was answered with 421. Change: the handler refuses with 503 until the set is known; the reservation is checked; 421 only follows a send.

--- a/src/gateway/traffic/gateway_call.cpp
+++ b/src/gateway/traffic/gateway_call.cpp
@@ -157,7 +157,7 @@
         m_exchange.abortEvents();
         co_return;
     }
-    if (!m_mayHaveRun && m_why.kind == failure_kind::invalidInput) {
+    if (!m_mayHaveRun && m_sendCount > 0 && m_why.kind == failure_kind::invalidInput) {
         // A server refused the request itself (421). No Retry-After: it would be refused again.
         co_await refuse(misdirectedRequest, m_why.text());
         co_return;
--- a/src/gateway/traffic/gateway_call_cold.cpp
+++ b/src/gateway/traffic/gateway_call_cold.cpp
@@ -67,7 +67,7 @@
     }
     // The server may have turned cold since it was chosen.
     m_isColdRefused = !m_coldLease && !mayUse(chosen, why);
-    if (!m_isColdRefused && !m_coldLease->noteSent(now)) {
+    if (!m_isColdRefused && m_coldLease && !m_coldLease->noteSent(now)) {
         m_state.coldRefusals.add();
         why.fail(failure_kind::overloaded, "send request", chosen.server->id, "the reservation is too old");
         m_isColdRefused = true;
--- a/src/gateway/traffic/gateway_handler.cpp
+++ b/src/gateway/traffic/gateway_handler.cpp
@@ -83,7 +83,7 @@
         co_return;
     }
     const auto routes = m_state.routes;
-    if (!routes || !m_state.hasServers) {
+    if (!routes || !m_state.hasServers || !m_state.areEvacuationsKnown()) {
         co_await refuse(exchange, *request, unavailable, "no configuration yet");
         co_return;
     }
