KV memory ledger: sizes that callers state differently, output of queries, ended grants

Cause: the first user's size of a shared block was added and the last user's subtracted, so a caller could make an engine look full for good; queries to the dispatcher had no output tokens; ended grants of one of more than 16 dispatchers counted for 5 s; routers that had stopped lowered the limit; a router that decides alone listed all routers for each candidate. Change: the size is kept with the block, sums have 64 bits, queries carry the output limit, a report holds only its recipient's grants, and callers take less than half of the descriptors. Not measured yet.

--- a/include/marjoramloom/gateway/decisions/engine_memory.h
+++ b/include/marjoramloom/gateway/decisions/engine_memory.h
@@ -22,14 +22,18 @@
     /// commit \p ungrantedTokens beside those that this router granted.
     [[nodiscard]] auto fits(const listed_server &server, std::uint64_t id, std::uint64_t ungrantedTokens) const -> bool;
 
+    /// Whether \p prompt and its answer exceed the memory of every engine of \p service, where memory is limited.
+    [[nodiscard]] static auto exceedsEveryEngine(const gateway_settings &settings, const routed_service &service,
+                                                 const prompt_summary &prompt) -> bool;
+
     /// Whether fits() found an engine without room.
     [[nodiscard]] auto anyRejected() const -> bool;
 
     /// What prefilling the prompt's shared prefix again costs the other prompts.
     [[nodiscard]] auto rereadCost() const -> reread_cost;
 
-    /// Fraction of the memory of \p server that is committed with the prompt; 0 if memory is not limited. For a router
-    /// that decides alone it is 1, as it does not know what others commit.
+    /// Fraction of the memory of \p server that is committed with the prompt, as far as this router knows; 0 if memory
+    /// is not limited.
     [[nodiscard]] auto useWith(const listed_server &server) const -> double;
 
 private:
@@ -40,7 +44,8 @@
     memory_scope m_scope;
     bool m_limited; ///< Placements must not exceed the memory.
     memory_commitment m_commitment;
-    std::uint32_t m_fullTokens = 0; ///< Of m_commitment.
+    std::uint64_t m_fullTokens = 0; ///< Of m_commitment.
+    std::vector<std::uint64_t> m_others; ///< The other routers, if this one decides alone.
     std::uint64_t m_dispatcherLimit = 0;
     double m_shortage = 0;
     mutable bool m_anyRejected = false;
--- a/include/marjoramloom/gateway/decisions/memory_grants.h
+++ b/include/marjoramloom/gateway/decisions/memory_grants.h
@@ -15,10 +15,10 @@
 struct memory_commitment
 {
     std::vector<prefix_block> shared; ///< Blocks that other requests may use, too.
-    std::uint32_t ownTokens = 0; ///< The rest of the prompt, and the upper limit of the output.
+    std::uint64_t ownTokens = 0; ///< The rest of the prompt, and the upper limit of the output.
 
     /// The commitment of a request that shares its blocks with no other one.
-    [[nodiscard]] auto fullTokens() const -> std::uint32_t;
+    [[nodiscard]] auto fullTokens() const -> std::uint64_t;
 
     [[nodiscard]] static auto of(const prompt_summary &prompt) -> memory_commitment;
 };
@@ -40,7 +40,7 @@
     /// Ends the grants of \p router up to \p last that it does not hold any more, and renews the others. Returns the
     /// sum of their fullTokens() at each engine.
     auto reconcile(std::uint64_t router, std::uint64_t last, const std::set<std::uint64_t> &held, time_point now)
-        -> std::map<std::uint64_t, std::uint32_t>;
+        -> std::map<std::uint64_t, std::uint64_t>;
 
     /// Ends the grants of \p router, which stops.
     auto removeRouter(std::uint64_t router) -> void;
@@ -62,11 +62,16 @@
         memory_commitment commitment;
         time_point renewedAt;
     };
+    struct used_block
+    {
+        std::size_t users = 0;
+        std::uint32_t tokens = 0; ///< As its first user stated it; callers may state different sizes.
+    };
     struct engine_memory
     {
         std::uint64_t tokens = 0;
         std::size_t grants = 0;
-        std::unordered_map<std::uint64_t, std::uint32_t> blockUsers; ///< Grants that use each shared block.
+        std::unordered_map<std::uint64_t, used_block> blocks; ///< The shared blocks in use.
     };
 
     auto subtract(const grant &ended) -> void;
--- a/include/marjoramloom/gateway/knowledge/load_exchange.h
+++ b/include/marjoramloom/gateway/knowledge/load_exchange.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -77,6 +78,7 @@
     struct report_scope
     {
         std::vector<std::pair<std::string, engine_shard>> shards; ///< With the names of their services.
+        std::optional<std::uint64_t> recipient; ///< Router id of the dispatcher that gets the report; nothing for all.
 
         [[nodiscard]] auto contains(const listed_server &server) const -> bool;
     };
--- a/include/marjoramloom/gateway/knowledge/router_roster.h
+++ b/include/marjoramloom/gateway/knowledge/router_roster.h
@@ -40,6 +40,7 @@
 
     [[nodiscard]] auto self() const -> std::uint64_t;
     [[nodiscard]] auto size() const -> std::size_t; ///< This router included.
+    [[nodiscard]] auto runningRouters() const -> std::size_t; ///< Those that have not announced that they stop.
     [[nodiscard]] auto knows(std::uint64_t id) const -> bool;
 
     /// Whether most other known routers of the same data centre have less processor time than this one.
@@ -98,6 +99,7 @@
     std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> m_dispatchOrders;
     std::vector<std::uint64_t> m_watchOrder;
     std::unordered_map<std::string, std::string> m_regions; ///< By data centre.
+    std::size_t m_stoppedRouters = 0;
     bool m_isComplete = false;
 };
 
--- a/include/marjoramloom/gateway/traffic/slot_lease.h
+++ b/include/marjoramloom/gateway/traffic/slot_lease.h
@@ -28,6 +28,7 @@
     /// The grants of one dispatcher.
     struct dispatcher_grants
     {
+        std::uint64_t router = 0; ///< Router id of the dispatcher.
         std::uint64_t last = 0; ///< Highest number received.
         std::set<std::uint64_t> held; ///< Numbers of the grants whose requests have not ended.
     };
@@ -35,7 +36,8 @@
     /// \p send delivers a release to the router with that id, or loses it silently.
     explicit held_grants(send_release send);
 
-    auto add(std::uint64_t dispatcher, std::uint64_t grant) -> void;
+    /// Adds a grant of the dispatcher with the incarnation \p dispatcher, which is the router with the id \p router.
+    auto add(std::uint64_t router, std::uint64_t dispatcher, std::uint64_t grant) -> void;
 
     /// Removes the grant and sends the release to the dispatcher, which is the router with the id \p router.
     auto release(std::uint64_t router, const slot_release &release) -> void;
@@ -44,8 +46,9 @@
     [[nodiscard]] auto all() const -> const std::unordered_map<std::uint64_t, dispatcher_grants> &;
 
 private:
-    /// Dispatchers without grants are removed once this many are known.
-    static constexpr std::size_t MAX_DISPATCHERS = 16;
+    /// Dispatchers without grants are removed once this many are known. A dispatcher that is removed before the next
+    /// report counts its ended grants until they expire, so this exceeds the number of shards at 2,800 engines (128).
+    static constexpr std::size_t MAX_DISPATCHERS = 512;
 
     send_release m_send;
     std::unordered_map<std::uint64_t, dispatcher_grants> m_grants;
--- a/src/gateway/decisions/engine_memory.cpp
+++ b/src/gateway/decisions/engine_memory.cpp
@@ -17,9 +17,10 @@
     m_shortage = memoryShortage(state.accounts.fleetTokens(now), sliding_window_sum::LENGTH, m_kvTokens * engines);
     if (m_limited) {
         state.memoryGrants.expire(now);
-        const auto routers = static_cast<double>(state.roster.size());
+        const auto routers = static_cast<double>(state.roster.runningRouters());
         const auto known = static_cast<double>(state.fleet.reportingRouters() + 1) / routers;
         m_dispatcherLimit = memory_limit::ofDispatcher(m_kvTokens, known);
+        m_others = scope == memory_scope::alone ? state.roster.others() : std::vector<std::uint64_t>();
     }
 }
 
@@ -37,6 +38,13 @@
     return isFitting;
 }
 
+auto engine_memory::exceedsEveryEngine(const gateway_settings &settings, const routed_service &service,
+                                       const prompt_summary &prompt) -> bool
+{
+    return settings.limitEngineMemory && service.engine
+        && !memory_limit::canEverFit(service.engine->kvCapacityTokens, memory_commitment::of(prompt).fullTokens());
+}
+
 auto engine_memory::anyRejected() const -> bool
 {
     return m_anyRejected;
@@ -44,7 +52,8 @@
 
 auto engine_memory::rereadCost() const -> reread_cost
 {
-    return { .sharedTokens = m_fullTokens - m_commitment.ownTokens, .memoryShortage = m_shortage };
+    return { .sharedTokens = static_cast<std::uint32_t>(m_fullTokens - m_commitment.ownTokens),
+             .memoryShortage = m_shortage };
 }
 
 auto engine_memory::useWith(const listed_server &server) const -> double
@@ -52,9 +61,6 @@
     if (!m_limited) {
         return 0;
     }
-    if (m_scope == memory_scope::alone) {
-        return 1;
-    }
     const auto id = server_loads::incarnationId(server);
     const auto committed = m_state.loads.at(server).committedTokens + m_state.fleet.loadOnEngine(id).committedTokens
         + m_state.memoryGrants.committedTokens(id);
@@ -65,7 +71,7 @@
 {
     return m_scope == memory_scope::dispatcher
         ? m_dispatcherLimit
-        : memory_limit::ofRouter(m_kvTokens, server.id, m_state.roster.self(), m_state.roster.others());
+        : memory_limit::ofRouter(m_kvTokens, server.id, m_state.roster.self(), m_others);
 }
 
 } // namespace marjoramloom
--- a/src/gateway/decisions/memory_grants.cpp
+++ b/src/gateway/decisions/memory_grants.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-auto memory_commitment::fullTokens() const -> std::uint32_t
+auto memory_commitment::fullTokens() const -> std::uint64_t
 {
     auto tokens = ownTokens;
     for (const auto &block : shared) {
@@ -23,13 +23,13 @@
 
 auto memory_commitment::of(const prompt_summary &prompt) -> memory_commitment
 {
-    auto commitment =
-        memory_commitment{ .shared = prompt.parts, .ownTokens = prompt.promptTokens + prompt.outputTokens };
+    auto commitment = memory_commitment{ .shared = prompt.parts,
+                                         .ownTokens = std::uint64_t(prompt.promptTokens) + prompt.outputTokens };
     if (!commitment.shared.empty()) {
         commitment.shared.pop_back(); // Only this request uses the last block.
     }
     for (const auto &block : commitment.shared) {
-        commitment.ownTokens -= std::min(commitment.ownTokens, block.tokens);
+        commitment.ownTokens -= std::min<std::uint64_t>(commitment.ownTokens, block.tokens);
     }
     return commitment;
 }
@@ -41,16 +41,20 @@
     ++memory.grants;
     memory.tokens += commitment.ownTokens;
     for (const auto &block : commitment.shared) {
-        memory.tokens += memory.blockUsers[block.id]++ == 0 ? block.tokens : 0;
+        auto &used = memory.blocks[block.id];
+        if (used.users++ == 0) {
+            used.tokens = block.tokens;
+            memory.tokens += block.tokens;
+        }
     }
     m_routers[router].emplace(++m_lastNumber, grant{ engine, std::move(commitment), now });
     return m_lastNumber;
 }
 
 auto memory_grants::reconcile(std::uint64_t router, std::uint64_t last, const std::set<std::uint64_t> &held,
-                              time_point now) -> std::map<std::uint64_t, std::uint32_t>
+                              time_point now) -> std::map<std::uint64_t, std::uint64_t>
 {
-    auto retained = std::map<std::uint64_t, std::uint32_t>();
+    auto retained = std::map<std::uint64_t, std::uint64_t>();
     const auto known = m_routers.find(router);
     if (known == m_routers.end()) {
         return retained;
@@ -110,9 +114,9 @@
 auto memory_grants::additionalTokens(std::uint64_t engine, const memory_commitment &commitment) const -> std::uint64_t
 {
     const auto found = m_engines.find(engine);
-    auto tokens = std::uint64_t(commitment.ownTokens);
+    auto tokens = commitment.ownTokens;
     for (const auto &block : commitment.shared) {
-        const auto isUsed = found != m_engines.end() && found->second.blockUsers.contains(block.id);
+        const auto isUsed = found != m_engines.end() && found->second.blocks.contains(block.id);
         tokens += isUsed ? 0 : block.tokens;
     }
     return tokens;
@@ -125,10 +129,10 @@
     auto &memory = found->second;
     memory.tokens -= ended.commitment.ownTokens;
     for (const auto &block : ended.commitment.shared) {
-        const auto users = memory.blockUsers.find(block.id);
-        if (--users->second == 0) {
-            memory.tokens -= block.tokens;
-            memory.blockUsers.erase(users);
+        const auto used = memory.blocks.find(block.id);
+        if (--used->second.users == 0) {
+            memory.tokens -= used->second.tokens;
+            memory.blocks.erase(used);
         }
     }
     if (--memory.grants == 0) {
--- a/src/gateway/knowledge/datagram_codec.cpp
+++ b/src/gateway/knowledge/datagram_codec.cpp
@@ -103,6 +103,7 @@
     query.account = message.account();
     query.prompt.parts = std::move(*blocks);
     query.prompt.promptTokens = message.prompt_tokens();
+    query.prompt.outputTokens = message.output_tokens();
     query.failedServers.insert(message.failed().begin(), message.failed().end());
     query.fullServers.insert(message.refused().begin(), message.refused().end());
     query.coldServers.insert(message.cold_servers().begin(), message.cold_servers().end());
@@ -121,6 +122,7 @@
     message.set_service(query.service);
     writePrefixBlocks(query.prompt.parts, message);
     message.set_prompt_tokens(query.prompt.promptTokens);
+    message.set_output_tokens(query.prompt.outputTokens);
     message.set_account(query.account);
     message.set_objective_ms(
         static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(query.objective).count()));
--- a/src/gateway/knowledge/grant_reports.cpp
+++ b/src/gateway/knowledge/grant_reports.cpp
@@ -8,13 +8,14 @@
 namespace {
 
 /// Reduces \p field of each engine in \p snapshot by the amount in \p retained.
-auto subtract(const std::map<std::uint64_t, std::uint32_t> &retained, std::uint32_t engine_load::*field,
+template<typename Amount>
+auto subtract(const std::map<std::uint64_t, Amount> &retained, std::uint32_t engine_load::*field,
               load_snapshot &snapshot) -> void
 {
     for (auto &load : snapshot.engines) {
         const auto granted = retained.find(load.server);
         if (granted != retained.end()) {
-            load.*field -= std::min(load.*field, granted->second);
+            load.*field -= static_cast<std::uint32_t>(std::min<std::uint64_t>(load.*field, granted->second));
         }
     }
 }
@@ -26,9 +27,13 @@
 
 } // namespace
 
-auto writeHeldGrants(const held_grants &held, google::protobuf::RepeatedPtrField<wire::SlotsHeld> &messages) -> void
+auto writeHeldGrants(const held_grants &held, std::optional<std::uint64_t> recipient,
+                     google::protobuf::RepeatedPtrField<wire::SlotsHeld> &messages) -> void
 {
     for (const auto &[dispatcher, grants] : held.all()) {
+        if (recipient && grants.router != *recipient) {
+            continue;
+        }
         auto *message = messages.Add();
         message->set_dispatcher(dispatcher);
         message->set_last(grants.last);
--- a/src/gateway/knowledge/grant_reports.h
+++ b/src/gateway/knowledge/grant_reports.h
@@ -6,8 +6,10 @@
 
 namespace marjoramloom {
 
-/// Adds the grants \p held by this router to a report, in one message for each dispatcher.
-auto writeHeldGrants(const held_grants &held, google::protobuf::RepeatedPtrField<wire::SlotsHeld> &messages) -> void;
+/// Adds the grants \p held by this router to a report, in one message for each dispatcher; only those of the dispatcher
+/// \p recipient (a router id) if it is given.
+auto writeHeldGrants(const held_grants &held, std::optional<std::uint64_t> recipient,
+                     google::protobuf::RepeatedPtrField<wire::SlotsHeld> &messages) -> void;
 
 /// Updates what the sender of \p snapshot holds of the grants of this dispatcher, which has the incarnation \p
 /// dispatcher, and removes these from the loads in \p snapshot, as they are counted already.
--- a/src/gateway/knowledge/load_exchange.cpp
+++ b/src/gateway/knowledge/load_exchange.cpp
@@ -183,6 +183,7 @@
             probeSilentDispatchers(service.name, shard, now);
             const auto dispatcher = m_dispatch.dispatcherOf(service.name, index, now);
             if (dispatcher != m_state.roster.self()) {
+                scopes[dispatcher].recipient = dispatcher;
                 scopes[dispatcher].shards.emplace_back(service.name, shard);
             }
         }
@@ -206,7 +207,7 @@
         auto &last = m_lastProbeSent[router];
         if (now - last >= probePeriod) {
             last = now;
-            auto report = makeReport({ .shards = { { service, shard } } });
+            auto report = makeReport({ .shards = { { service, shard } }, .recipient = router });
             send(router, report);
         }
     }
@@ -250,8 +251,8 @@
         placementHeard->set_dispatcher(dispatcher);
         placementHeard->set_sequence(sequence);
     }
-    writeHeldGrants(m_dispatch.heldGrants(), *report.mutable_slots());
-    writeHeldGrants(m_dispatch.heldMemory(), *report.mutable_memory());
+    writeHeldGrants(m_dispatch.heldGrants(), scope.recipient, *report.mutable_slots());
+    writeHeldGrants(m_dispatch.heldMemory(), scope.recipient, *report.mutable_memory());
     return datagram;
 }
 
--- a/src/gateway/knowledge/router_roster.cpp
+++ b/src/gateway/knowledge/router_roster.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace marjoramloom {
 
@@ -45,6 +46,11 @@
     return m_routers.size();
 }
 
+auto router_roster::runningRouters() const -> std::size_t
+{
+    return m_routers.size() - m_stoppedRouters;
+}
+
 auto router_roster::knows(std::uint64_t id) const -> bool
 {
     return m_routers.contains(id);
@@ -119,7 +125,7 @@
     const auto found = m_routers.find(id);
     if (found != m_routers.end()) {
         found->second.unansweredSince.reset();
-        found->second.stopped = false;
+        m_stoppedRouters -= std::exchange(found->second.stopped, false) ? 1 : 0;
     }
 }
 
@@ -128,7 +134,7 @@
     noteRequestSent(id, now);
     const auto found = m_routers.find(id);
     if (found != m_routers.end()) {
-        found->second.stopped = true;
+        m_stoppedRouters += std::exchange(found->second.stopped, true) ? 0 : 1;
     }
 }
 
--- a/src/gateway/traffic/gateway_call_choice.cpp
+++ b/src/gateway/traffic/gateway_call_choice.cpp
@@ -2,6 +2,7 @@
 #include "marjoramloom/gateway/traffic/gateway_call.h"
 
 #include "marjoramloom/core/hash.h"
+#include "marjoramloom/gateway/decisions/engine_memory.h"
 #include "marjoramloom/gateway/decisions/paused_choice.h"
 
 namespace marjoramloom {
@@ -24,9 +25,7 @@
 
 auto gateway_call::chooseEngineForPrompt(last_reason &why) -> asio::awaitable<std::optional<chosen_server>>
 {
-    const auto neededTokens = memory_commitment::of(m_request.prompt).fullTokens();
-    if (m_state.settings.limitEngineMemory
-        && !memory_limit::canEverFit(m_service->engine->kvCapacityTokens, neededTokens)) {
+    if (engine_memory::exceedsEveryEngine(m_state.settings, *m_service, m_request.prompt)) {
         why.fail(failure_kind::invalidInput, "choose engine", m_service->name,
                  "the prompt and its answer exceed the memory of every engine");
         co_return std::nullopt;
--- a/src/gateway/traffic/gateway_call_notes.cpp
+++ b/src/gateway/traffic/gateway_call_notes.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-/// An engine whose requests commit this fraction of its KV memory may have crashed for lack of it. The limit of
-/// placements is 0.9; what routers decided alone comes on top.
-constexpr double crashingMemoryUse = 0.85;
+/// An engine whose requests commit this fraction of its KV memory may have crashed for lack of it. Placements by a
+/// dispatcher stay below 0.9, so that its engines' crashes remain evidence under load.
+constexpr double crashingMemoryUse = 0.95;
 
 } // namespace
 
--- a/src/gateway/traffic/gateway_process.cpp
+++ b/src/gateway/traffic/gateway_process.cpp
@@ -67,8 +67,8 @@
 constexpr auto idleConnectionFraction = 0.4;
 
 /// Fraction of the file descriptors for callers' connections in all. The rest is for connections to backend servers, to
-/// the store and between routers; a running request needs one of each kind.
-constexpr auto callerConnectionFraction = 0.6;
+/// the store and between routers; a running request needs one of each kind, so that callers may hold less than half.
+constexpr auto callerConnectionFraction = 0.45;
 
 auto httpLimits(const caller_limits &limits, const gateway_settings &settings) -> http_limits
 {
@@ -147,7 +147,8 @@
     , statusHandler(
           ready, counters, [this] { return placesStatus(state); }, explainer, config.operatorKeyHash)
     , callerServer(std::make_shared<http_server<gateway_handler>>(context, callerHandler, counters, "callers",
-                                                                  http_limits(), session_concurrency::singleThread))
+                                                                  httpLimits(caller_limits(), *config.gateway),
+                                                                  session_concurrency::singleThread))
     , statusServer(std::make_shared<http_server<status_handler>>(context, statusHandler, counters, "operators",
                                                                  http_limits(), session_concurrency::singleThread))
     , feed(context.get_executor(), store, state,
--- a/src/gateway/traffic/request_explainer.cpp
+++ b/src/gateway/traffic/request_explainer.cpp
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/core/hash.h"
 #include "marjoramloom/gateway/decisions/cold_choice.h"
+#include "marjoramloom/gateway/decisions/engine_memory.h"
 #include "marjoramloom/gateway/decisions/paused_choice.h"
 
 #include <algorithm>
@@ -78,6 +79,11 @@
             + formatNumber(toMilliseconds(left)) + " ms";
         co_return answer;
     }
+    if (!query.plain && engine_memory::exceedsEveryEngine(m_state.settings, *service, asked.request.prompt)) {
+        answer = toJson(trace, name);
+        answer["outcome"] = "refused: the prompt and its answer exceed the memory of every engine (413)";
+        co_return answer;
+    }
     auto why = last_reason();
     if (!restrictToPlaces(m_state, routes->regionsOf(*route, *account), system_clock_source().now(), query, why)) {
         traceServers(query, trace);
--- a/src/gateway/traffic/slot_lease.cpp
+++ b/src/gateway/traffic/slot_lease.cpp
@@ -9,12 +9,13 @@
 {
 }
 
-auto held_grants::add(std::uint64_t dispatcher, std::uint64_t grant) -> void
+auto held_grants::add(std::uint64_t router, std::uint64_t dispatcher, std::uint64_t grant) -> void
 {
     if (m_grants.size() >= MAX_DISPATCHERS) {
         std::erase_if(m_grants, [](const auto &entry) { return entry.second.held.empty(); });
     }
     auto &grants = m_grants[dispatcher];
+    grants.router = router;
     grants.last = std::max(grants.last, grant);
     grants.held.insert(grant);
 }
@@ -42,7 +43,7 @@
     , m_release{ .dispatcher = dispatcher, .grant = grant, .latency = {}, .serverFull = false }
 {
     if (const auto held = m_grants.lock()) {
-        held->add(dispatcher, grant);
+        held->add(router, dispatcher, grant);
     }
 }
 
