--- a/bench/placement_sim.cpp
+++ b/bench/placement_sim.cpp
@@ -360,8 +360,9 @@
                        const auto retained = dispatcher.memoryGrants.reconcile(from, last, held, m_events.now());
                        for (auto &load : snapshot.engines) {
                            const auto granted = retained.find(load.server);
+                           const auto tokens = granted == retained.end() ? 0 : granted->second;
                            load.committedTokens -=
-                               granted == retained.end() ? 0 : std::min(load.committedTokens, granted->second);
+                               static_cast<std::uint32_t>(std::min<std::uint64_t>(load.committedTokens, tokens));
                        }
                        if (dispatcher.fleet.update(snapshot, m_events.now())) {
                            dispatcher.placements.acknowledge(from, heard);
