--- /dev/null
+++ b/include/marjoramloom/gateway/knowledge/admission_record.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "marjoramloom/core/clock.h"
+#include "marjoramloom/core/enum_names.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace marjoramloom {
+
+/// What a dispatcher decided about a prompt.
+enum class admission_result {
+    placed,
+    expectedLate, ///< Refused: the expected wait is beyond the limit for the account.
+    noRoom, ///< Refused: no engine has a free slot, or enough free KV memory, for a prompt of the account.
+};
+
+template<>
+struct enum_names<admission_result>
+{
+    static constexpr std::array table{
+        enum_name<admission_result>{ admission_result::placed, "placed" },
+        enum_name<admission_result>{ admission_result::expectedLate, "expected_late" },
+        enum_name<admission_result>{ admission_result::noRoom, "no_room" },
+    };
+};
+
+/// One decision about a prompt, with the inputs that depend on its account.
+struct admission_decision
+{
+    std::uint64_t account = 0; ///< From account_usage::accountId().
+    std::uint64_t tokens = 0; ///< Tokens of the prompt and twice its expected output.
+    admission_result result = admission_result::placed;
+    double accountShare = 0; ///< The account's recent share of all work, from 0 to 1.
+    duration wait{}; ///< Expected wait at the chosen engine; 0 if none was chosen.
+};
+
+/// Sums of the decisions of one dispatcher about one account within a second.
+struct admission_totals
+{
+    static constexpr std::size_t RESULTS = enum_names<admission_result>::table.size();
+
+    std::uint64_t account = 0;
+    std::array<std::uint32_t, RESULTS> requests{}; ///< By admission_result.
+    std::uint64_t askedTokens = 0;
+    std::uint64_t placedTokens = 0;
+    double accountShare = 0; ///< Of the latest decision.
+    duration longestWait{};
+
+    [[nodiscard]] auto refused() const -> std::uint32_t;
+    [[nodiscard]] auto count(admission_result result) const -> std::uint32_t;
+};
+
+/// Counts the decisions of this router as a dispatcher by account, so that a log shows for each second which accounts
+/// were refused, and why. Not thread safe.
+class admission_record
+{
+public:
+    /// Beyond this number of accounts within a second, further ones are not counted.
+    static constexpr std::size_t MAX_ACCOUNTS = 1'024;
+
+    auto note(const admission_decision &decision) -> void;
+
+    /// The accounts of which requests were refused since the last call, those with the most refused requests first, at
+    /// most \p limit. Starts a new period.
+    [[nodiscard]] auto takeRefused(std::size_t limit) -> std::vector<admission_totals>;
+
+private:
+    std::unordered_map<std::uint64_t, admission_totals> m_totals; ///< By account.
+};
+
+} // namespace marjoramloom
--- a/include/marjoramloom/gateway/knowledge/gateway_state.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_state.h
@@ -18,6 +18,7 @@
 #include "marjoramloom/gateway/decisions/prompt_placement.h"
 #include "marjoramloom/gateway/decisions/request_shares.h"
 #include "marjoramloom/gateway/decisions/slot_grants.h"
+#include "marjoramloom/gateway/knowledge/admission_record.h"
 #include "marjoramloom/gateway/knowledge/cold_engines.h"
 #include "marjoramloom/gateway/knowledge/evacuated_data_centres.h"
 #include "marjoramloom/gateway/knowledge/fleet_loads.h"
@@ -109,8 +110,11 @@
     /// Region of \p dataCentre; empty if unknown.
     [[nodiscard]] auto regionOf(const std::string &dataCentre) const -> const std::string &;
 
-    /// Forgets requests to cold engines that do not count any more. Call every few hundred milliseconds.
-    auto tickPlaces(time_point now) -> void;
+    /// Forgets requests to cold engines that do not count any more, and logs refused accounts every
+    /// ADMISSION_LOG_PERIOD. Call every few hundred milliseconds.
+    auto tick(time_point now) -> void;
+
+    static constexpr duration ADMISSION_LOG_PERIOD = std::chrono::seconds(1);
 
     /// Excludes the servers of evacuated data centres. Idle connections to them are closed; running requests go on.
     auto applyEvacuations(const evacuated_data_centres::change &change, std::uint64_t revision) -> void;
@@ -146,6 +150,8 @@
     memory_grants memoryGrants; ///< KV memory that this router granted to the others' requests as dispatcher.
     account_usage accounts;
     admission_policy admission;
+    admission_record admissions; ///< Of this router as a dispatcher.
+    time_point lastAdmissionLog{};
     std::vector<prefill_record> unreportedPrefills; ///< Not yet sent to the other routers.
     std::size_t running = 0; ///< Requests that are being forwarded.
     std::size_t bufferedAnswerBytes = 0; ///< Size of the answers that are being read before they are forwarded.
--- a/include/marjoramloom/gateway/knowledge/route_table.h
+++ b/include/marjoramloom/gateway/knowledge/route_table.h
@@ -132,6 +132,9 @@
     /// Whether a key of the client account \p name is known.
     [[nodiscard]] auto hasAccount(std::string_view name) const -> bool;
 
+    /// Name of the client account with the id \p account (see account_usage::accountId()); empty if it is unknown.
+    [[nodiscard]] auto accountName(std::uint64_t account) const -> std::string_view;
+
     /// The client account of \p key; null if the key is unknown.
     [[nodiscard]] auto findAccount(const std::string &key) const -> const routed_account *;
 
@@ -159,6 +162,7 @@
     std::unordered_map<std::string, std::size_t> m_serviceIndexes; ///< Indexes of m_content.services.
     std::unordered_map<std::string, std::chrono::milliseconds> m_shortestObjectives; ///< By service.
     std::unordered_map<std::string, region_set> m_regionsByAccount; ///< Only accounts that name regions.
+    std::unordered_map<std::uint64_t, std::string> m_accountNames; ///< By account id.
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/traffic/gateway_call.h
+++ b/include/marjoramloom/gateway/traffic/gateway_call.h
@@ -103,7 +103,6 @@
     auto noteServed(const send_attempt &attempt) -> void;
     auto refuse(unsigned status, std::string_view reason) -> boost::asio::awaitable<void>;
     auto answerFailure() -> boost::asio::awaitable<void>;
-    auto costTokens() const -> std::uint64_t;
     auto remainingTime() const -> duration;
     auto noteAnswered(unsigned status) -> void;
     auto logCompletion(std::string_view outcome, unsigned status) const -> void;
--- a/include/marjoramloom/gateway/traffic/routed_request.h
+++ b/include/marjoramloom/gateway/traffic/routed_request.h
@@ -30,6 +30,12 @@
     {
         return expectedOutputTokens > 0 ? expectedOutputTokens : outputTokens;
     }
+
+    /// Cost that is charged to the client account: prompt tokens plus twice the expected output tokens.
+    [[nodiscard]] auto costTokens() const -> std::uint64_t
+    {
+        return promptTokens + std::uint64_t(2) * likelyOutputTokens();
+    }
 };
 
 /// The decoded head of a caller's request.
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -45,6 +45,19 @@
     }
 }
 
+/// Counts a decision that this router made as the dispatcher of the prompt's engines.
+auto record(gateway_state &state, const placement_query &query, memory_scope scope, admission_result result,
+            duration wait, time_point now) -> void
+{
+    if (query.trace == nullptr && scope == memory_scope::dispatcher) {
+        state.admissions.note({ .account = query.account,
+                                .tokens = query.prompt.costTokens(),
+                                .result = result,
+                                .accountShare = state.accounts.fleetShare(query.account, now),
+                                .wait = wait });
+    }
+}
+
 } // namespace
 
 auto decideEngine(gateway_state &state, const placement_query &query, time_point now, last_reason &why,
@@ -62,6 +75,9 @@
         chooseEngine(state, *service, query.shard, query.prompt, excluded.servers, now, why, scope, query.trace);
     if (!chosen) {
         noteNoneLeft(query, excluded, why);
+        if (why.kind == failure_kind::overloaded) {
+            record(state, query, scope, admission_result::noRoom, duration::zero(), now);
+        }
         return why.kind == failure_kind::overloaded
             ? std::optional(engine_decision{ .chosen = std::nullopt, .allEnginesFull = true })
             : std::nullopt;
@@ -80,9 +96,11 @@
                               + ", limit " + formatMs(maxWait) + ", objective " + formatMs(query.objective));
     }
     if (!query.alreadySent && chosen->wait + delayToOthers > maxWait) {
+        record(state, query, scope, admission_result::expectedLate, chosen->wait, now);
         why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
         return engine_decision{ .chosen = std::nullopt, .allEnginesFull = false };
     }
+    record(state, query, scope, admission_result::placed, chosen->wait, now);
     return engine_decision{ .chosen = std::move(chosen), .allEnginesFull = false };
 }
 
--- a/src/gateway/knowledge/gateway_state.cpp
+++ b/src/gateway/knowledge/gateway_state.cpp
@@ -18,6 +18,23 @@
         .with("started", server.startUnixMs);
 }
 
+/// Logs the accounts whose prompts this router refused as a dispatcher since the last call.
+auto logRefusedAccounts(admission_record &admissions, const route_table *routes) -> void
+{
+    constexpr std::size_t maxLines = 16;
+    for (const auto &totals : admissions.takeRefused(maxLines)) {
+        log_line(log_level::info, "admission")
+            .with("account", routes ? routes->accountName(totals.account) : std::string_view())
+            .with("placed", totals.count(admission_result::placed))
+            .with("expected_late", totals.count(admission_result::expectedLate))
+            .with("no_room", totals.count(admission_result::noRoom))
+            .with("asked_tokens", totals.askedTokens)
+            .with("placed_tokens", totals.placedTokens)
+            .with("share", totals.accountShare)
+            .with("longest_wait_ms", toSeconds(totals.longestWait) * 1e3);
+    }
+}
+
 } // namespace
 
 gateway_state::gateway_state(const gateway_settings &initialSettings, router_identity self, counter_registry &registry,
@@ -161,12 +178,16 @@
     return configured == settings.regions.end() ? roster.regionOf(dataCentre) : configured->second;
 }
 
-auto gateway_state::tickPlaces(time_point now) -> void
+auto gateway_state::tick(time_point now) -> void
 {
     coldBudget.tick(now);
     if (!coldEngines.mayBeCold(now)) {
         coldRanks.clear();
     }
+    if (now - lastAdmissionLog >= ADMISSION_LOG_PERIOD) {
+        lastAdmissionLog = now;
+        logRefusedAccounts(admissions, routes.get());
+    }
 }
 
 auto gateway_state::isConfigurationCurrent(boot_time now) const -> bool
--- a/src/gateway/knowledge/route_table.cpp
+++ b/src/gateway/knowledge/route_table.cpp
@@ -1,5 +1,7 @@
 #include "marjoramloom/gateway/knowledge/route_table.h"
 
+#include "marjoramloom/gateway/decisions/account_usage.h"
+
 #include <algorithm>
 #include <cctype>
 #include <iterator>
@@ -36,6 +38,7 @@
         m_serviceIndexes.emplace(m_content.services[index].name, index);
     }
     for (const auto &[key, account] : m_content.accountsByKey) {
+        m_accountNames.emplace(account_usage::accountId(account.name), account.name);
         if (!account.homeRegions.empty()) {
             m_regionsByAccount.emplace(account.name, account.homeRegions);
         }
@@ -87,6 +90,12 @@
                        [&](const auto &entry) { return entry.second.name == name; });
 }
 
+auto route_table::accountName(std::uint64_t account) const -> std::string_view
+{
+    const auto found = m_accountNames.find(account);
+    return found == m_accountNames.end() ? std::string_view() : found->second;
+}
+
 auto route_table::findAccount(const std::string &key) const -> const routed_account *
 {
     const auto found = m_content.accountsByKey.find(key);
--- a/src/gateway/traffic/gateway_call.cpp
+++ b/src/gateway/traffic/gateway_call.cpp
@@ -56,12 +56,6 @@
     co_await sendWithRetries();
 }
 
-/// Cost that is charged to the client account: prompt tokens plus twice the expected output tokens.
-auto gateway_call::costTokens() const -> std::uint64_t
-{
-    return m_request.prompt.promptTokens + std::uint64_t(2) * m_request.prompt.likelyOutputTokens();
-}
-
 auto gateway_call::sendWithRetries() -> asio::awaitable<void>
 {
     auto outcome = attempt_outcome::notSent;
--- a/src/gateway/traffic/gateway_call_send.cpp
+++ b/src/gateway/traffic/gateway_call_send.cpp
@@ -46,7 +46,7 @@
     const auto listener = m_control->addListener([connection] { connection->interrupt(); });
     if (m_sendCount++ == 0) {
         if (m_route.carriesPrompt) {
-            m_state.accounts.noteStarted(m_accountId, costTokens(), system_clock_source().now());
+            m_state.accounts.noteStarted(m_accountId, m_request.prompt.costTokens(), system_clock_source().now());
         }
         m_state.retryBudgetFor(m_service->name).noteFirstAttempt(system_clock_source().now());
     }
--- a/src/gateway/traffic/gateway_process.cpp
+++ b/src/gateway/traffic/gateway_process.cpp
@@ -243,7 +243,7 @@
         timer.expires_after(tickPeriod);
         co_await timer.async_wait(asio::use_awaitable);
         feed.tick(system_clock_source().now());
-        state.tickPlaces(system_clock_source().now());
+        state.tick(system_clock_source().now());
         if (evacuationFeed) {
             evacuationFeed->tick();
         }
