Accounts above the level of those that are being refused wait less, so that an overload is shared by max-min

Evidence: event admission, second 13: accounts of 2, 4, 10, 12, 24 % had 42, 32, 31, 30, 13 % of their tokens placed, all others refused for the wait. The level (account_level) is the mean of the recent tokens of accounts that are refused: those above it are limited first, so the amounts approach each other. gateway.fair_admission_test failed in 14 checks before and passes.

--- a/include/marjoramloom/gateway/decisions/account_level.h
+++ b/include/marjoramloom/gateway/decisions/account_level.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramloom/core/clock.h"
+#include "marjoramloom/gateway/decisions/sliding_window_sum.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -10,7 +11,7 @@
 namespace marjoramloom {
 
 /// The amount of work that each account gets while the engines cannot serve all: the mean over the accounts of which
-/// requests were refused lately.
+/// requests were refused lately, and at least an even part of all work.
 ///
 /// As accounts above the level are refused sooner than those below it, their amounts approach each other, until the
 /// fleet serves max-min shares: accounts that ask for less than the level get all, and the others the same. The demand
@@ -19,7 +20,7 @@
 {
 public:
     /// An account counts for this long after its last refused request.
-    static constexpr duration REFUSAL_MEMORY = std::chrono::seconds(2);
+    static constexpr duration REFUSAL_MEMORY = sliding_window_sum::LENGTH;
     /// The level is computed again this often.
     static constexpr duration UPDATE_PERIOD = std::chrono::milliseconds(50);
     /// Beyond this number of accounts, further ones are not counted.
@@ -28,18 +29,25 @@
     /// Recent tokens of an account in the whole fleet.
     using token_source = std::function<std::uint64_t(std::uint64_t account)>;
 
-    auto noteRefused(std::uint64_t account, time_point now) -> void;
+    /// Records that a request of \p tokens was placed or refused.
+    auto notePlaced(std::uint64_t tokens, time_point now) -> void;
+    auto noteRefused(std::uint64_t account, std::uint64_t tokens, time_point now) -> void;
 
-    /// Tokens of \p account in relation to the level; nothing was refused lately if that is 0, and also for an account
-    /// without recent tokens.
-    [[nodiscard]] auto fractionOfLevel(std::uint64_t account, const token_source &tokensOf, time_point now) -> double;
+    /// Tokens of \p account in relation to the level; 0 for an account without recent tokens, or if no request was
+    /// refused within REFUSAL_MEMORY. \p evenTokens is an even part of all recent tokens.
+    [[nodiscard]] auto fractionOfLevel(std::uint64_t account, const token_source &tokensOf, double evenTokens,
+                                       time_point now) -> double;
 
-    /// Whether requests were refused within REFUSAL_MEMORY.
-    [[nodiscard]] auto isContended(time_point now) const -> bool;
+    /// How far the level limits the accounts, from 0 if nothing was refused lately to 1 once FULL_CONTENTION of all
+    /// tokens is refused.
+    [[nodiscard]] auto contention(time_point now) -> double;
+
+    static constexpr double FULL_CONTENTION = 0.1;
 
 private:
     std::unordered_map<std::uint64_t, time_point> m_lastRefusals; ///< By account.
-    time_point m_lastRefusal{};
+    sliding_window_sum m_placedTokens;
+    sliding_window_sum m_refusedTokens;
     time_point m_updatedAt{};
     double m_level = 0;
 };
--- a/include/marjoramloom/gateway/decisions/account_usage.h
+++ b/include/marjoramloom/gateway/decisions/account_usage.h
@@ -23,6 +23,9 @@
     /// Records that a request that costs \p tokens was sent to an engine.
     auto noteStarted(std::uint64_t account, std::uint64_t tokens, time_point now) -> void;
 
+    /// Tokens of the account that the fleet sent to engines within the window.
+    [[nodiscard]] auto fleetTokensOf(std::uint64_t account, time_point now) -> std::uint64_t;
+
     /// The account's share of all tokens that the fleet sent to engines within the window, from 0 to 1.
     [[nodiscard]] auto fleetShare(std::uint64_t account, time_point now) -> double;
 
--- a/include/marjoramloom/gateway/decisions/admission_policy.h
+++ b/include/marjoramloom/gateway/decisions/admission_policy.h
@@ -7,13 +7,22 @@
 /// Decides which prompts are refused when the engines cannot serve all of them in time.
 ///
 /// It protects against accounts that suddenly send many times their usual load, so that all accounts together exceed
-/// the engines' prefill capacity. The queue wait that a request may face shrinks with its account's recent share of the
-/// fleet's work. As queues grow, the accounts with the largest shares are refused first, until the shares are equal; an
-/// account with little load is refused last. Its large prompts may wait for the whole objective: they would otherwise
-/// be refused whenever the short prompts of others, which may wait longer, fill the queues. Thread safe: stateless.
+/// the engines' prefill capacity. The queue wait that a request may face shrinks with its account's recent work. As
+/// queues grow, the accounts with the most work are refused first, until their amounts are equal; an account with
+/// little load is refused last. Its large prompts may wait for the whole objective: they would otherwise be refused
+/// whenever the short prompts of others, which may wait longer, fill the queues. Thread safe: stateless.
 class admission_policy
 {
 public:
+    /// The limit between \p free, without contention, and \p contended, with a \p contention of 1.
+    [[nodiscard]] static auto blend(duration free, duration contended, double contention) -> duration;
+
+    /// Longest expected queue wait while requests are being refused. \p fractionOfLevel is the account's recent work in
+    /// relation to the level, from account_level. No prompt of an account that is well above the level may wait as long
+    /// as any prompt of one below half of it, so that the queues that the former fill leave room for the latter.
+    [[nodiscard]] auto maxContendedWait(duration objective, duration prefillTime, double fractionOfLevel) const
+        -> duration;
+
     /// Longest expected queue wait at an engine with which a request is still accepted. \p objective is the latency
     /// objective of the first event, \p prefillTime the expected prefill time of the request's own prompt, and
     /// \p accountShare its account's recent share of all work, from 0 to 1; \p evenShare the share that each account
--- a/include/marjoramloom/gateway/knowledge/admission_record.h
+++ b/include/marjoramloom/gateway/knowledge/admission_record.h
@@ -35,6 +35,7 @@
     std::uint64_t tokens = 0; ///< Tokens of the prompt and twice its expected output.
     admission_result result = admission_result::placed;
     double accountShare = 0; ///< The account's recent share of all work, from 0 to 1.
+    double fractionOfLevel = 0; ///< From account_level.
     duration wait{}; ///< Expected wait at the chosen engine; 0 if none was chosen.
 };
 
@@ -48,6 +49,7 @@
     std::uint64_t askedTokens = 0;
     std::uint64_t placedTokens = 0;
     double accountShare = 0; ///< Of the latest decision.
+    double fractionOfLevel = 0; ///< Of the latest decision.
     duration longestWait{};
 
     [[nodiscard]] auto refused() const -> std::uint32_t;
--- a/include/marjoramloom/gateway/knowledge/gateway_state.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_state.h
@@ -3,6 +3,7 @@
 #include "marjoramloom/call/connection_pool.h"
 #include "marjoramloom/core/counters.h"
 #include "marjoramloom/core/latency_histogram.h"
+#include "marjoramloom/gateway/decisions/account_level.h"
 #include "marjoramloom/gateway/decisions/account_usage.h"
 #include "marjoramloom/gateway/decisions/admission_policy.h"
 #include "marjoramloom/gateway/decisions/block_quarantine.h"
@@ -150,6 +151,7 @@
     memory_grants memoryGrants; ///< KV memory that this router granted to the others' requests as dispatcher.
     account_usage accounts;
     admission_policy admission;
+    account_level accountLevel; ///< Of the refusals by this router, above all as a dispatcher.
     admission_record admissions; ///< Of this router as a dispatcher.
     time_point lastAdmissionLog{};
     std::vector<prefill_record> unreportedPrefills; ///< Not yet sent to the other routers.
--- a/src/gateway/decisions/account_usage.cpp
+++ b/src/gateway/decisions/account_usage.cpp
@@ -20,13 +20,17 @@
     m_localTokens.add(tokens, now);
 }
 
-auto account_usage::fleetShare(std::uint64_t account, time_point now) -> double
+auto account_usage::fleetTokensOf(std::uint64_t account, time_point now) -> std::uint64_t
 {
     const auto local = m_localTokensByAccount.find(account);
-    const auto started = (local == m_localTokensByAccount.end() ? 0 : local->second.total(now))
+    return (local == m_localTokensByAccount.end() ? 0 : local->second.total(now))
         + m_fleet.tokensOfAccount(account).startedTokens;
+}
+
+auto account_usage::fleetShare(std::uint64_t account, time_point now) -> double
+{
     const auto allTokens = fleetTokens(now);
-    return allTokens == 0 ? 0 : static_cast<double>(started) / static_cast<double>(allTokens);
+    return allTokens == 0 ? 0 : static_cast<double>(fleetTokensOf(account, now)) / static_cast<double>(allTokens);
 }
 
 auto account_usage::fleetTokens(time_point now) -> std::uint64_t
--- a/src/gateway/decisions/admission_policy.cpp
+++ b/src/gateway/decisions/admission_policy.cpp
@@ -17,6 +17,12 @@
 /// The same for prompts of small accounts.
 constexpr double minWaitFractionOfSmallAccounts = 1.0;
 
+/// Fractions of the level up to which an account is not limited, and from which on it is limited most.
+constexpr double unlimitedFraction = 0.5;
+constexpr double limitedFraction = 1.5;
+/// Factor of the allowed wait of the most limited accounts.
+constexpr double minContendedFactor = 0.2;
+
 } // namespace
 
 auto admission_policy::maxWait(duration objective, duration prefillTime, double accountShare, double evenShare) const
@@ -30,4 +36,22 @@
     return std::chrono::duration_cast<duration>(timeForWaiting * waitFactor);
 }
 
+auto admission_policy::blend(duration free, duration contended, double contention) -> duration
+{
+    return free + std::chrono::duration_cast<duration>((contended - free) * contention);
+}
+
+auto admission_policy::maxContendedWait(duration objective, duration prefillTime, double fractionOfLevel) const
+    -> duration
+{
+    const auto excess =
+        std::clamp((fractionOfLevel - unlimitedFraction) / (limitedFraction - unlimitedFraction), 0.0, 1.0);
+    const auto minFraction =
+        minWaitFractionOfSmallAccounts + excess * (minWaitFraction - minWaitFractionOfSmallAccounts);
+    const auto waitFactor = 1 + excess * (minContendedFactor - 1);
+    const auto timeForWaiting =
+        std::max<duration>(objective - prefillTime, std::chrono::duration_cast<duration>(objective * minFraction));
+    return std::chrono::duration_cast<duration>(timeForWaiting * waitFactor);
+}
+
 } // namespace marjoramloom
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -45,15 +45,32 @@
     }
 }
 
-/// Counts a decision that this router made as the dispatcher of the prompt's engines.
+/// Recent tokens of \p account in relation to those of the accounts that are being refused; 0 if none is.
+auto fractionOfLevel(gateway_state &state, std::uint64_t account, time_point now) -> double
+{
+    const auto evenTokens = state.accounts.evenShare() * static_cast<double>(state.accounts.fleetTokens(now));
+    return state.accountLevel.fractionOfLevel(
+        account, [&](std::uint64_t other) { return state.accounts.fleetTokensOf(other, now); }, evenTokens, now);
+}
+
+/// Counts a decision about a prompt. Those of the dispatcher of the prompt's engines are also logged.
 auto record(gateway_state &state, const placement_query &query, memory_scope scope, admission_result result,
             duration wait, time_point now) -> void
 {
-    if (query.trace == nullptr && scope == memory_scope::dispatcher) {
+    if (query.trace != nullptr) {
+        return;
+    }
+    if (result == admission_result::placed) {
+        state.accountLevel.notePlaced(query.prompt.costTokens(), now);
+    } else {
+        state.accountLevel.noteRefused(query.account, query.prompt.costTokens(), now);
+    }
+    if (scope == memory_scope::dispatcher) {
         state.admissions.note({ .account = query.account,
                                 .tokens = query.prompt.costTokens(),
                                 .result = result,
                                 .accountShare = state.accounts.fleetShare(query.account, now),
+                                .fractionOfLevel = fractionOfLevel(state, query.account, now),
                                 .wait = wait });
     }
 }
@@ -85,12 +102,16 @@
     const auto accountShare = state.accounts.fleetShare(query.account, now);
     const auto prefillTime = chosen->firstEvent - chosen->wait;
     const auto evenShare = state.accounts.evenShare();
-    const auto maxWait = state.admission.maxWait(query.objective, prefillTime, accountShare, evenShare);
+    const auto ofLevel = fractionOfLevel(state, query.account, now);
+    const auto maxWait = admission_policy::blend(
+        state.admission.maxWait(query.objective, prefillTime, accountShare, evenShare),
+        state.admission.maxContendedWait(query.objective, prefillTime, ofLevel), state.accountLevel.contention(now));
     // Accounts under an even share are not refused for the sake of those over it.
     const auto delayToOthers = accountShare < evenShare ? duration::zero() : chosen->delayToOthers;
     if (query.trace != nullptr) {
         query.trace->note("share",
-                          formatPercent(accountShare) + " of the tokens, an even one is " + formatPercent(evenShare));
+                          formatPercent(accountShare) + " of the tokens, an even one is " + formatPercent(evenShare)
+                              + ", " + formatPercent(ofLevel) + " of the level of refused accounts");
         query.trace->note("admission",
                           "expected wait " + formatMs(chosen->wait) + ", delay to others " + formatMs(delayToOthers)
                               + ", limit " + formatMs(maxWait) + ", objective " + formatMs(query.objective));
--- a/src/gateway/knowledge/admission_record.cpp
+++ b/src/gateway/knowledge/admission_record.cpp
@@ -29,6 +29,7 @@
     totals.askedTokens += decision.tokens;
     totals.placedTokens += decision.result == admission_result::placed ? decision.tokens : 0;
     totals.accountShare = decision.accountShare;
+    totals.fractionOfLevel = decision.fractionOfLevel;
     totals.longestWait = std::max(totals.longestWait, decision.wait);
 }
 
--- a/src/gateway/knowledge/gateway_state.cpp
+++ b/src/gateway/knowledge/gateway_state.cpp
@@ -31,6 +31,7 @@
             .with("asked_tokens", totals.askedTokens)
             .with("placed_tokens", totals.placedTokens)
             .with("share", totals.accountShare)
+            .with("of_level", totals.fractionOfLevel)
             .with("longest_wait_ms", toSeconds(totals.longestWait) * 1e3);
     }
 }
