--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -177,7 +177,7 @@
         { "service", serviceName },
         { "address", m_plan.listedServerAddress ? m_plan.listedServerAddress(server.address()) : server.address() },
         { "zone", index < m_plan.serverZones.size() ? m_plan.serverZones[index] : "north" },
-        { "version", "v1" },
+        { "version", index < m_plan.serverVersions.size() ? m_plan.serverVersions[index] : "v1" },
         { "slots", m_plan.callSlots > 0 ? m_plan.callSlots : defaultSlots },
         { "state", state },
         { "cold_left_ms", coldMs },
@@ -187,6 +187,12 @@
     writeObject("servers", server.name(), spec);
 }
 
+auto gateway_fleet::setServerVersion(std::size_t index, const std::string &version) -> void
+{
+    m_plan.serverVersions.resize(std::max(m_plan.serverVersions.size(), index + 1), "v1");
+    m_plan.serverVersions[index] = version;
+}
+
 auto gateway_fleet::writeObject(const std::string &kind, const std::string &name, const json::value &spec) -> bool
 {
     const auto body =
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -28,6 +28,7 @@
     std::string gatewaySettings; ///< Further lines of the routers' table `gateway`.
     double coldPerSecond = 0; ///< `cold_per_s` of the service.
     std::vector<std::string> serverZones; ///< Data centres of the backend servers; "north" for further ones.
+    std::vector<std::string> serverVersions; ///< Software versions of the backend servers; "v1" for further ones.
     int bodyBytes = 100'000; ///< Limit of a request's body in the configuration.
     int headerTimeoutMs = 2'000; ///< Time limit of a request's head and body in the configuration.
     int memoryMb = 0; ///< Setting memory_mb of the routers; 0 if it is not set.
@@ -68,6 +69,9 @@
     /// The server states that it is cold for \p coldMs more.
     auto writeServer(std::size_t index, const std::string &state, int incarnation = 0, int coldMs = 0) -> void;
 
+    /// Sets the software version in entries of a backend server that are written from now on.
+    auto setServerVersion(std::size_t index, const std::string &version) -> void;
+
     /// Creates or updates an object in the store. Returns whether the store acknowledged it.
     auto writeObject(const std::string &kind, const std::string &name, const boost::json::value &spec) -> bool;
 
