A stream goes on only at the software version that began it

Cause: the version of a server's entry was dropped and Resumes was not read, so every choice of a server for a retry within an answer or for a take-up was free.

--- a/include/marjoramloom/gateway/decisions/cold_choice.h
+++ b/include/marjoramloom/gateway/decisions/cold_choice.h
@@ -59,9 +59,9 @@
 auto reserveCold(gateway_state &state, const routed_service &service, const listed_server &server, time_point now)
     -> std::unique_ptr<cold_lease>;
 
-/// Restricts \p query to the regions \p regions, if given, and to the cold servers of which this router's share has
-/// room. If no server of its shard is left, the query becomes one for all servers of the service. Returns false, with
-/// the reason in \p why, if none of these is left, either.
+/// Restricts \p query to the regions \p regions, if given, to its software version, and to the cold servers of which
+/// this router's share has room. If no server of its shard is left, the query becomes one for all servers of the
+/// service. Returns false, with the reason in \p why, if none of these is left, either.
 auto restrictToPlaces(gateway_state &state, std::optional<region_set> regions, time_point now, placement_query &query,
                       last_reason &why) -> bool;
 
@@ -73,6 +73,9 @@
 auto isInRegions(const gateway_state &state, const std::optional<region_set> &regions, const listed_server &server)
     -> bool;
 
+/// Whether \p server is of the software version with the id \p softwareVersion; true for 0.
+auto isOfVersion(std::uint64_t softwareVersion, const listed_server &server) -> bool;
+
 /// Prompt tokens that the placement of \p prompt adds to the pending prefill of \p server, since a cold engine is
 /// slower; 0 for warm ones.
 auto coldPrefillTokens(const gateway_state &state, const routed_service &service, const listed_server &server,
--- a/include/marjoramloom/gateway/decisions/engine_decision.h
+++ b/include/marjoramloom/gateway/decisions/engine_decision.h
@@ -28,6 +28,8 @@
     tried_servers coldServers = {}; ///< Of the cold servers, those to which the querying router may send a request now.
     std::optional<region_set> regions = std::nullopt; ///< Of the servers that may be chosen; nothing for all.
 
+    std::uint64_t softwareVersion = 0; ///< Of the servers that may be chosen, from softwareVersionId(); 0 for any.
+
     /// The servers that are not chosen again.
     [[nodiscard]] auto triedServers() const -> tried_servers
     {
--- a/include/marjoramloom/gateway/knowledge/gateway_state.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_state.h
@@ -27,10 +27,12 @@
 #include "marjoramloom/gateway/knowledge/key_freshness.h"
 #include "marjoramloom/gateway/knowledge/route_table.h"
 #include "marjoramloom/gateway/knowledge/router_roster.h"
+#include "marjoramloom/gateway/knowledge/served_versions.h"
 #include "marjoramloom/gateway/knowledge/server_directory.h"
 #include "marjoramloom/gateway/knowledge/server_loads.h"
 #include "marjoramloom/gateway/knowledge/server_pauses.h"
 #include "marjoramloom/gateway/knowledge/store_contact.h"
+#include "marjoramloom/gateway/knowledge/stream_versions.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <map>
@@ -111,7 +113,11 @@
     /// Region of \p dataCentre; empty if unknown.
     [[nodiscard]] auto regionOf(const std::string &dataCentre) const -> const std::string &;
 
-    /// Forgets requests to cold engines that do not count any more, and logs refused accounts every
+    /// Id of the software version that began every stream of \p service that goes on now; nothing if there may be
+    /// several.
+    [[nodiscard]] auto soleVersion(const std::string &service, time_point now) const -> std::optional<std::uint64_t>;
+
+    /// Forgets requests to cold engines and streams that do not count any more, and logs refused accounts every
     /// ADMISSION_LOG_PERIOD. Call every few hundred milliseconds.
     auto tick(time_point now) -> void;
 
@@ -144,6 +150,8 @@
     cold_budget coldBudget;
     std::unordered_map<std::uint64_t, cold_rank> coldRanks; ///< By the engine's incarnation.
     time_point startedAt = system_clock_source().now();
+    served_versions servedVersions;
+    stream_versions streamVersions; ///< Of streams that may be resumed.
     server_pauses pauses;
     router_roster roster;
     fleet_loads fleet;
--- a/include/marjoramloom/gateway/knowledge/listed_server.h
+++ b/include/marjoramloom/gateway/knowledge/listed_server.h
@@ -14,6 +14,7 @@
     std::string service;
     std::string address; ///< IP:port.
     std::string dataCentre;
+    std::string softwareVersion; ///< What servers of two versions write does not fit together.
     std::uint32_t slots = 1; ///< Requests that it executes at a time.
     bool draining = false; ///< Takes no new requests.
     std::chrono::milliseconds remainingWarmUp{ 0 }; ///< Time until it reaches full speed after its start.
--- a/include/marjoramloom/gateway/knowledge/load_exchange.h
+++ b/include/marjoramloom/gateway/knowledge/load_exchange.h
@@ -3,6 +3,7 @@
 #include "marjoramloom/gateway/decisions/rotation_policy.h"
 #include "marjoramloom/gateway/knowledge/store_update.h"
 #include "marjoramloom/gateway/traffic/placement_dispatch.h"
+#include "marjoramloom/gateway/traffic/stream_lookup.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
@@ -71,6 +72,9 @@
     /// Sends and answers placement queries for this router.
     [[nodiscard]] auto dispatch() -> placement_dispatch &;
 
+    /// Asks and answers which software versions began streams.
+    [[nodiscard]] auto streams() -> stream_lookup &;
+
 private:
     using udp = boost::asio::ip::udp;
 
@@ -97,6 +101,7 @@
     auto sendHeartbeat(std::uint64_t router, time_point now) -> void;
     auto broadcast(wire::RouterDatagram &datagram) -> void;
     auto handleBlocks(std::uint64_t router, const wire::RouterDatagram &datagram, time_point now) -> void;
+    auto handleStreams(std::uint64_t router, const wire::RouterDatagram &datagram) -> void;
     auto handleUses(const wire::RouterDatagram &datagram, time_point now) -> void;
     auto sendBlocks(std::uint64_t router, time_point now) -> void;
 
@@ -116,6 +121,7 @@
     counter &m_receivedDatagrams;
     counter &m_sentDatagrams;
     placement_dispatch m_dispatch;
+    stream_lookup m_streams;
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/knowledge/route_table.h
+++ b/include/marjoramloom/gateway/knowledge/route_table.h
@@ -148,6 +148,8 @@
 
     /// The shortest latency objective of the routes to \p service that carry no prompts; nothing if there is none.
     [[nodiscard]] auto shortestObjective(const std::string &service) const -> std::optional<std::chrono::milliseconds>;
+    /// The longest timeout of a route with resumable streams; 0 if there is none.
+    [[nodiscard]] auto longestStream() const -> std::chrono::milliseconds;
     [[nodiscard]] auto services() const -> const std::vector<routed_service> &;
     [[nodiscard]] auto limits() const -> const caller_limits &;
     [[nodiscard]] auto tokensPerSecond() const -> double;
@@ -162,6 +164,7 @@
     std::unordered_map<std::string, std::size_t> m_serviceIndexes; ///< Indexes of m_content.services.
     std::unordered_map<std::string, std::chrono::milliseconds> m_shortestObjectives; ///< By service.
     std::unordered_map<std::string, region_set> m_regionsByAccount; ///< Only accounts that name regions.
+    std::chrono::milliseconds m_longestStream{ 0 };
     std::unordered_map<std::uint64_t, std::string> m_accountNames; ///< By account id.
 };
 
--- a/include/marjoramloom/gateway/knowledge/server_directory.h
+++ b/include/marjoramloom/gateway/knowledge/server_directory.h
@@ -128,6 +128,9 @@
 
     [[nodiscard]] auto size() const -> std::size_t;
 
+    /// Whether the store cannot be reached, so that the list may be outdated.
+    [[nodiscard]] auto isStoreLost() const -> bool;
+
 private:
     struct entry
     {
--- a/include/marjoramloom/gateway/traffic/gateway_call.h
+++ b/include/marjoramloom/gateway/traffic/gateway_call.h
@@ -8,6 +8,7 @@
 #include "marjoramloom/gateway/decisions/server_choice.h"
 #include "marjoramloom/gateway/knowledge/gateway_state.h"
 #include "marjoramloom/gateway/traffic/placement_dispatch.h"
+#include "marjoramloom/gateway/traffic/stream_lookup.h"
 #include "marjoramloom/router/http_exchange.h"
 #include "platform/header_format.h"
 
@@ -49,8 +50,9 @@
 {
 public:
     /// Preconditions: all referenced objects outlive the call; \p route belongs to \p routes.
-    gateway_call(gateway_state &state, placement_dispatch &dispatch, http_exchange &exchange, routed_request request,
-                 std::shared_ptr<const route_table> routes, const route_rule &route, std::string account);
+    gateway_call(gateway_state &state, placement_dispatch &dispatch, stream_lookup &streams, http_exchange &exchange,
+                 routed_request request, std::shared_ptr<const route_table> routes, const route_rule &route,
+                 std::string account);
 
     /// Forwards the request to a backend server and answers the caller. Call once.
     auto run(std::shared_ptr<call_control> control) -> boost::asio::awaitable<void>;
@@ -66,6 +68,10 @@
 
     auto chooseServer() -> boost::asio::awaitable<std::optional<chosen_server>>;
     auto chooseCandidate(last_reason &why) -> boost::asio::awaitable<std::optional<chosen_server>>;
+    auto isTakeUp() const -> bool;
+    auto findStreamVersion() -> boost::asio::awaitable<bool>;
+    auto noteStreamBegun(const listed_server &server) -> void;
+    auto mayStillRefuse() const -> bool;
     auto restrictQuery(placement_query &query, last_reason &why) -> bool;
     auto mayUse(const chosen_server &chosen, last_reason &why) -> bool;
     auto confirmCold(const chosen_server &chosen, last_reason &why) -> bool;
@@ -109,6 +115,7 @@
 
     gateway_state &m_state;
     placement_dispatch &m_dispatch;
+    stream_lookup &m_streams;
     http_exchange &m_exchange;
     routed_request m_request;
     std::shared_ptr<const route_table> m_routes;
@@ -121,6 +128,8 @@
     tried_servers m_fullServers; ///< Servers that refused the request.
     std::uint32_t m_sendCount = 0; ///< Attempts for which a connection to a server was open.
     std::optional<std::int64_t> m_lastEventId; ///< Id of the last event that was forwarded to the caller.
+    /// Software version of the server that began the stream; 0 before the first event. The stream goes on there only.
+    std::uint64_t m_streamVersion = 0;
     duration m_firstEventLatency{}; ///< From the last attempt to its first event; 0 without an event.
     /// A server may have executed the request, so no later refusal may state that it was not executed.
     bool m_mayHaveRun = false;
--- a/include/marjoramloom/gateway/traffic/gateway_handler.h
+++ b/include/marjoramloom/gateway/traffic/gateway_handler.h
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/gateway/knowledge/gateway_state.h"
 #include "marjoramloom/gateway/traffic/placement_dispatch.h"
+#include "marjoramloom/gateway/traffic/stream_lookup.h"
 #include "marjoramloom/router/http_exchange.h"
 
 namespace marjoramloom {
@@ -13,8 +14,8 @@
 class gateway_handler
 {
 public:
-    /// Precondition: \p state and \p dispatch outlive the handler.
-    gateway_handler(gateway_state &state, placement_dispatch &dispatch);
+    /// Precondition: \p state, \p dispatch and \p streams outlive the handler.
+    gateway_handler(gateway_state &state, placement_dispatch &dispatch, stream_lookup &streams);
 
     /// Answers the request of \p exchange, or closes its connection where the caller has disconnected.
     auto handle(http_exchange &exchange) -> boost::asio::awaitable<void>;
@@ -30,6 +31,7 @@
 
     gateway_state &m_state;
     placement_dispatch &m_dispatch;
+    stream_lookup &m_streams;
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/traffic/routed_request.h
+++ b/include/marjoramloom/gateway/traffic/routed_request.h
@@ -46,6 +46,7 @@
     std::string path; ///< Without the query.
     std::optional<std::string> key; ///< API key of the client account; empty without one.
     std::optional<std::chrono::milliseconds> callerTimeout; ///< How long the caller waits for the answer.
+    std::string resumedRequest; ///< Id of the request that brought the first event of the stream; empty for a new one.
     std::optional<std::int64_t> lastEventId; ///< The caller has received the events of the stream up to this id.
     prompt_summary prompt;
     boot_time arrived; ///< When the router began to process it.
--- a/src/gateway/decisions/cold_choice.cpp
+++ b/src/gateway/decisions/cold_choice.cpp
@@ -61,7 +61,7 @@
         return true; // The choice fails for this reason.
     }
     const auto mayBeCold = hasColdLimit(state, *service) && state.coldEngines.mayBeCold(now);
-    if (!mayBeCold && !query.regions) {
+    if (!mayBeCold && !query.regions && query.softwareVersion == 0) {
         return true;
     }
     const auto noteRoom = [&] {
@@ -85,6 +85,9 @@
     if (!excluded.isAnyLeft && excluded.areOthersCold) {
         why.fail(failure_kind::overloaded, "choose server", query.service,
                  "the cold servers have got their requests of this second");
+    } else if (!excluded.isAnyLeft && query.softwareVersion != 0) {
+        why.fail(failure_kind::unavailable, "choose server", query.service,
+                 "no server of the software version that began the stream takes new requests");
     } else if (!excluded.isAnyLeft) {
         why.fail(failure_kind::notFound, "choose server", query.service,
                  query.regions ? "no server in the regions of the request takes new requests"
@@ -98,7 +101,7 @@
     auto excluded = excluded_servers{ .servers = query.triedServers() };
     const auto *service = state.routes ? state.routes->findService(query.service) : nullptr;
     const auto mayBeCold = service != nullptr && hasColdLimit(state, *service) && state.coldEngines.mayBeCold(now);
-    if (!mayBeCold && !query.regions) {
+    if (!mayBeCold && !query.regions && query.softwareVersion == 0) {
         return excluded;
     }
     excluded.isAnyLeft = false;
@@ -107,7 +110,7 @@
             continue;
         }
         const auto incarnation = server_loads::incarnationId(*server);
-        if (!isInRegions(state, query.regions, *server)) {
+        if (!isInRegions(state, query.regions, *server) || !isOfVersion(query.softwareVersion, *server)) {
             excluded.servers.insert(incarnation);
         } else if (mayBeCold && !query.coldServers.contains(incarnation)
                    && isColdLimited(state, *service, *server, now)) {
@@ -124,6 +127,11 @@
     return !regions || regions->contains(state.regionOf(server.dataCentre));
 }
 
+auto isOfVersion(std::uint64_t softwareVersion, const listed_server &server) -> bool
+{
+    return softwareVersion == 0 || softwareVersionId(server.softwareVersion) == softwareVersion;
+}
+
 auto coldPrefillTokens(const gateway_state &state, const routed_service &service, const listed_server &server,
                        const prompt_summary &prompt, time_point now) -> std::uint64_t
 {
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -30,7 +30,9 @@
             continue;
         }
         const auto isOutside = !isInRegions(state, query.regions, *server);
-        if (isOutside || isColdLimited(state, service, *server, now)) {
+        if (!isOfVersion(query.softwareVersion, *server)) {
+            query.trace->reject(server->id, rejection::otherVersion);
+        } else if (isOutside || isColdLimited(state, service, *server, now)) {
             query.trace->reject(server->id, isOutside ? rejection::otherRegion : rejection::coldBudget);
         }
     }
--- a/src/gateway/knowledge/datagram_codec.cpp
+++ b/src/gateway/knowledge/datagram_codec.cpp
@@ -110,6 +110,7 @@
     if (message.restricted()) {
         query.regions = region_set(message.regions().begin(), message.regions().end());
     }
+    query.softwareVersion = message.software_version();
     query.plain = message.plain();
     query.dataCentre = message.data_centre();
     query.alreadySent = message.begun();
@@ -141,6 +142,7 @@
     for (const auto &region : query.regions.value_or(region_set())) {
         message.add_regions(region);
     }
+    message.set_software_version(query.softwareVersion);
     message.set_plain(query.plain);
     if (query.plain) {
         message.set_data_centre(query.dataCentre);
--- a/src/gateway/knowledge/gateway_state.cpp
+++ b/src/gateway/knowledge/gateway_state.cpp
@@ -36,6 +36,25 @@
     }
 }
 
+/// A caller may take up a stream a few times, and each answer lasts up to its route's timeout.
+constexpr auto streamAnswers = 2;
+constexpr auto streamMargin = std::chrono::seconds(5);
+
+/// Records the software versions of the listed servers, and forgets streams that are over.
+auto noteServedVersions(gateway_state &state, time_point now) -> void
+{
+    if (!state.routes) {
+        return;
+    }
+    state.servedVersions.setHorizon(streamAnswers * state.routes->longestStream() + streamMargin);
+    for (const auto &service : state.routes->services()) {
+        state.servers.forEachOf(service.name, [&](const listed_server &server, std::optional<rejection>) {
+            state.servedVersions.noteServed(server.service, server.softwareVersion, now);
+        });
+    }
+    state.streamVersions.expire(state.servedVersions.horizon(), now);
+}
+
 } // namespace
 
 gateway_state::gateway_state(const gateway_settings &initialSettings, router_identity self, counter_registry &registry,
@@ -46,6 +65,7 @@
     , keys(initialSettings.keyLifetime)
     , servers([this](const listed_server &server, std::string_view change) {
         logServer(server, change);
+        servedVersions.noteServed(server.service, server.softwareVersion, system_clock_source().now());
         if (!servers.isListed(server)) {
             loads.forget(server);
             coldEngines.forget(server);
@@ -179,8 +199,14 @@
     return configured == settings.regions.end() ? roster.regionOf(dataCentre) : configured->second;
 }
 
+auto gateway_state::soleVersion(const std::string &service, time_point now) const -> std::optional<std::uint64_t>
+{
+    return servers.isStoreLost() ? std::nullopt : servedVersions.soleVersion(service, now);
+}
+
 auto gateway_state::tick(time_point now) -> void
 {
+    noteServedVersions(*this, now);
     coldBudget.tick(now);
     if (!coldEngines.mayBeCold(now)) {
         coldRanks.clear();
--- a/src/gateway/knowledge/load_exchange.cpp
+++ b/src/gateway/knowledge/load_exchange.cpp
@@ -45,6 +45,22 @@
               sendQuery(router, number, query);
           },
           [this](std::uint64_t router, const slot_release &release) { sendRelease(router, release); })
+    , m_streams(
+          executor, state,
+          [this](std::uint64_t router, std::uint64_t stream) {
+              auto datagram = wire::RouterDatagram();
+              datagram.set_stream_question(stream);
+              send(router, datagram);
+          },
+          [this](std::uint64_t router, const std::vector<stream_version> &streams) {
+              auto datagram = wire::RouterDatagram();
+              for (const auto &stream : streams) {
+                  auto *message = datagram.add_streams();
+                  message->set_stream(stream.stream);
+                  message->set_version(stream.version);
+              }
+              send(router, datagram);
+          })
 {
     m_state.blocks.setPublisher({ .onReport =
                                       [this](const crash_report &report) {
@@ -91,6 +107,23 @@
     return m_dispatch;
 }
 
+auto load_exchange::streams() -> stream_lookup &
+{
+    return m_streams;
+}
+
+auto load_exchange::handleStreams(std::uint64_t router, const wire::RouterDatagram &datagram) -> void
+{
+    if (datagram.stream_question() != 0) {
+        m_streams.handleQuestion(router, datagram.stream_question());
+    }
+    auto streams = std::vector<stream_version>();
+    for (const auto &stream : datagram.streams()) {
+        streams.push_back({ .stream = stream.stream(), .version = stream.version() });
+    }
+    m_streams.handleVersions(streams);
+}
+
 auto load_exchange::addRouter(router_identity identity) -> void
 {
     auto why = last_reason();
@@ -230,6 +263,7 @@
     }
     handleBlocks(router, datagram, system_clock_source().now());
     handleUses(datagram, system_clock_source().now());
+    handleStreams(router, datagram);
     if (datagram.has_query()) {
         handleQuery(router, datagram.sender(), datagram.query());
     }
--- a/src/gateway/knowledge/load_exchange_reports.cpp
+++ b/src/gateway/knowledge/load_exchange_reports.cpp
@@ -47,6 +47,7 @@
         timer.expires_after(isFullMesh() ? fullMeshReportPeriod : dispatcherReportPeriod);
         co_await timer.async_wait(asio::use_awaitable);
         const auto now = system_clock_source().now();
+        m_streams.tick(now);
         const auto isBusy = m_state.running > 0 || !m_state.unreportedPrefills.empty();
         if (!isBusy && !wasBusy && now - lastSent < idleReportPeriod) {
             continue;
--- a/src/gateway/knowledge/route_table.cpp
+++ b/src/gateway/knowledge/route_table.cpp
@@ -25,6 +25,9 @@
 {
     for (auto index = std::size_t(0); index < m_content.routes.size(); ++index) {
         const auto &route = m_content.routes[index];
+        if (route.resumable) {
+            m_longestStream = std::max(m_longestStream, route.timeout);
+        }
         m_routesByHost[normalizedHost(route.host)].emplace(route.pathPrefix, index);
         if (route.carriesPrompt) {
             continue;
@@ -90,6 +93,11 @@
                        [&](const auto &entry) { return entry.second.name == name; });
 }
 
+auto route_table::longestStream() const -> std::chrono::milliseconds
+{
+    return m_longestStream;
+}
+
 auto route_table::accountName(std::uint64_t account) const -> std::string_view
 {
     const auto found = m_accountNames.find(account);
--- a/src/gateway/knowledge/router_discovery.cpp
+++ b/src/gateway/knowledge/router_discovery.cpp
@@ -6,6 +6,7 @@
 #include "marjoramloom/store/retry_backoff.h"
 #include "platform/json_fields.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
@@ -54,12 +55,14 @@
 
 } // namespace
 
-router_discovery::router_discovery(asio::any_io_executor executor, store_client &client, std::string instance,
-                                   router_identity self, std::function<void(router_identity)> onRouter)
+router_discovery::router_discovery(asio::any_io_executor executor, store_client &client, gateway_state &state,
+                                   std::string instance, router_identity self,
+                                   std::function<void(router_identity)> onRouter)
     : m_executor(std::move(executor))
     , m_client(client)
     , m_instance(std::move(instance))
     , m_self(std::move(self))
+    , m_versions(client, state, std::string(routerKind))
     , m_onRouter(std::move(onRouter))
 {
 }
@@ -83,14 +86,20 @@
 
 auto router_discovery::pollRouters() -> asio::awaitable<void>
 {
-    auto timer = asio::steady_timer(m_executor, firstPollDelay);
+    auto timer = asio::steady_timer(m_executor);
+    auto nextPoll = system_clock_source().now() + firstPollDelay;
     while (true) {
+        timer.expires_after(version_record::WRITE_PERIOD);
         co_await timer.async_wait(asio::use_awaitable);
+        co_await m_versions.writeChanges();
+        if (system_clock_source().now() < nextPoll) {
+            continue;
+        }
         auto why = last_reason();
         if (!co_await readRouters(read_freshness::mayBeStale, why)) {
             log_line(log_level::warning, "routers_unread").with("reason", why.text());
         }
-        timer.expires_after(pollPeriod);
+        nextPoll = system_clock_source().now() + pollPeriod;
     }
 }
 
@@ -126,7 +135,18 @@
     if (!listed) {
         co_return false;
     }
+    const auto isRecord = [](const stored_object &object) {
+        return object.name == version_record::NAME;
+    };
+    const auto record = std::find_if(listed->objects.begin(), listed->objects.end(), isRecord);
+    // A stale read may have an older record than this router has written.
+    if (freshness == read_freshness::current) {
+        m_versions.apply(record == listed->objects.end() ? nullptr : &*record);
+    }
     for (const auto &object : listed->objects) {
+        if (isRecord(object)) {
+            continue;
+        }
         auto reason = last_reason();
         auto identity = decodeRouter(object, reason);
         if (!identity) {
--- a/src/gateway/knowledge/server_directory.cpp
+++ b/src/gateway/knowledge/server_directory.cpp
@@ -256,6 +256,11 @@
     return m_entries.size();
 }
 
+auto server_directory::isStoreLost() const -> bool
+{
+    return m_storeLost;
+}
+
 auto server_directory::mayBeRenewed(time_point now) const -> bool
 {
     return m_storeLost || (m_renewalDeadline && now < *m_renewalDeadline);
--- a/src/gateway/traffic/gateway_call.cpp
+++ b/src/gateway/traffic/gateway_call.cpp
@@ -29,11 +29,12 @@
 
 } // namespace
 
-gateway_call::gateway_call(gateway_state &state, placement_dispatch &dispatch, http_exchange &exchange,
-                           routed_request request, std::shared_ptr<const route_table> routes, const route_rule &route,
-                           std::string account)
+gateway_call::gateway_call(gateway_state &state, placement_dispatch &dispatch, stream_lookup &streams,
+                           http_exchange &exchange, routed_request request, std::shared_ptr<const route_table> routes,
+                           const route_rule &route, std::string account)
     : m_state(state)
     , m_dispatch(dispatch)
+    , m_streams(streams)
     , m_exchange(exchange)
     , m_request(std::move(request))
     , m_routes(std::move(routes))
@@ -53,6 +54,10 @@
         co_await refuse(unavailable, "unknown service");
         co_return;
     }
+    if (isTakeUp() && !co_await findStreamVersion()) {
+        co_await refuse(unavailable, "the software version that began the stream is not known");
+        co_return;
+    }
     co_await sendWithRetries();
 }
 
--- a/src/gateway/traffic/gateway_call_answer.cpp
+++ b/src/gateway/traffic/gateway_call_answer.cpp
@@ -297,6 +297,7 @@
             m_state.firstEventLatency.observe(m_firstEventLatency);
             attempt.load.notePrefillDone();
             noteAnswerBegun();
+            noteStreamBegun(*attempt.chosen.server);
         }
         if (event.id && m_lastEventId && *event.id <= *m_lastEventId) {
             continue; // The caller has received it in an earlier attempt.
--- a/src/gateway/traffic/gateway_call_choice.cpp
+++ b/src/gateway/traffic/gateway_call_choice.cpp
@@ -39,7 +39,7 @@
                                   .fullServers = m_fullServers,
                                   .plain = false,
                                   .dataCentre = {},
-                                  .alreadySent = m_sendCount > 0 };
+                                  .alreadySent = !mayStillRefuse() };
     if (!restrictQuery(query, why)) {
         co_return std::nullopt;
     }
--- a/src/gateway/traffic/gateway_call_cold.cpp
+++ b/src/gateway/traffic/gateway_call_cold.cpp
@@ -32,6 +32,7 @@
 auto gateway_call::restrictQuery(placement_query &query, last_reason &why) -> bool
 {
     const auto now = system_clock_source().now();
+    query.softwareVersion = m_streamVersion;
     return restrictToPlaces(m_state, m_routes->regionsOf(m_route, m_account), now, query, why);
 }
 
@@ -39,6 +40,10 @@
 /// the request there if the server is cold.
 auto gateway_call::mayUse(const chosen_server &chosen, last_reason &why) -> bool
 {
+    if (!isOfVersion(m_streamVersion, *chosen.server)) {
+        why.fail(failure_kind::unavailable, "choose server", chosen.server->id, "the server is of another version");
+        return false;
+    }
     if (!isInRegions(m_state, m_routes->regionsOf(m_route, m_account), *chosen.server)) {
         why.fail(failure_kind::unavailable, "choose server", chosen.server->id, "the server is in another region");
         return false;
--- a/src/gateway/traffic/gateway_handler.cpp
+++ b/src/gateway/traffic/gateway_handler.cpp
@@ -41,9 +41,10 @@
 
 } // namespace
 
-gateway_handler::gateway_handler(gateway_state &state, placement_dispatch &dispatch)
+gateway_handler::gateway_handler(gateway_state &state, placement_dispatch &dispatch, stream_lookup &streams)
     : m_state(state)
     , m_dispatch(dispatch)
+    , m_streams(streams)
 {
 }
 
@@ -139,8 +140,8 @@
         co_await refuse(exchange, request, unavailable, "no memory for the request");
         co_return;
     }
-    auto call =
-        gateway_call(m_state, m_dispatch, exchange, std::move(request), m_state.routes, route, std::move(account));
+    auto call = gateway_call(m_state, m_dispatch, m_streams, exchange, std::move(request), m_state.routes, route,
+                             std::move(account));
     auto control = call_control::make(co_await asio::this_coro::executor);
     const auto counted = running_request(m_state);
     co_await (call.run(control) || cancelOnCallerDisconnect(exchange, control));
--- a/src/gateway/traffic/gateway_process.cpp
+++ b/src/gateway/traffic/gateway_process.cpp
@@ -138,11 +138,11 @@
     , state(*config.gateway, identityOf(config), counters, std::random_device()())
     , store(context.get_executor(), storeOptions(config), counters)
     , exchange(context.get_executor(), state, identityOf(config), makeIncarnation())
-    , discovery(context.get_executor(), store, config.instance, identityOf(config),
+    , discovery(context.get_executor(), store, state, config.instance, identityOf(config),
                 [this](router_identity identity) { exchange.addRouter(std::move(identity)); })
     , connectionRotation(context.get_executor(), state,
                          [this](auto router, const auto &reports) { exchange.sendUses(router, reports); })
-    , callerHandler(state, exchange.dispatch())
+    , callerHandler(state, exchange.dispatch(), exchange.streams())
     , explainer(state, exchange.dispatch())
     , statusHandler(
           ready, counters, [this] { return placesStatus(state); }, explainer, config.operatorKeyHash)
