An answer whose status does not exist is a failure at once

A caller of an engine that answers with status 000 waited for its whole time and got 504, or got the success that followed on the same connection; statuses from 600 on were forwarded (MIXED).

--- a/src/call/http_connection.cpp
+++ b/src/call/http_connection.cpp
@@ -121,8 +121,18 @@
         co_await http::async_read_header(m_socket, m_buffer, *m_parser,
                                          asio::redirect_error(asio::use_awaitable, error));
         // Compares the number because Beast does not know every interim status.
+        constexpr auto firstStatus = 100U;
         constexpr auto firstFinalStatus = 200U;
-        if (error || m_parser->get().result_int() >= firstFinalStatus) {
+        constexpr auto lastStatus = 599U;
+        const auto status = error ? 0U : m_parser->get().result_int();
+        if (!error && (status < firstStatus || status > lastStatus)) {
+            m_timeout->disarm();
+            interrupt();
+            why.fail(failure_kind::protocolViolation, "read answer head", m_peer,
+                     "status " + std::to_string(status) + " does not exist");
+            co_return false;
+        }
+        if (error || status >= firstFinalStatus) {
             break;
         }
         if (++interimHeads > MAX_INTERIM_HEADS) {
--- a/tests/process/gateway/faulty_answer_test.cpp
+++ b/tests/process/gateway/faulty_answer_test.cpp
@@ -260,6 +260,38 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_whose_status_is_none_is_a_failure_at_once)
+{
+    for (const auto *status : { "000 None", "099 None", "600 None", "999 None" }) {
+        for (const auto *path : { "/read/x", "/post/x", "/talk/x", "/once/x" }) {
+            BOOST_TEST_CONTEXT("status " << status << ", path " << path)
+            {
+                const auto script = [&](const std::string &id) {
+                    return scripted_answer{ wholeAnswer(id, "none", status), connection_end::keep };
+                };
+                auto fleet = faulty_fleet({ script, script });
+                const auto startedAt = std::chrono::steady_clock::now();
+                const auto answer = fleet.call(path, "none");
+                BOOST_TEST(answer.status == 502U, "status " << answer.status);
+                // The caller waits for 4 s at the most.
+                BOOST_TEST((std::chrono::steady_clock::now() - startedAt < std::chrono::seconds(2)));
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_success_behind_an_answer_whose_status_is_none_is_not_an_answer)
+{
+    const auto script = [](const std::string &id) {
+        return scripted_answer{ headOf(id, "Content-Length: 0\r\n", "000 None") + wholeAnswer(id, "behind"),
+                                connection_end::keep };
+    };
+    auto fleet = faulty_fleet({ script, script });
+    for (const auto *path : { "/read/x", "/post/x" }) {
+        BOOST_TEST(fleet.call(path, std::string("none-") + path[1]).status == 502U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_unsealed_stream_does_not_go_on_with_one_that_began)
 {
     auto attempts = std::atomic<int>(0);
