Soak: two software versions, take-ups of streams, the death of all routers

Every answered resumable stream is taken up at a random router; a take-up that runs at another version than its first request is a broken promise.

--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -21,10 +21,10 @@
 /// Number of events in each stream of the stand-ins.
 constexpr auto streamLength = 12;
 
-auto expectedStream() -> std::string
+auto expectedStream(int first = 1) -> std::string
 {
     auto text = std::string();
-    for (auto number = 1; number <= streamLength; ++number) {
+    for (auto number = first; number <= streamLength; ++number) {
         text += "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
     }
     return text;
@@ -203,6 +203,38 @@
     }
 }
 
+/// The software versions at which each request ran, by request id.
+auto versionsByRequest(const run_history &history) -> std::map<std::string, std::set<std::string>>
+{
+    auto versions = std::map<std::string, std::set<std::string>>();
+    for (const auto &[server, entries] : history.records) {
+        for (const auto &entry : entries) {
+            if (entry.at("state").as_string() == "started") {
+                versions[std::string(entry.at("request_id").as_string())].insert(history.versions.at(server));
+            }
+        }
+    }
+    return versions;
+}
+
+/// A stream whose first request ran at one version goes on at no other one, whatever faults there are.
+auto checkTakeUps(const run_history &history, std::vector<std::string> &violations) -> void
+{
+    const auto versions = versionsByRequest(history);
+    for (const auto &[call, resumed] : history.takeUps) {
+        const auto began = versions.find(resumed);
+        const auto wentOn = versions.find(call.id);
+        // A first request that ran at two versions may have broken off at one of them before its first event.
+        const auto isKnown = began != versions.end() && began->second.size() == 1;
+        if (isKnown && wentOn != versions.end() && wentOn->second != began->second) {
+            violations.push_back(describe(call, "went on at another software version than " + resumed));
+        }
+        if (call.status == 200 && call.complete && call.body != expectedStream(takenUpAfter + 1)) {
+            violations.push_back(describe(call, "not the rest of the stream " + resumed));
+        }
+    }
+}
+
 auto checkRecovery(const run_history &history, std::vector<std::string> &violations) -> void
 {
     auto sent = 0;
@@ -228,6 +260,7 @@
     checkAnnouncedLeaving(history, violations);
     checkPauses(history, violations);
     checkStops(history, violations);
+    checkTakeUps(history, violations);
     checkRecovery(history, violations);
     return violations;
 }
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -27,6 +27,13 @@
     std::string body;
 };
 
+/// A caller's take-up of a stream, of which it had got the first events.
+struct take_up
+{
+    outcome call;
+    std::string resumed; ///< Id of the request that brought the first event.
+};
+
 /// A period of a run, such as that in which a server was leaving.
 struct time_span
 {
@@ -40,10 +47,15 @@
     }
 };
 
+/// Events that a caller has got when it takes up a stream.
+constexpr auto takenUpAfter = 4;
+
 /// Record of a run: requests, executions and faults. Input of the checks.
 struct run_history
 {
     std::vector<outcome> outcomes;
+    std::vector<take_up> takeUps;
+    std::map<std::string, std::string> versions; ///< By server, its software version.
     std::map<std::string, std::vector<boost::json::object>> records; ///< By server, its execution record.
     std::map<std::string, milliseconds> revokedAt; ///< By key, when the store acknowledged its removal.
     std::multimap<std::string, time_span> leaving; ///< By server, from the write of its draining entry to its return.
@@ -58,7 +70,7 @@
 /// Returns a line for each violated guarantee; empty if there are none. Checked are: answers are complete and belong to
 /// their request, non-repeatable requests are executed at most once and never if reported as not run, revoked keys and
 /// leaving servers get no new requests, servers that ask for a pause get none but a few, planned stops interrupt no
-/// request, and the fleet recovers after the faults.
+/// request, streams are taken up only at the software version that began them, and the fleet recovers after the faults.
 auto findViolations(const run_history &history) -> std::vector<std::string>;
 
 } // namespace marjoramloom::soak
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -13,6 +13,7 @@
 enum class fault_kind {
     pauseRouter, ///< SIGSTOP; SIGCONT at the end.
     killRouter, ///< SIGKILL; restart at the end.
+    killAllRouters, ///< SIGKILL of all routers at once; restart at the end.
     stopRouter, ///< SIGTERM; restart when the process has exited.
     reloadRouter, ///< SIGHUP.
     storeOutage, ///< The store answers 503.
@@ -52,6 +53,7 @@
     static constexpr std::array table{
         row{ kind::pauseRouter, "pause_router" },
         row{ kind::killRouter, "kill_router" },
+        row{ kind::killAllRouters, "kill_all_routers" },
         row{ kind::stopRouter, "stop_router" },
         row{ kind::reloadRouter, "reload_router" },
         row{ kind::storeOutage, "store_outage" },
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -58,6 +58,10 @@
     plan.routers = m_options.routers;
     plan.servers = m_options.servers;
     plan.callMs = 5;
+    for (auto server = 0; server < m_options.servers; ++server) {
+        plan.serverVersions.emplace_back(2 * server < m_options.servers ? "v1" : "v2");
+    }
+    const auto versions = plan.serverVersions;
     plan.graceSeconds = graceSeconds;
     plan.storeAddressForRouter = [this](int router, const std::string &address) {
         m_storeAddress = address;
@@ -67,6 +71,9 @@
         return m_relays.addressFor(address);
     };
     m_fleet = std::make_unique<test::gateway_fleet>(std::move(plan));
+    for (auto index = std::size_t(0); index < versions.size(); ++index) {
+        m_history.versions[m_fleet->servers()[index]->name()] = versions[index];
+    }
     m_serverIncarnations.resize(static_cast<std::size_t>(m_options.servers));
     m_start = std::chrono::steady_clock::now();
 }
@@ -133,6 +140,9 @@
         call.status = answer.status;
         call.complete = answer.complete;
         call.body = answer.body;
+        if (call.path == "/talk/stream" && call.status == 200) {
+            takeUp(call, draw(m_fleet->routers().size()));
+        }
         {
             const auto lock = std::lock_guard(m_mutex);
             m_history.outcomes.push_back(std::move(call));
@@ -141,6 +151,33 @@
     }
 }
 
+auto soak_run::takeUp(const outcome &first, std::size_t router) -> void
+{
+    auto next = take_up{ .call = first, .resumed = first.id };
+    next.call.id += "-taken-up";
+    next.call.router = router;
+    next.call.sentAt = elapsed();
+    auto request = makeRequest(next.call, false);
+    request.headers["Last-Event-Id"] = std::to_string(takenUpAfter);
+    request.headers["Resumes"] = first.id;
+    const auto answer = test::httpCall(m_fleet->routers()[router].callers, request);
+    next.call.endedAt = elapsed();
+    next.call.status = answer.status;
+    next.call.complete = answer.complete;
+    next.call.body = answer.body;
+    const auto lock = std::lock_guard(m_mutex);
+    m_history.takeUps.push_back(std::move(next));
+}
+
+auto soak_run::killAllRouters(milliseconds duration) -> void
+{
+    for (auto index = std::size_t(0); index < m_fleet->routers().size(); ++index) {
+        m_history.interruptions.emplace(index,
+                                        time_span{ elapsed(), elapsed() + duration + milliseconds(stopTimeoutMs) });
+        m_fleet->routers()[index].process->signal(SIGKILL);
+    }
+}
+
 auto soak_run::injectFaults(const std::vector<planned_fault> &faults) -> void
 {
     const auto endsLater = [](const planned_fault &left, const planned_fault &right) {
@@ -177,6 +214,9 @@
     case fault_kind::reloadRouter:
         beginRouterFault(fault, router);
         break;
+    case fault_kind::killAllRouters:
+        killAllRouters(fault.duration);
+        break;
     case fault_kind::storeOutage:
         m_fleet->store().setFaults(R"([{"kind":"outage","match":"/v1/"},{"kind":"outage"}])");
         break;
@@ -294,6 +334,14 @@
         m_routerPauses[index] = 0;
         m_fleet->start(router, false);
         break;
+    case fault_kind::killAllRouters:
+        m_routerPauses.clear();
+        for (auto &killed : m_fleet->routers()) {
+            if (!killed.process->running()) {
+                m_fleet->start(killed, false);
+            }
+        }
+        break;
     case fault_kind::storeOutage:
         m_fleet->store().setFaults("[]");
         break;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -41,6 +41,9 @@
     /// Time since the start of the run.
     auto elapsed() const -> milliseconds;
     auto sendRequests(int caller) -> void;
+    /// Takes up the stream of \p first, which the caller has got in part, at \p router.
+    auto takeUp(const outcome &first, std::size_t router) -> void;
+    auto killAllRouters(milliseconds duration) -> void;
     auto beginFault(const planned_fault &fault) -> void;
     auto beginRouterFault(const planned_fault &fault, std::size_t index) -> void;
     auto beginServerFault(const planned_fault &fault, std::size_t index) -> void;
