The record of software versions is written again after the store has lost it

A store that comes back from an older copy may have lost the record's latest change; the router that writes it took its own last write for the content and wrote nothing. It now compares the list of routers that it reads every 15 s with what it wrote, and reads the record again where they differ. software_version_test: a_record_of_versions_that_the_store_lost_is_written_again failed without the change and passes.

--- a/include/marjoramloom/gateway/knowledge/version_record.h
+++ b/include/marjoramloom/gateway/knowledge/version_record.h
@@ -26,9 +26,13 @@
     /// Preconditions: \p client and \p state outlive the object; objects of \p kind hold the record.
     version_record(store_client &client, gateway_state &state, std::string kind);
 
-    /// Takes over the record that was read with the routers; null if there is none.
+    /// Takes over the record, as it is in the store now; null if there is none.
     auto apply(const stored_object *object) -> void;
 
+    /// Compares the record, which may be some seconds old, with what was written: the next writeChanges() reads it
+    /// again where they differ.
+    auto compare(const stored_object *object) -> void;
+
     /// Writes the versions that serve if this router writes the record and they have changed.
     auto writeChanges() -> boost::asio::awaitable<void>;
 
@@ -39,12 +43,14 @@
 
 private:
     [[nodiscard]] auto isWriter() const -> bool;
+    auto readAgain() -> boost::asio::awaitable<bool>;
 
     store_client &m_client;
     gateway_state &m_state;
     std::string m_kind;
     std::uint64_t m_revision = 0; ///< Of the record when it was last read or written; 0 if there is none.
     served_versions::version_names m_recorded;
+    bool m_isDoubtful = false; ///< The store may have lost what was written.
 };
 
 } // namespace marjoramloom
--- a/src/gateway/knowledge/router_discovery.cpp
+++ b/src/gateway/knowledge/router_discovery.cpp
@@ -139,9 +139,11 @@
         return object.name == version_record::NAME;
     };
     const auto record = std::find_if(listed->objects.begin(), listed->objects.end(), isRecord);
-    // A stale read may have an older record than this router has written.
+    const auto *found = record == listed->objects.end() ? nullptr : &*record;
     if (freshness == read_freshness::current) {
-        m_versions.apply(record == listed->objects.end() ? nullptr : &*record);
+        m_versions.apply(found);
+    } else {
+        m_versions.compare(found);
     }
     for (const auto &object : listed->objects) {
         if (isRecord(object)) {
--- a/src/gateway/knowledge/version_record.cpp
+++ b/src/gateway/knowledge/version_record.cpp
@@ -82,6 +82,22 @@
     m_state.servedVersions.noteRecordRead();
 }
 
+auto version_record::compare(const stored_object *object) -> void
+{
+    m_isDoubtful = object == nullptr ? !m_recorded.empty() : object->value != encode(m_recorded);
+}
+
+auto version_record::readAgain() -> asio::awaitable<bool>
+{
+    auto why = last_reason();
+    const auto current = co_await m_client.get(m_kind, std::string(NAME), why);
+    if (current) {
+        apply(current->revision == 0 ? nullptr : &*current);
+        m_isDoubtful = false;
+    }
+    co_return current.has_value();
+}
+
 /// Whether this router is the first responsive one in an order that is equal at all routers.
 auto version_record::isWriter() const -> bool
 {
@@ -96,10 +112,17 @@
 {
     const auto now = system_clock_source().now();
     const auto served = m_state.servedVersions.recent(now);
+    const auto isUnchanged = served == m_recorded && !m_isDoubtful;
     const auto isReady = m_state.servedVersions.isRecordRead() && m_state.hasServers && !m_state.servers.isStoreLost();
-    if (!isReady || served.empty() || served == m_recorded || !isWriter()) {
+    if (!isReady || served.empty() || isUnchanged || !isWriter()) {
         co_return;
     }
+    if (m_isDoubtful) {
+        const auto isRead = co_await readAgain();
+        if (!isRead || served == m_recorded) {
+            co_return;
+        }
+    }
     auto why = last_reason();
     const auto value = encode(served);
     const auto kind = m_kind;
--- a/tests/process/gateway/software_version_test.cpp
+++ b/tests/process/gateway/software_version_test.cpp
@@ -208,6 +208,21 @@
     BOOST_TEST(mixed.send(0, "after", "first", 4).status == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(a_record_of_versions_that_the_store_lost_is_written_again)
+{
+    auto mixed = mixed_fleet(2);
+    const auto isWritten = [&] {
+        const auto answer =
+            httpCall(mixed.fleet().store().address(), { "GET", "/v1/objects/routers/software-versions", {}, {} });
+        return answer.status == 200U && answer.body.find("v2") != std::string::npos;
+    };
+    BOOST_TEST(waitUntil(5'000, isWritten));
+    BOOST_TEST(mixed.fleet().removeObject("routers", "software-versions"));
+    BOOST_TEST(!isWritten());
+    // The routers' objects are read every 15 s.
+    BOOST_TEST(waitUntil(20'000, isWritten));
+}
+
 BOOST_AUTO_TEST_CASE(streams_begun_before_a_second_version_appeared_are_taken_up)
 {
     auto mixed = mixed_fleet(3, { "v1", "v1", "v1", "v1" });
