Accounts below the level wait no longer than their objectives allow, and little contention limits nobody

Now they have 0.6 of the objective, and the limits take effect from 20 % of refused tokens, in full from 45 %.

--- a/include/marjoramloom/gateway/decisions/account_level.h
+++ b/include/marjoramloom/gateway/decisions/account_level.h
@@ -38,11 +38,12 @@
     [[nodiscard]] auto fractionOfLevel(std::uint64_t account, const token_source &tokensOf, double evenTokens,
                                        time_point now) -> double;
 
-    /// How far the level limits the accounts, from 0 if nothing was refused lately to 1 once FULL_CONTENTION of all
-    /// tokens is refused.
+    /// How far the level limits the accounts, from 0 while at most MIN_REFUSED of all tokens is refused to 1 from
+    /// FULL_REFUSED on. While little is refused, no account gets less than half of what it asks for.
     [[nodiscard]] auto contention(time_point now) -> double;
 
-    static constexpr double FULL_CONTENTION = 0.1;
+    static constexpr double MIN_REFUSED = 0.2;
+    static constexpr double FULL_REFUSED = 0.45;
 
 private:
     std::unordered_map<std::uint64_t, time_point> m_lastRefusals; ///< By account.
--- a/include/marjoramloom/gateway/decisions/admission_policy.h
+++ b/include/marjoramloom/gateway/decisions/admission_policy.h
@@ -18,8 +18,8 @@
     [[nodiscard]] static auto blend(duration free, duration contended, double contention) -> duration;
 
     /// Longest expected queue wait while requests are being refused. \p fractionOfLevel is the account's recent work in
-    /// relation to the level, from account_level. No prompt of an account that is well above the level may wait as long
-    /// as any prompt of one below half of it, so that the queues that the former fill leave room for the latter.
+    /// relation to the level, from account_level. Prompts of an account that is well above the level may wait for much
+    /// less than those of one below half of it, so that the queues that the former fill leave room for the latter.
     [[nodiscard]] auto maxContendedWait(duration objective, duration prefillTime, double fractionOfLevel) const
         -> duration;
 
--- a/src/gateway/decisions/account_level.cpp
+++ b/src/gateway/decisions/account_level.cpp
@@ -21,7 +21,7 @@
 {
     const auto refused = static_cast<double>(m_refusedTokens.total(now));
     const auto asked = refused + static_cast<double>(m_placedTokens.total(now));
-    return asked > 0 ? std::min(1.0, refused / asked / FULL_CONTENTION) : 0;
+    return asked > 0 ? std::clamp((refused / asked - MIN_REFUSED) / (FULL_REFUSED - MIN_REFUSED), 0.0, 1.0) : 0;
 }
 
 auto account_level::fractionOfLevel(std::uint64_t account, const token_source &tokensOf, double evenTokens,
--- a/src/gateway/decisions/admission_policy.cpp
+++ b/src/gateway/decisions/admission_policy.cpp
@@ -20,6 +20,9 @@
 /// Fractions of the level up to which an account is not limited, and from which on it is limited most.
 constexpr double unlimitedFraction = 0.5;
 constexpr double limitedFraction = 1.5;
+/// As minWaitFraction, for prompts of accounts that are not limited. They come before the short prompts of others, and
+/// mostly still within their objective.
+constexpr double minWaitFractionIfContended = 0.6;
 /// Factor of the allowed wait of the most limited accounts.
 constexpr double minContendedFactor = 0.2;
 
@@ -46,8 +49,7 @@
 {
     const auto excess =
         std::clamp((fractionOfLevel - unlimitedFraction) / (limitedFraction - unlimitedFraction), 0.0, 1.0);
-    const auto minFraction =
-        minWaitFractionOfSmallAccounts + excess * (minWaitFraction - minWaitFractionOfSmallAccounts);
+    const auto minFraction = minWaitFractionIfContended + excess * (minWaitFraction - minWaitFractionIfContended);
     const auto waitFactor = 1 + excess * (minContendedFactor - 1);
     const auto timeForWaiting =
         std::max<duration>(objective - prefillTime, std::chrono::duration_cast<duration>(objective * minFraction));
