Dispatchers log the limit and the contention behind a refusal

The event admission had the account's share and its relation to the level, but not the limit that refused its prompts, so a log could not tell a wrong level from a limit that is equal for unequal accounts, or from contention that is not noticed. It now has the contention and the lowest limit of the refused requests. No change of behaviour.

--- a/include/marjoramloom/gateway/knowledge/admission_record.h
+++ b/include/marjoramloom/gateway/knowledge/admission_record.h
@@ -37,6 +37,8 @@
     double accountShare = 0; ///< The account's recent share of all work, from 0 to 1.
     double fractionOfLevel = 0; ///< From account_level.
     duration wait{}; ///< Expected wait at the chosen engine; 0 if none was chosen.
+    duration maxWait{}; ///< The limit that the wait was compared with; 0 if none was chosen.
+    double contention = 0; ///< From account_level.
 };
 
 /// Sums of the decisions of one dispatcher about one account within a second.
@@ -50,7 +52,9 @@
     std::uint64_t placedTokens = 0;
     double accountShare = 0; ///< Of the latest decision.
     double fractionOfLevel = 0; ///< Of the latest decision.
+    double contention = 0; ///< Of the latest decision.
     duration longestWait{};
+    duration shortestMaxWait{}; ///< The lowest limit of a refused request; 0 if none was refused for its wait.
 
     [[nodiscard]] auto refused() const -> std::uint32_t;
     [[nodiscard]] auto count(admission_result result) const -> std::uint32_t;
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -57,7 +57,7 @@
 
 /// Counts a decision about a prompt. Those of the dispatcher of the prompt's engines are also logged.
 auto record(gateway_state &state, const placement_query &query, memory_scope scope, admission_result result,
-            duration wait, time_point now) -> void
+            duration wait, duration maxWait, time_point now) -> void
 {
     if (query.trace != nullptr) {
         return;
@@ -73,7 +73,9 @@
                                 .result = result,
                                 .accountShare = state.accounts.fleetShare(query.account, now),
                                 .fractionOfLevel = fractionOfLevel(state, query.account, now),
-                                .wait = wait });
+                                .wait = wait,
+                                .maxWait = maxWait,
+                                .contention = state.accountLevel.contention(now) });
     }
 }
 
@@ -95,7 +97,7 @@
     if (!chosen) {
         noteNoneLeft(query, excluded, why);
         if (why.kind == failure_kind::overloaded) {
-            record(state, query, scope, admission_result::noRoom, duration::zero(), now);
+            record(state, query, scope, admission_result::noRoom, duration::zero(), duration::zero(), now);
         }
         return why.kind == failure_kind::overloaded
             ? std::optional(engine_decision{ .chosen = std::nullopt, .allEnginesFull = true })
@@ -119,11 +121,11 @@
                               + ", limit " + formatMs(maxWait) + ", objective " + formatMs(query.objective));
     }
     if (!query.alreadySent && chosen->wait + delayToOthers > maxWait) {
-        record(state, query, scope, admission_result::expectedLate, chosen->wait, now);
+        record(state, query, scope, admission_result::expectedLate, chosen->wait, maxWait, now);
         why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
         return engine_decision{ .chosen = std::nullopt, .allEnginesFull = false };
     }
-    record(state, query, scope, admission_result::placed, chosen->wait, now);
+    record(state, query, scope, admission_result::placed, chosen->wait, maxWait, now);
     return engine_decision{ .chosen = std::move(chosen), .allEnginesFull = false };
 }
 
--- a/src/gateway/knowledge/admission_record.cpp
+++ b/src/gateway/knowledge/admission_record.cpp
@@ -30,7 +30,12 @@
     totals.placedTokens += decision.result == admission_result::placed ? decision.tokens : 0;
     totals.accountShare = decision.accountShare;
     totals.fractionOfLevel = decision.fractionOfLevel;
+    totals.contention = decision.contention;
     totals.longestWait = std::max(totals.longestWait, decision.wait);
+    if (decision.result == admission_result::expectedLate) {
+        const auto isFirst = totals.count(admission_result::expectedLate) == 1;
+        totals.shortestMaxWait = isFirst ? decision.maxWait : std::min(totals.shortestMaxWait, decision.maxWait);
+    }
 }
 
 auto admission_record::takeRefused(std::size_t limit) -> std::vector<admission_totals>
--- a/src/gateway/knowledge/gateway_state.cpp
+++ b/src/gateway/knowledge/gateway_state.cpp
@@ -32,7 +32,9 @@
             .with("placed_tokens", totals.placedTokens)
             .with("share", totals.accountShare)
             .with("of_level", totals.fractionOfLevel)
-            .with("longest_wait_ms", toSeconds(totals.longestWait) * 1e3);
+            .with("contention", totals.contention)
+            .with("longest_wait_ms", toSeconds(totals.longestWait) * 1e3)
+            .with("shortest_limit_ms", toSeconds(totals.shortestMaxWait) * 1e3);
     }
 }
 
