Each engine shard serves accounts up to a level that its queues set, so that limits tell unequal accounts apart

Cause: the level above which accounts are refused first was the mean over all accounts that had been refused at least once, many of them small, and beyond one and a half times that level all limits were equal. The trace has limits of 28 to 44 ms for both accounts from 11 s on. Class: a threshold derived from who was refused stands in for the price of what is contended.

Change: the level of a shard falls while prompts would wait long at its engines and rises while they would not, so it settles where the queues are in balance. An account counts with its work in the whole fleet, including what this dispatcher placed and no report has yet, and its longest wait falls as the fourth power of its relation to the level, without a floor. So where an account is refused, no other account of the shard gets more: the shard is its bottleneck, which is what makes shares max-min. Recent work fades instead of leaving the window all at once; accounts took turns with the length of the window. Contention is no longer a fraction of refused tokens.

--- a/include/marjoramloom/gateway/decisions/account_level.h
+++ b/include/marjoramloom/gateway/decisions/account_level.h
@@ -1,55 +1,54 @@
 #pragma once
 
 #include "marjoramloom/core/clock.h"
-#include "marjoramloom/gateway/decisions/sliding_window_sum.h"
 
-#include <cstddef>
 #include <cstdint>
-#include <functional>
-#include <unordered_map>
 
 namespace marjoramloom {
 
-/// The amount of work that each account gets while the engines cannot serve all: the mean over the accounts of which
-/// requests were refused lately, and at least an even part of all work.
+/// The amount of recent work up to which one shard of the engines serves every account in full.
 ///
-/// As accounts above the level are refused sooner than those below it, their amounts approach each other, until the
-/// fleet serves max-min shares: accounts that ask for less than the level get all, and the others the same. The demand
-/// of the accounts and the capacity of the engines need not be known. Not thread safe.
+/// While prompts would wait long at the shard's engines, the level falls; while they would not, it rises to the largest
+/// account that asks for them. Accounts above the level are refused first, and an account counts with its work in the
+/// whole fleet. So in an overload an account is refused only where no other account of the shard gets more than it
+/// does: the shard is its bottleneck, and the fleet's shares are max-min fair. Neither the demand of the accounts nor
+/// the capacity of the engines need be known, and the shards need not agree on a level. Not thread safe.
 class account_level
 {
 public:
-    /// An account counts for this long after its last refused request.
-    static constexpr duration REFUSAL_MEMORY = sliding_window_sum::LENGTH;
-    /// The level is computed again this often.
+    /// The level is adapted this often while prompts arrive.
     static constexpr duration UPDATE_PERIOD = std::chrono::milliseconds(50);
-    /// Beyond this number of accounts, further ones are not counted.
-    static constexpr std::size_t MAX_ACCOUNTS = 1'024;
+    /// The level is adapted until prompts would wait for this fraction of their longest wait, on average.
+    static constexpr double TARGET_WAIT = 0.65;
+    /// The level rises up to this multiple of the largest account, where it limits nobody.
+    static constexpr double HIGHEST_LEVEL = 1.25;
 
-    /// Recent tokens of an account in the whole fleet.
-    using token_source = std::function<std::uint64_t(std::uint64_t account)>;
+    /// Records the arrival of a prompt of \p tokens, of an account with \p accountTokens of recent work in the whole
+    /// fleet, that would wait for \p waitFraction of its longest wait. \p evenTokens is an even part of all recent
+    /// work, which the level never falls below.
+    auto noteAsked(std::uint64_t tokens, double accountTokens, double waitFraction, double evenTokens, time_point now)
+        -> void;
 
-    /// Records that a request of \p tokens was placed or refused.
-    auto notePlaced(std::uint64_t tokens, time_point now) -> void;
-    auto noteRefused(std::uint64_t account, std::uint64_t tokens, time_point now) -> void;
+    /// \p accountTokens in relation to the level; 0 as long as nothing was recorded.
+    [[nodiscard]] auto fractionOfLevel(double accountTokens) const -> double;
 
-    /// Tokens of \p account in relation to the level; 0 for an account without recent tokens, or if no request was
-    /// refused within REFUSAL_MEMORY. \p evenTokens is an even part of all recent tokens.
-    [[nodiscard]] auto fractionOfLevel(std::uint64_t account, const token_source &tokensOf, double evenTokens,
-                                       time_point now) -> double;
+    /// How far the level limits the accounts, from 0 at the largest account to 1.
+    [[nodiscard]] auto contention() const -> double;
 
-    /// How far the level limits the accounts, from 0 while at most MIN_REFUSED of all tokens is refused to 1 from
-    /// FULL_REFUSED on. While little is refused, no account gets less than half of what it asks for.
-    [[nodiscard]] auto contention(time_point now) -> double;
+private:
+    auto update(double evenTokens, time_point now) -> void;
 
-    static constexpr double MIN_REFUSED = 0.2;
-    static constexpr double FULL_REFUSED = 0.45;
+    /// Longest time that the level is adapted for at once, after a pause without prompts.
+    static constexpr duration MAX_STEP = std::chrono::milliseconds(200);
+    /// The largest account is that of this time and the one before.
+    static constexpr duration LARGEST_PERIOD = std::chrono::seconds(1);
 
-private:
-    std::unordered_map<std::uint64_t, time_point> m_lastRefusals; ///< By account.
-    sliding_window_sum m_placedTokens;
-    sliding_window_sum m_refusedTokens;
     time_point m_updatedAt{};
+    time_point m_largestSince{};
+    double m_askedTokens = 0; ///< Since the last update.
+    double m_weightedWaits = 0; ///< Sum of the wait fractions, by tokens.
+    double m_largest = 0; ///< Recent work of the largest account since m_largestSince.
+    double m_largestBefore = 0; ///< The same for the period before.
     double m_level = 0;
 };
 
--- a/include/marjoramloom/gateway/decisions/admission_policy.h
+++ b/include/marjoramloom/gateway/decisions/admission_policy.h
@@ -14,12 +14,15 @@
 class admission_policy
 {
 public:
+    /// Whether an account with \p accountShare of all work has far less than \p evenShare, an even part of it.
+    [[nodiscard]] static auto isSmall(double accountShare, double evenShare) -> bool;
+
     /// The limit between \p free, without contention, and \p contended, with a \p contention of 1.
     [[nodiscard]] static auto blend(duration free, duration contended, double contention) -> duration;
 
-    /// Longest expected queue wait while requests are being refused. \p fractionOfLevel is the account's recent work in
-    /// relation to the level, from account_level. Prompts of an account that is well above the level may wait for much
-    /// less than those of one below half of it, so that the queues that the former fill leave room for the latter.
+    /// Longest expected queue wait while prompts would wait long. \p fractionOfLevel is the account's recent work in
+    /// relation to the level, from account_level. At the level the wait is half of that of an account with little work,
+    /// and it falls steeply beyond, without a lower limit: of two accounts, the one with more work is refused sooner.
     [[nodiscard]] auto maxContendedWait(duration objective, duration prefillTime, double fractionOfLevel) const
         -> duration;
 
--- a/include/marjoramloom/gateway/decisions/sliding_window_sum.h
+++ b/include/marjoramloom/gateway/decisions/sliding_window_sum.h
@@ -27,6 +27,18 @@
         return m_total;
     }
 
+    /// The same, with each amount weighted by how far its bucket is from the window's end: in full at first, and by
+    /// nothing as it leaves the window. So a burst is forgotten as gradually as a steady flow.
+    [[nodiscard]] auto fading(time_point now) -> std::uint64_t
+    {
+        advance(now);
+        auto weighted = std::uint64_t(0);
+        for (auto age = std::uint64_t(0); m_total > 0 && age < BUCKET_COUNT; ++age) {
+            weighted += m_buckets[(m_currentBucket + BUCKET_COUNT - age) % BUCKET_COUNT] * (BUCKET_COUNT - age);
+        }
+        return weighted / BUCKET_COUNT;
+    }
+
 private:
     static constexpr duration BUCKET_LENGTH = std::chrono::milliseconds(100);
     static constexpr std::uint64_t BUCKET_COUNT = LENGTH / BUCKET_LENGTH;
--- a/include/marjoramloom/gateway/knowledge/gateway_state.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_state.h
@@ -159,7 +159,8 @@
     memory_grants memoryGrants; ///< KV memory that this router granted to the others' requests as dispatcher.
     account_usage accounts;
     admission_policy admission;
-    account_level accountLevel; ///< Of the refusals by this router, above all as a dispatcher.
+    /// Of the engine shards that this router places prompts in, by service and index of the shard.
+    std::map<std::pair<std::string, std::uint32_t>, account_level> accountLevels;
     admission_record admissions; ///< Of this router as a dispatcher.
     time_point lastAdmissionLog{};
     std::vector<prefill_record> unreportedPrefills; ///< Not yet sent to the other routers.
--- a/src/gateway/decisions/account_level.cpp
+++ b/src/gateway/decisions/account_level.cpp
@@ -1,43 +1,56 @@
 #include "marjoramloom/gateway/decisions/account_level.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace marjoramloom {
 
-auto account_level::notePlaced(std::uint64_t tokens, time_point now) -> void
+namespace {
+
+/// Relative change of the level in a second, for each unit by which the mean wait fraction differs from the target.
+constexpr double gain = 4;
+/// Wait fractions count up to this one, so that the level falls about as fast as it rises.
+constexpr double maxWaitFraction = 2 * account_level::TARGET_WAIT;
+
+} // namespace
+
+auto account_level::noteAsked(std::uint64_t tokens, double accountTokens, double waitFraction, double evenTokens,
+                              time_point now) -> void
 {
-    m_placedTokens.add(tokens, now);
+    m_askedTokens += static_cast<double>(tokens);
+    m_weightedWaits += static_cast<double>(tokens) * std::min(waitFraction, maxWaitFraction);
+    m_largest = std::max(m_largest, accountTokens);
+    if (now - m_updatedAt >= UPDATE_PERIOD) {
+        update(evenTokens, now);
+    }
 }
 
-auto account_level::noteRefused(std::uint64_t account, std::uint64_t tokens, time_point now) -> void
+auto account_level::update(double evenTokens, time_point now) -> void
 {
-    m_refusedTokens.add(tokens, now);
-    if (m_lastRefusals.size() < MAX_ACCOUNTS || m_lastRefusals.contains(account)) {
-        m_lastRefusals[account] = now;
+    const auto step = std::min(now - m_updatedAt, MAX_STEP);
+    m_updatedAt = now;
+    const auto meanWait = m_askedTokens > 0 ? m_weightedWaits / m_askedTokens : 0;
+    const auto highest = std::max(m_largest, m_largestBefore) * HIGHEST_LEVEL;
+    const auto factor = std::exp(gain * (TARGET_WAIT - meanWait) * toSeconds(step));
+    m_level = std::clamp(m_level > 0 ? m_level * factor : highest, std::min(evenTokens, highest), highest);
+    m_askedTokens = 0;
+    m_weightedWaits = 0;
+    if (now - m_largestSince >= LARGEST_PERIOD) {
+        m_largestSince = now;
+        m_largestBefore = std::exchange(m_largest, 0);
     }
 }
 
-auto account_level::contention(time_point now) -> double
+auto account_level::fractionOfLevel(double accountTokens) const -> double
 {
-    const auto refused = static_cast<double>(m_refusedTokens.total(now));
-    const auto asked = refused + static_cast<double>(m_placedTokens.total(now));
-    return asked > 0 ? std::clamp((refused / asked - MIN_REFUSED) / (FULL_REFUSED - MIN_REFUSED), 0.0, 1.0) : 0;
+    return m_level > 0 ? accountTokens / m_level : 0;
 }
 
-auto account_level::fractionOfLevel(std::uint64_t account, const token_source &tokensOf, double evenTokens,
-                                    time_point now) -> double
+auto account_level::contention() const -> double
 {
-    if (now - m_updatedAt >= UPDATE_PERIOD) {
-        m_updatedAt = now;
-        std::erase_if(m_lastRefusals, [&](const auto &refusal) { return now - refusal.second > REFUSAL_MEMORY; });
-        auto sum = std::uint64_t(0);
-        for (const auto &[refused, at] : m_lastRefusals) {
-            sum += tokensOf(refused);
-        }
-        const auto count = static_cast<double>(m_lastRefusals.size());
-        m_level = count > 0 ? std::max(evenTokens, static_cast<double>(sum) / count) : 0;
-    }
-    return m_level > 0 ? static_cast<double>(tokensOf(account)) / m_level : 0;
+    const auto highest = std::max(m_largest, m_largestBefore) * HIGHEST_LEVEL;
+    return m_level > 0 ? std::clamp((highest / m_level - 1) / (HIGHEST_LEVEL - 1), 0.0, 1.0) : 0;
 }
 
 } // namespace marjoramloom
--- a/src/gateway/decisions/account_usage.cpp
+++ b/src/gateway/decisions/account_usage.cpp
@@ -23,7 +23,7 @@
 auto account_usage::fleetTokensOf(std::uint64_t account, time_point now) -> std::uint64_t
 {
     const auto local = m_localTokensByAccount.find(account);
-    return (local == m_localTokensByAccount.end() ? 0 : local->second.total(now))
+    return (local == m_localTokensByAccount.end() ? 0 : local->second.fading(now))
         + m_fleet.tokensOfAccount(account).startedTokens;
 }
 
@@ -35,7 +35,7 @@
 
 auto account_usage::fleetTokens(time_point now) -> std::uint64_t
 {
-    return m_localTokens.total(now) + m_fleet.startedTokens();
+    return m_localTokens.fading(now) + m_fleet.startedTokens();
 }
 
 auto account_usage::evenShare() const -> double
@@ -51,7 +51,7 @@
 {
     auto shares = std::vector<account_tokens>();
     for (auto entry = m_localTokensByAccount.begin(); entry != m_localTokensByAccount.end();) {
-        const auto started = entry->second.total(now);
+        const auto started = entry->second.fading(now);
         if (started == 0) {
             entry = m_localTokensByAccount.erase(entry);
             continue;
--- a/src/gateway/decisions/admission_policy.cpp
+++ b/src/gateway/decisions/admission_policy.cpp
@@ -1,6 +1,7 @@
 #include "marjoramloom/gateway/decisions/admission_policy.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marjoramloom {
 
@@ -17,28 +18,29 @@
 /// The same for prompts of small accounts.
 constexpr double minWaitFractionOfSmallAccounts = 1.0;
 
-/// Fractions of the level up to which an account is not limited, and from which on it is limited most.
-constexpr double unlimitedFraction = 0.5;
-constexpr double limitedFraction = 1.5;
 /// As minWaitFraction, for prompts of accounts that are not limited. They come before the short prompts of others, and
 /// mostly still within their objective.
 constexpr double minWaitFractionIfContended = 0.6;
-/// Factor of the allowed wait of the most limited accounts.
-constexpr double minContendedFactor = 0.2;
+/// Exponent of an account's relation to the level, by which its longest wait falls.
+constexpr double levelExponent = 4;
 
 } // namespace
 
 auto admission_policy::maxWait(duration objective, duration prefillTime, double accountShare, double evenShare) const
     -> duration
 {
-    const auto isSmall = accountShare < smallAccountFraction * evenShare;
-    const auto minFraction = isSmall ? minWaitFractionOfSmallAccounts : minWaitFraction;
+    const auto minFraction = isSmall(accountShare, evenShare) ? minWaitFractionOfSmallAccounts : minWaitFraction;
     const auto waitFactor = std::max(1 - waitReductionPerShare * accountShare, minWaitFactor);
     const auto timeForWaiting =
         std::max<duration>(objective - prefillTime, std::chrono::duration_cast<duration>(objective * minFraction));
     return std::chrono::duration_cast<duration>(timeForWaiting * waitFactor);
 }
 
+auto admission_policy::isSmall(double accountShare, double evenShare) -> bool
+{
+    return accountShare < smallAccountFraction * evenShare;
+}
+
 auto admission_policy::blend(duration free, duration contended, double contention) -> duration
 {
     return free + std::chrono::duration_cast<duration>((contended - free) * contention);
@@ -47,13 +49,9 @@
 auto admission_policy::maxContendedWait(duration objective, duration prefillTime, double fractionOfLevel) const
     -> duration
 {
-    const auto excess =
-        std::clamp((fractionOfLevel - unlimitedFraction) / (limitedFraction - unlimitedFraction), 0.0, 1.0);
-    const auto minFraction = minWaitFractionIfContended + excess * (minWaitFraction - minWaitFractionIfContended);
-    const auto waitFactor = 1 + excess * (minContendedFactor - 1);
-    const auto timeForWaiting =
-        std::max<duration>(objective - prefillTime, std::chrono::duration_cast<duration>(objective * minFraction));
-    return std::chrono::duration_cast<duration>(timeForWaiting * waitFactor);
+    const auto longest = std::max<duration>(
+        objective - prefillTime, std::chrono::duration_cast<duration>(objective * minWaitFractionIfContended));
+    return std::chrono::duration_cast<duration>(longest / (1 + std::pow(fractionOfLevel, levelExponent)));
 }
 
 } // namespace marjoramloom
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -47,35 +47,44 @@
     }
 }
 
-/// Recent tokens of \p account in relation to those of the accounts that are being refused; 0 if none is.
-auto fractionOfLevel(gateway_state &state, std::uint64_t account, time_point now) -> double
+/// Recent work of a client account in the whole fleet.
+struct account_standing
 {
-    const auto evenTokens = state.accounts.evenShare() * static_cast<double>(state.accounts.fleetTokens(now));
-    return state.accountLevel.fractionOfLevel(
-        account, [&](std::uint64_t other) { return state.accounts.fleetTokensOf(other, now); }, evenTokens, now);
+    double tokens = 0; ///< With what this router placed and no report includes yet.
+    double share = 0; ///< Of all work, from 0 to 1.
+    double evenShare = 0; ///< The share that each account would have if all had the same.
+    double evenTokens = 0;
+};
+
+auto standingOf(gateway_state &state, std::uint64_t account, time_point now) -> account_standing
+{
+    const auto tokens = state.accounts.fleetTokensOf(account, now) + state.placements.tokensOfAccount(account);
+    const auto evenShare = state.accounts.evenShare();
+    return { .tokens = static_cast<double>(tokens),
+             .share = state.accounts.fleetShare(account, now),
+             .evenShare = evenShare,
+             .evenTokens = evenShare * static_cast<double>(state.accounts.fleetTokens(now)) };
 }
 
-/// Counts a decision about a prompt. Those of the dispatcher of the prompt's engines are also logged.
-auto record(gateway_state &state, const placement_query &query, memory_scope scope, admission_result result,
-            duration wait, duration maxWait, time_point now) -> void
+/// Longest expected wait with which a prompt that takes \p prefillTime by itself is accepted.
+auto longestWait(const gateway_state &state, const account_standing &standing, const account_level &level,
+                 duration objective, duration prefillTime) -> duration
 {
-    if (query.trace != nullptr) {
-        return;
-    }
-    if (result == admission_result::placed) {
-        state.accountLevel.notePlaced(query.prompt.costTokens(), now);
-    } else {
-        state.accountLevel.noteRefused(query.account, query.prompt.costTokens(), now);
-    }
-    if (scope == memory_scope::dispatcher) {
-        state.admissions.note({ .account = query.account,
-                                .tokens = query.prompt.costTokens(),
-                                .result = result,
-                                .accountShare = state.accounts.fleetShare(query.account, now),
-                                .fractionOfLevel = fractionOfLevel(state, query.account, now),
-                                .wait = wait,
-                                .maxWait = maxWait,
-                                .contention = state.accountLevel.contention(now) });
+    const auto free = state.admission.maxWait(objective, prefillTime, standing.share, standing.evenShare);
+    const auto contended =
+        state.admission.maxContendedWait(objective, prefillTime, level.fractionOfLevel(standing.tokens));
+    const auto blended = admission_policy::blend(free, contended, level.contention());
+    // Contention is caused by others than the small accounts.
+    return admission_policy::isSmall(standing.share, standing.evenShare) ? std::max(free, blended) : blended;
+}
+
+/// Counts the decision of the dispatcher of a prompt's engines for the log.
+auto record(gateway_state &state, const placement_query &query, memory_scope scope, admission_decision decision) -> void
+{
+    if (query.trace == nullptr && scope == memory_scope::dispatcher) {
+        decision.account = query.account;
+        decision.tokens = query.prompt.costTokens();
+        state.admissions.note(decision);
     }
 }
 
@@ -94,38 +103,55 @@
     }
     auto chosen =
         chooseEngine(state, *service, query.shard, query.prompt, excluded.servers, now, why, scope, query.trace);
+    const auto standing = standingOf(state, query.account, now);
+    auto &level = state.accountLevels[{ query.service, query.shard.index }];
+    const auto noteAsked = [&](duration wait, duration longest) {
+        if (query.trace == nullptr) {
+            const auto fraction = longest > duration::zero() ? toSeconds(wait) / toSeconds(longest) : 1.0;
+            level.noteAsked(query.prompt.costTokens(), standing.tokens, fraction, standing.evenTokens, now);
+        }
+    };
     if (!chosen) {
         noteNoneLeft(query, excluded, why);
-        if (why.kind == failure_kind::overloaded) {
-            record(state, query, scope, admission_result::noRoom, duration::zero(), duration::zero(), now);
+        if (why.kind != failure_kind::overloaded) {
+            return std::nullopt;
         }
-        return why.kind == failure_kind::overloaded
-            ? std::optional(engine_decision{ .chosen = std::nullopt, .allEnginesFull = true })
-            : std::nullopt;
+        noteAsked(query.objective, query.objective);
+        record(state, query, scope,
+               { .result = admission_result::noRoom,
+                 .accountShare = standing.share,
+                 .fractionOfLevel = level.fractionOfLevel(standing.tokens),
+                 .contention = level.contention() });
+        return engine_decision{ .chosen = std::nullopt, .allEnginesFull = true };
     }
-    const auto accountShare = state.accounts.fleetShare(query.account, now);
     const auto prefillTime = chosen->firstEvent - chosen->wait;
-    const auto evenShare = state.accounts.evenShare();
-    const auto ofLevel = fractionOfLevel(state, query.account, now);
-    const auto maxWait = admission_policy::blend(
-        state.admission.maxWait(query.objective, prefillTime, accountShare, evenShare),
-        state.admission.maxContendedWait(query.objective, prefillTime, ofLevel), state.accountLevel.contention(now));
     // Accounts under an even share are not refused for the sake of those over it.
-    const auto delayToOthers = accountShare < evenShare ? duration::zero() : chosen->delayToOthers;
+    const auto delayToOthers = standing.share < standing.evenShare ? duration::zero() : chosen->delayToOthers;
+    const auto wait = chosen->wait + delayToOthers;
+    noteAsked(wait, state.admission.maxContendedWait(query.objective, prefillTime, 0));
+    const auto ofLevel = level.fractionOfLevel(standing.tokens);
+    const auto maxWait = longestWait(state, standing, level, query.objective, prefillTime);
     if (query.trace != nullptr) {
         query.trace->note("share",
-                          formatPercent(accountShare) + " of the tokens, an even one is " + formatPercent(evenShare)
-                              + ", " + formatPercent(ofLevel) + " of the level of refused accounts");
+                          formatPercent(standing.share) + " of the tokens, an even one is "
+                              + formatPercent(standing.evenShare) + ", " + formatPercent(ofLevel)
+                              + " of the level of the engines");
         query.trace->note("admission",
                           "expected wait " + formatMs(chosen->wait) + ", delay to others " + formatMs(delayToOthers)
                               + ", limit " + formatMs(maxWait) + ", objective " + formatMs(query.objective));
     }
-    if (!query.alreadySent && chosen->wait + delayToOthers > maxWait) {
-        record(state, query, scope, admission_result::expectedLate, chosen->wait, maxWait, now);
+    const auto isLate = !query.alreadySent && wait > maxWait;
+    record(state, query, scope,
+           { .result = isLate ? admission_result::expectedLate : admission_result::placed,
+             .accountShare = standing.share,
+             .fractionOfLevel = ofLevel,
+             .wait = chosen->wait,
+             .maxWait = maxWait,
+             .contention = level.contention() });
+    if (isLate) {
         why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
         return engine_decision{ .chosen = std::nullopt, .allEnginesFull = false };
     }
-    record(state, query, scope, admission_result::placed, chosen->wait, maxWait, now);
     return engine_decision{ .chosen = std::move(chosen), .allEnginesFull = false };
 }
 
--- a/src/gateway/decisions/pending_placements.cpp
+++ b/src/gateway/decisions/pending_placements.cpp
@@ -2,14 +2,17 @@
 
 namespace marjoramloom {
 
-auto pending_placements::add(std::uint64_t router, std::uint64_t server, std::uint32_t tokens, time_point now)
-    -> std::uint64_t
+auto pending_placements::add(std::uint64_t router, std::uint64_t server, std::uint32_t tokens, const charge &charged,
+                             time_point now) -> std::uint64_t
 {
     auto &placements = m_routers[router];
-    placements.pending.push_back({ ++placements.lastSequence, server, tokens, now });
+    placements.pending.push_back({ ++placements.lastSequence, server, tokens, charged, now });
     auto &sum = m_engines[server];
     ++sum.running;
     sum.pendingPrefillTokens += tokens;
+    if (charged.tokens > 0) {
+        m_accountTokens[charged.account] += charged.tokens;
+    }
     return placements.lastSequence;
 }
 
@@ -38,6 +41,12 @@
     return found == m_engines.end() ? engine_load{ server } : found->second;
 }
 
+auto pending_placements::tokensOfAccount(std::uint64_t account) const -> std::uint64_t
+{
+    const auto found = m_accountTokens.find(account);
+    return found == m_accountTokens.end() ? 0 : found->second;
+}
+
 auto pending_placements::subtract(const placement &removed) -> void
 {
     auto &sum = m_engines[removed.server];
@@ -46,6 +55,10 @@
     if (sum.running == 0) {
         m_engines.erase(removed.server);
     }
+    const auto account = m_accountTokens.find(removed.charged.account);
+    if (removed.charged.tokens > 0 && (account->second -= removed.charged.tokens) == 0) {
+        m_accountTokens.erase(account);
+    }
 }
 
 } // namespace marjoramloom
--- a/src/gateway/traffic/placement_dispatch.cpp
+++ b/src/gateway/traffic/placement_dispatch.cpp
@@ -182,7 +182,8 @@
     if (query.plain) {
         answer.grant = m_state.slotGrants.add(queryingRouter, answer.server, chosen.running, now);
     } else {
-        answer.sequence = m_state.placements.add(queryingRouter, answer.server, chosen.prefillTokens, now);
+        answer.sequence = m_state.placements.add(queryingRouter, answer.server, chosen.prefillTokens,
+                                                 { query.account, query.prompt.costTokens() }, now);
         // The engine prefills in order of arrival, so later prompts will find these blocks cached.
         m_state.recordPrefill(answer.server, query.prompt);
     }
