The event admission shows what a router places while no dispatcher answers it

Decisions without a dispatcher left no trace in it, though they pass every limit of the dispatchers. No change of behaviour.

--- a/include/marjoramloom/gateway/knowledge/admission_record.h
+++ b/include/marjoramloom/gateway/knowledge/admission_record.h
@@ -11,7 +11,7 @@
 
 namespace marjoramloom {
 
-/// What a dispatcher decided about a prompt.
+/// What a router decided about a prompt.
 enum class admission_result {
     placed,
     expectedLate, ///< Refused: the expected wait is beyond the limit for the account.
@@ -39,9 +39,10 @@
     duration wait{}; ///< Expected wait at the chosen engine; 0 if none was chosen.
     duration maxWait{}; ///< The limit that the wait was compared with; 0 if none was chosen.
     double contention = 0; ///< From account_level.
+    bool alone = false; ///< Decided by the router of the request, as no dispatcher answered.
 };
 
-/// Sums of the decisions of one dispatcher about one account within a second.
+/// Sums of the decisions of one router about one account within a second.
 struct admission_totals
 {
     static constexpr std::size_t RESULTS = enum_names<admission_result>::table.size();
@@ -50,6 +51,7 @@
     std::array<std::uint32_t, RESULTS> requests{}; ///< By admission_result.
     std::uint64_t askedTokens = 0;
     std::uint64_t placedTokens = 0;
+    std::uint64_t placedAloneTokens = 0; ///< Part of placedTokens for which no dispatcher answered.
     double accountShare = 0; ///< Of the latest decision.
     double fractionOfLevel = 0; ///< Of the latest decision.
     double contention = 0; ///< Of the latest decision.
@@ -60,8 +62,8 @@
     [[nodiscard]] auto count(admission_result result) const -> std::uint32_t;
 };
 
-/// Counts the decisions of this router as a dispatcher by account, so that a log shows for each second which accounts
-/// were refused, and why. Not thread safe.
+/// Counts the decisions of this router, as a dispatcher or in place of a silent one, by account, so that a log shows for
+/// each second which accounts were refused, and why. Not thread safe.
 class admission_record
 {
 public:
@@ -70,8 +72,8 @@
 
     auto note(const admission_decision &decision) -> void;
 
-    /// The accounts of which requests were refused since the last call, those with the most refused requests first, at
-    /// most \p limit. Starts a new period.
+    /// The accounts of which requests were refused, or placed without a dispatcher, since the last call, those with the
+    /// most refused requests first, at most \p limit. Starts a new period.
     [[nodiscard]] auto takeRefused(std::size_t limit) -> std::vector<admission_totals>;
 
 private:
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -78,10 +78,11 @@
     return admission_policy::isSmall(standing.share, standing.evenShare) ? std::max(free, blended) : blended;
 }
 
-/// Counts the decision of the dispatcher of a prompt's engines for the log.
+/// Counts a decision about a prompt for the log.
 auto record(gateway_state &state, const placement_query &query, memory_scope scope, admission_decision decision) -> void
 {
-    if (query.trace == nullptr && scope == memory_scope::dispatcher) {
+    if (query.trace == nullptr) {
+        decision.alone = scope == memory_scope::alone;
         decision.account = query.account;
         decision.tokens = query.prompt.costTokens();
         state.admissions.note(decision);
--- a/src/gateway/knowledge/admission_record.cpp
+++ b/src/gateway/knowledge/admission_record.cpp
@@ -28,6 +28,7 @@
     ++totals.requests.at(static_cast<std::size_t>(decision.result));
     totals.askedTokens += decision.tokens;
     totals.placedTokens += decision.result == admission_result::placed ? decision.tokens : 0;
+    totals.placedAloneTokens += decision.alone && decision.result == admission_result::placed ? decision.tokens : 0;
     totals.accountShare = decision.accountShare;
     totals.fractionOfLevel = decision.fractionOfLevel;
     totals.contention = decision.contention;
@@ -42,7 +43,7 @@
 {
     auto refused = std::vector<admission_totals>();
     for (const auto &[account, totals] : m_totals) {
-        if (totals.refused() > 0) {
+        if (totals.refused() > 0 || totals.placedAloneTokens > 0) {
             refused.push_back(totals);
         }
     }
--- a/tests/unit/gateway/account_level_test.cpp
+++ b/tests/unit/gateway/account_level_test.cpp
@@ -126,6 +126,11 @@
     BOOST_TEST(refused[0].placedTokens == 9U);
     BOOST_TEST(refused[1].count(admission_result::expectedLate) == 1U);
     BOOST_TEST(record.takeRefused(2).empty());
+    record.note({ .account = 4, .tokens = 8, .result = admission_result::placed });
+    record.note({ .account = 5, .tokens = 8, .result = admission_result::placed, .alone = true });
+    const auto alone = record.takeRefused(2);
+    BOOST_REQUIRE(alone.size() == 1U);
+    BOOST_TEST(alone[0].placedAloneTokens == 8U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
