A router that no dispatcher answers keeps to the level that dispatchers stated last

What callers saw: accounts whose flood came through one router got two to four million tokens a second more than the dispatchers granted them, while the dispatchers refused other large accounts.

Cause: a router that gets no answer to a query within 25 ms decides by its own view of the engines' queues, which shows its own requests only, so the engines look idle. The same holds for a router that stands in for a dispatcher that one router takes for silent. A flood delays the answers at the router that it comes through, so it is the flooding account that passes the gate. In the trace, the round trips of one such router grew from less than 10 to 30 to 70 ms, and 12.7 of 30.2 million tokens of the largest account were placed by routers that saw nobody else. Class: a fallback that grants more than the rule it stands in for.

Change: the answers of dispatchers that know most of the fleet state the level of the shard and the account's recent work in the fleet; answers that come too late count as well. For two seconds, the time over which work is counted, a router without a dispatcher refuses accounts that are above that level, by the larger of the stated and its own count. Other accounts are placed as before, and so are requests that were already sent.

--- a/include/marjoramloom/gateway/decisions/account_level.h
+++ b/include/marjoramloom/gateway/decisions/account_level.h
@@ -35,6 +35,9 @@
     /// How far the level limits the accounts, from 0 at the largest account to 1.
     [[nodiscard]] auto contention() const -> double;
 
+    /// The level in tokens; 0 while it limits nobody.
+    [[nodiscard]] auto limitTokens() const -> std::uint64_t;
+
 private:
     auto update(double evenTokens, time_point now) -> void;
 
--- a/include/marjoramloom/gateway/decisions/account_usage.h
+++ b/include/marjoramloom/gateway/decisions/account_usage.h
@@ -26,6 +26,9 @@
     /// Tokens of the account that the fleet sent to engines within the window.
     [[nodiscard]] auto fleetTokensOf(std::uint64_t account, time_point now) -> std::uint64_t;
 
+    /// The part of them that this router sent.
+    [[nodiscard]] auto localTokensOf(std::uint64_t account, time_point now) -> std::uint64_t;
+
     /// The account's share of all tokens that the fleet sent to engines within the window, from 0 to 1.
     [[nodiscard]] auto fleetShare(std::uint64_t account, time_point now) -> double;
 
--- a/include/marjoramloom/gateway/decisions/engine_decision.h
+++ b/include/marjoramloom/gateway/decisions/engine_decision.h
@@ -44,6 +44,7 @@
 {
     std::optional<chosen_server> chosen; ///< Empty if the request is refused.
     bool allEnginesFull = false; ///< Refused because no engine has a free slot, not for a late first event.
+    stated_level level{}; ///< Of the shard, as this router knows it; not set for plain services.
 };
 
 /// Chooses the engine from this router's own load data, and decides whether to refuse the request because its expected
--- a/include/marjoramloom/gateway/knowledge/admission_record.h
+++ b/include/marjoramloom/gateway/knowledge/admission_record.h
@@ -16,6 +16,7 @@
     placed,
     expectedLate, ///< Refused: the expected wait is beyond the limit for the account.
     noRoom, ///< Refused: no engine has a free slot, or enough free KV memory, for a prompt of the account.
+    aboveStatedLevel, ///< Refused: no dispatcher answers, and the account is above the level that one stated last.
 };
 
 template<>
@@ -25,6 +26,7 @@
         enum_name<admission_result>{ admission_result::placed, "placed" },
         enum_name<admission_result>{ admission_result::expectedLate, "expected_late" },
         enum_name<admission_result>{ admission_result::noRoom, "no_room" },
+        enum_name<admission_result>{ admission_result::aboveStatedLevel, "above_stated_level" },
     };
 };
 
@@ -62,8 +64,8 @@
     [[nodiscard]] auto count(admission_result result) const -> std::uint32_t;
 };
 
-/// Counts the decisions of this router, as a dispatcher or in place of a silent one, by account, so that a log shows for
-/// each second which accounts were refused, and why. Not thread safe.
+/// Counts the decisions of this router, as a dispatcher or in place of a silent one, by account, so that a log shows
+/// for each second which accounts were refused, and why. Not thread safe.
 class admission_record
 {
 public:
--- a/include/marjoramloom/gateway/knowledge/gateway_state.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_state.h
@@ -21,6 +21,7 @@
 #include "marjoramloom/gateway/decisions/slot_grants.h"
 #include "marjoramloom/gateway/knowledge/admission_record.h"
 #include "marjoramloom/gateway/knowledge/cold_engines.h"
+#include "marjoramloom/gateway/knowledge/dispatcher_levels.h"
 #include "marjoramloom/gateway/knowledge/evacuated_data_centres.h"
 #include "marjoramloom/gateway/knowledge/fleet_loads.h"
 #include "marjoramloom/gateway/knowledge/gateway_settings.h"
@@ -161,7 +162,8 @@
     admission_policy admission;
     /// Of the engine shards that this router places prompts in, by service and index of the shard.
     std::map<std::pair<std::string, std::uint32_t>, account_level> accountLevels;
-    admission_record admissions; ///< Of this router as a dispatcher.
+    dispatcher_levels statedLevels; ///< By the dispatchers that this router asked.
+    admission_record admissions;
     time_point lastAdmissionLog{};
     std::vector<prefill_record> unreportedPrefills; ///< Not yet sent to the other routers.
     std::size_t running = 0; ///< Requests that are being forwarded.
--- a/include/marjoramloom/gateway/traffic/placement_dispatch.h
+++ b/include/marjoramloom/gateway/traffic/placement_dispatch.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,6 +28,7 @@
     std::uint64_t router = 0; ///< Router id of the dispatcher; not part of the message.
     std::uint64_t memoryGrant = 0; ///< Of KV memory at the engine, from memory_grants::add(); 0 for none.
     double memoryUse = 0; ///< Fraction of the engine's KV memory that is committed with the request.
+    std::optional<stated_level> stated; ///< Absent for plain services, or if the dispatcher knows too little.
 };
 
 /// Lets one router, the dispatcher, place all prompts of a shard of a service's engines one after the other.
@@ -34,7 +36,8 @@
 /// Without it, routers that get prompts at the same moment would all choose the same idle engines. The dispatcher is
 /// the first responsive router in the roster's dispatch order. It holds no durable state, and two dispatchers at once
 /// are harmless. A router that gets no answer within ANSWER_TIMEOUT decides from its own load data, and skips a
-/// dispatcher that repeatedly does not answer. Not thread safe: belongs to the router's only thread.
+/// dispatcher that repeatedly does not answer; meanwhile it places nothing for accounts that are above the level which
+/// dispatchers stated last. Not thread safe: belongs to the router's only thread.
 class placement_dispatch
 {
 public:
@@ -100,12 +103,32 @@
     /// Quarantined blocks are divided into this many groups, whose trials different routers make.
     static constexpr std::uint32_t TRIAL_GROUPS = 16;
 
+    /// Fraction of the fleet whose load a dispatcher has to know to state a level.
+    static constexpr double MIN_KNOWN_FRACTION = 0.5;
+
+    struct dispatcher_choice
+    {
+        std::uint64_t router = 0;
+        std::size_t skipped = 0; ///< Routers before it that did not answer lately.
+    };
+    /// What a query was about, for statements in its answer that comes too late.
+    struct asked_query
+    {
+        std::uint64_t shard = 0; ///< From dispatcher_levels::shardId().
+        std::uint64_t account = 0;
+    };
+    /// Queries of which statements are still accepted.
+    static constexpr std::size_t MAX_ASKED_QUERIES = 512;
+
     struct dispatcher_status
     {
         std::uint32_t unansweredQueries = 0;
         time_point skippedUntil{};
     };
 
+    auto chooseDispatcher(const std::string &service, std::uint32_t shard, time_point now) -> dispatcher_choice;
+    auto noteStated(const placement_answer &answer) -> void;
+    auto refuseAboveLevel(const placement_query &query, last_reason &why) -> bool;
     auto queryDispatcher(std::uint64_t dispatcher, const placement_query &query)
         -> boost::asio::awaitable<std::shared_ptr<pending_query>>;
     auto decideLocally(const placement_query &query, bool isDispatcher, last_reason &why)
@@ -120,7 +143,8 @@
     boost::asio::any_io_executor m_executor;
     gateway_state &m_state;
     send_query m_send;
-    std::uint64_t m_nextNumber = 0;
+    std::uint64_t m_nextNumber = 0; ///< Of the latest query.
+    std::deque<asked_query> m_askedQueries; ///< The latest ones, in the order of their numbers.
     std::map<std::uint64_t, std::shared_ptr<pending_query>> m_pendingQueries; ///< By the query's number.
     std::map<std::uint64_t, std::uint64_t> m_lastSequences;
     std::unordered_map<std::uint64_t, dispatcher_status> m_dispatcherStatus;
@@ -128,6 +152,7 @@
     std::shared_ptr<held_grants> m_heldMemory; ///< Ended with the next report; there is no release message.
     counter &m_decidedByDispatcher;
     counter &m_decidedLocally;
+    counter &m_refusedAboveLevel;
 };
 
 } // namespace marjoramloom
--- a/src/gateway/decisions/account_level.cpp
+++ b/src/gateway/decisions/account_level.cpp
@@ -47,6 +47,11 @@
     return m_level > 0 ? accountTokens / m_level : 0;
 }
 
+auto account_level::limitTokens() const -> std::uint64_t
+{
+    return contention() > 0 ? std::max<std::uint64_t>(static_cast<std::uint64_t>(m_level), 1) : 0;
+}
+
 auto account_level::contention() const -> double
 {
     const auto highest = std::max(m_largest, m_largestBefore) * HIGHEST_LEVEL;
--- a/src/gateway/decisions/account_usage.cpp
+++ b/src/gateway/decisions/account_usage.cpp
@@ -21,10 +21,14 @@
 }
 
 auto account_usage::fleetTokensOf(std::uint64_t account, time_point now) -> std::uint64_t
+{
+    return localTokensOf(account, now) + m_fleet.tokensOfAccount(account).startedTokens;
+}
+
+auto account_usage::localTokensOf(std::uint64_t account, time_point now) -> std::uint64_t
 {
     const auto local = m_localTokensByAccount.find(account);
-    return (local == m_localTokensByAccount.end() ? 0 : local->second.fading(now))
-        + m_fleet.tokensOfAccount(account).startedTokens;
+    return local == m_localTokensByAccount.end() ? 0 : local->second.fading(now);
 }
 
 auto account_usage::fleetShare(std::uint64_t account, time_point now) -> double
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -104,6 +104,12 @@
     }
     auto chosen =
         chooseEngine(state, *service, query.shard, query.prompt, excluded.servers, now, why, scope, query.trace);
+    if (!chosen) {
+        noteNoneLeft(query, excluded, why);
+        if (why.kind != failure_kind::overloaded) {
+            return std::nullopt;
+        }
+    }
     const auto standing = standingOf(state, query.account, now);
     auto &level = state.accountLevels[{ query.service, query.shard.index }];
     const auto noteAsked = [&](duration wait, duration longest) {
@@ -112,24 +118,22 @@
             level.noteAsked(query.prompt.costTokens(), standing.tokens, fraction, standing.evenTokens, now);
         }
     };
+    const auto prefillTime = chosen ? chosen->firstEvent - chosen->wait : duration::zero();
+    // Accounts under an even share are not refused for the sake of those over it.
+    const auto delayToOthers =
+        !chosen || standing.share < standing.evenShare ? duration::zero() : chosen->delayToOthers;
+    const auto wait = chosen ? chosen->wait + delayToOthers : query.objective;
+    noteAsked(wait, state.admission.maxContendedWait(query.objective, prefillTime, 0));
+    const auto stated = stated_level{ .levelTokens = level.limitTokens(),
+                                      .accountTokens = static_cast<std::uint64_t>(standing.tokens) };
     if (!chosen) {
-        noteNoneLeft(query, excluded, why);
-        if (why.kind != failure_kind::overloaded) {
-            return std::nullopt;
-        }
-        noteAsked(query.objective, query.objective);
         record(state, query, scope,
                { .result = admission_result::noRoom,
                  .accountShare = standing.share,
                  .fractionOfLevel = level.fractionOfLevel(standing.tokens),
                  .contention = level.contention() });
-        return engine_decision{ .chosen = std::nullopt, .allEnginesFull = true };
+        return engine_decision{ .chosen = std::nullopt, .allEnginesFull = true, .level = stated };
     }
-    const auto prefillTime = chosen->firstEvent - chosen->wait;
-    // Accounts under an even share are not refused for the sake of those over it.
-    const auto delayToOthers = standing.share < standing.evenShare ? duration::zero() : chosen->delayToOthers;
-    const auto wait = chosen->wait + delayToOthers;
-    noteAsked(wait, state.admission.maxContendedWait(query.objective, prefillTime, 0));
     const auto ofLevel = level.fractionOfLevel(standing.tokens);
     const auto maxWait = longestWait(state, standing, level, query.objective, prefillTime);
     if (query.trace != nullptr) {
@@ -151,9 +155,9 @@
              .contention = level.contention() });
     if (isLate) {
         why.fail(failure_kind::overloaded, "choose engine", chosen->server->id, "the first event would be late");
-        return engine_decision{ .chosen = std::nullopt, .allEnginesFull = false };
+        return engine_decision{ .chosen = std::nullopt, .allEnginesFull = false, .level = stated };
     }
-    return engine_decision{ .chosen = std::move(chosen), .allEnginesFull = false };
+    return engine_decision{ .chosen = std::move(chosen), .allEnginesFull = false, .level = stated };
 }
 
 auto decidePlainServer(gateway_state &state, const placement_query &query, double knownFraction, time_point now,
--- a/src/gateway/knowledge/datagram_codec.cpp
+++ b/src/gateway/knowledge/datagram_codec.cpp
@@ -163,7 +163,10 @@
              .candidates = message.candidates(),
              .grant = message.grant(),
              .memoryGrant = message.memory_grant(),
-             .memoryUse = message.memory_use_permille() / permille };
+             .memoryUse = message.memory_use_permille() / permille,
+             .stated = message.has_level_tokens()
+                 ? std::optional(stated_level{ message.level_tokens(), message.account_tokens() })
+                 : std::nullopt };
 }
 
 auto write(const placement_answer &answer, wire::PlacementAnswer &message) -> void
@@ -179,6 +182,10 @@
     message.set_grant(answer.grant);
     message.set_memory_grant(answer.memoryGrant);
     message.set_memory_use_permille(static_cast<std::uint32_t>(answer.memoryUse * permille));
+    if (answer.stated) {
+        message.set_level_tokens(answer.stated->levelTokens);
+        message.set_account_tokens(answer.stated->accountTokens);
+    }
 }
 
 auto readRelease(const wire::SlotRelease &message) -> slot_release
--- a/src/gateway/traffic/placement_dispatch.cpp
+++ b/src/gateway/traffic/placement_dispatch.cpp
@@ -20,13 +20,18 @@
     , m_heldMemory(std::make_shared<held_grants>(held_grants::send_release()))
     , m_decidedByDispatcher(state.counters.at("marjoramloom_placements_total", "by=\"dispatcher\""))
     , m_decidedLocally(state.counters.at("marjoramloom_placements_total", "by=\"own_view\""))
+    , m_refusedAboveLevel(state.counters.at("marjoramloom_refused_above_level_total"))
 {
 }
 
 auto placement_dispatch::decide(const placement_query &query, last_reason &why)
     -> asio::awaitable<std::optional<engine_decision>>
 {
-    const auto dispatcher = dispatcherOf(query.service, query.shard.index, system_clock_source().now());
+    const auto [dispatcher, skipped] = chooseDispatcher(query.service, query.shard.index, system_clock_source().now());
+    // A router that stands in for a silent dispatcher may know no more of the fleet than this one.
+    if (skipped > 0 && refuseAboveLevel(query, why)) {
+        co_return engine_decision{};
+    }
     if (dispatcher != m_state.roster.self()) {
         const auto pending = co_await queryDispatcher(dispatcher, query);
         auto decision = pending->answer ? toDecision(*pending, why) : std::nullopt;
@@ -49,6 +54,9 @@
         if (query.trace == nullptr) {
             m_decidedLocally.add();
         }
+        if (refuseAboveLevel(query, why)) {
+            co_return engine_decision{};
+        }
     } else if (query.trace != nullptr) {
         query.trace->note("decided by", "this router, the dispatcher of the shard");
     }
@@ -83,6 +91,12 @@
 }
 
 auto placement_dispatch::dispatcherOf(const std::string &service, std::uint32_t shard, time_point now) -> std::uint64_t
+{
+    return chooseDispatcher(service, shard, now).router;
+}
+
+auto placement_dispatch::chooseDispatcher(const std::string &service, std::uint32_t shard, time_point now)
+    -> dispatcher_choice
 {
     const auto &order = m_state.roster.dispatchOrder(hash64(service), shard);
     auto skipped = std::size_t(0);
@@ -92,19 +106,55 @@
         }
         const auto status = m_dispatcherStatus.find(router);
         if (status == m_dispatcherStatus.end() || now >= status->second.skippedUntil) {
-            return router;
+            return { .router = router, .skipped = skipped };
         }
         if (++skipped == MAX_SKIPPED_DISPATCHERS) {
             break;
         }
     }
-    return m_state.roster.self();
+    return { .router = m_state.roster.self(), .skipped = skipped };
+}
+
+/// Whether the account of \p query is above the level that a dispatcher stated last, so that the request is refused
+/// unless one answers. The reason is stored in \p why.
+auto placement_dispatch::refuseAboveLevel(const placement_query &query, last_reason &why) -> bool
+{
+    const auto now = system_clock_source().now();
+    const auto localTokens = m_state.accounts.localTokensOf(query.account, now);
+    if (query.plain || query.alreadySent
+        || !m_state.statedLevels.isAbove(dispatcher_levels::shardId(query.service, query.shard.index), query.account,
+                                         localTokens, now)) {
+        return false;
+    }
+    why.fail(failure_kind::overloaded, "choose engine", query.service,
+             "no dispatcher answers, and the account had its part of the engines");
+    if (query.trace == nullptr) {
+        m_refusedAboveLevel.add();
+        m_state.admissions.note({ .account = query.account,
+                                  .tokens = query.prompt.costTokens(),
+                                  .result = admission_result::aboveStatedLevel,
+                                  .alone = true });
+    }
+    return true;
+}
+
+auto placement_dispatch::noteStated(const placement_answer &answer) -> void
+{
+    const auto age = m_nextNumber - answer.number;
+    if (answer.stated && answer.number <= m_nextNumber && age < m_askedQueries.size()) {
+        const auto &asked = m_askedQueries[m_askedQueries.size() - 1 - age];
+        m_state.statedLevels.note(asked.shard, asked.account, *answer.stated, system_clock_source().now());
+    }
 }
 
 auto placement_dispatch::queryDispatcher(std::uint64_t dispatcher, const placement_query &query)
     -> asio::awaitable<std::shared_ptr<pending_query>>
 {
     const auto number = ++m_nextNumber;
+    m_askedQueries.push_back({ dispatcher_levels::shardId(query.service, query.shard.index), query.account });
+    if (m_askedQueries.size() > MAX_ASKED_QUERIES) {
+        m_askedQueries.pop_front();
+    }
     auto pending = std::make_shared<pending_query>(m_executor);
     m_pendingQueries.emplace(number, pending);
     pending->timer.expires_after(ANSWER_TIMEOUT);
@@ -166,6 +216,9 @@
         return std::nullopt;
     }
     auto answer = placement_answer{ .number = number };
+    if (!query.plain && knownFraction() >= MIN_KNOWN_FRACTION) {
+        answer.stated = decision->level;
+    }
     if (!decision->chosen) {
         return answer;
     }
@@ -201,6 +254,7 @@
         auto &last = m_lastSequences[dispatcher];
         last = std::max(last, answer.sequence);
     }
+    noteStated(answer);
     // If nobody waits for the answer any more, the end of this scope returns the place to the dispatcher.
     auto lease = makeLease(m_heldGrants, dispatcher, answer.router, answer.grant);
     auto memoryLease = makeLease(m_heldMemory, dispatcher, answer.router, answer.memoryGrant);
--- a/tests/unit/gateway/placement_dispatch_test.cpp
+++ b/tests/unit/gateway/placement_dispatch_test.cpp
@@ -152,6 +152,64 @@
     BOOST_TEST((system_clock_source().now() - began < 400ms));
 }
 
+BOOST_AUTO_TEST_CASE(a_router_without_a_dispatcher_places_nothing_for_an_account_above_the_level_that_was_stated)
+{
+    addOtherRouters();
+    auto query = makeQuery(1, 2'000);
+    query.account = 7;
+    reply = placement_answer{ .stated = stated_level{ .levelTokens = 5'000, .accountTokens = 6'000 } };
+    BOOST_TEST(!decide(query)->chosen);
+    reply.reset();
+    const auto expectRefused = [&](bool isRefused) {
+        // The first two queries are not answered, then stand-ins are asked, and then nobody is.
+        for (auto request = 0; request < 8; ++request) {
+            const auto decision = decide(query);
+            BOOST_REQUIRE(decision.has_value());
+            BOOST_TEST(decision->chosen.has_value() != isRefused);
+        }
+    };
+    expectRefused(true);
+    query.account = 8;
+    expectRefused(false);
+    state.accounts.noteStarted(8, 5'000, system_clock_source().now());
+    expectRefused(true);
+    query.alreadySent = true;
+    expectRefused(false);
+}
+
+BOOST_AUTO_TEST_CASE(a_level_that_was_stated_long_ago_or_that_limits_nobody_refuses_nothing)
+{
+    auto levels = dispatcher_levels();
+    const auto now = time_point(100s);
+    const auto shard = dispatcher_levels::shardId("pool", 3);
+    levels.note(shard, 7, { .levelTokens = 5'000, .accountTokens = 5'000 }, now);
+    BOOST_TEST(levels.isAbove(shard, 7, 0, now + 1s));
+    BOOST_TEST(!levels.isAbove(shard, 8, 4'999, now + 1s));
+    BOOST_TEST(levels.isAbove(shard, 8, 5'000, now + 1s));
+    BOOST_TEST(!levels.isAbove(dispatcher_levels::shardId("pool", 4), 7, 9'000, now + 1s));
+    BOOST_TEST(!levels.isAbove(shard, 7, 9'000, now + dispatcher_levels::LIFETIME + 1ms));
+    levels.note(shard, 7, { .levelTokens = 0, .accountTokens = 5'000 }, now + 1s);
+    BOOST_TEST(!levels.isAbove(shard, 7, 9'000, now + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(a_dispatcher_states_a_level_only_if_it_knows_most_of_the_fleet)
+{
+    addOtherRouters();
+    auto answer = dispatch.answer(2, 1, makeQuery(1, 2'000));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(!answer->stated);
+    for (auto router = std::uint64_t(2); router < 40; ++router) {
+        state.fleet.update({ .router = router, .sequence = 1, .engines = {}, .accounts = { { 7, 100 } } },
+                           system_clock_source().now());
+    }
+    auto query = makeQuery(1, 2'000);
+    query.account = 7;
+    answer = dispatch.answer(2, 2, query);
+    BOOST_REQUIRE((answer && answer->stated));
+    BOOST_TEST(answer->stated->levelTokens == 0U);
+    BOOST_TEST(answer->stated->accountTokens == 3'800U);
+}
+
 BOOST_AUTO_TEST_CASE(simultaneous_prompts_are_spread_over_the_engines)
 {
     // As many prompts as there are slots, placed before any router reports its load.
