--- a/tests/process/gateway/software_version_test.cpp
+++ b/tests/process/gateway/software_version_test.cpp
@@ -1,4 +1,4 @@
-#include "support/gateway_fleet.h"
+#include "support/mixed_fleet.h"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -8,88 +8,9 @@
 
 namespace {
 
-constexpr int callersWait = 4'000;
 /// Streams that are taken up in one test.
 constexpr int takeUps = 12;
-/// A stream's router tells others of it by datagrams, and routers read new entries of servers from the store.
-constexpr int settleMs = 700;
-
-/// Four servers, the first two of one software version and the others of another.
-class mixed_fleet
-{
-public:
-    explicit mixed_fleet(int routers, std::vector<std::string> versions = { "v1", "v1", "v2", "v2" })
-        : m_fleet(makePlan(routers, std::move(versions)))
-    {
-        sleepMs(settleMs);
-    }
-
-    auto fleet() -> gateway_fleet &
-    {
-        return m_fleet;
-    }
-
-    /// Sends a stream request, or the take-up of the stream \p resumed after the event \p after.
-    auto send(std::size_t router, const std::string &id, const std::string &resumed = {}, int after = 0) -> http_answer
-    {
-        auto request = http_request();
-        request.method = "POST";
-        request.target = "/talk/stream";
-        request.headers = { { "Host", "desk.example" },
-                            { "X-Attempt-Id", id },
-                            { "X-Deadline-Ms", std::to_string(callersWait) },
-                            { "X-Token-Usage", "300,40" },
-                            { "X-Prompt-Prefix", "a1:100," + std::to_string(++m_lastBlock) + ":200" },
-                            { "Authorization", "Bearer key-alpha" } };
-        if (after > 0) {
-            request.headers["Last-Event-Id"] = std::to_string(after);
-        }
-        if (!resumed.empty()) {
-            request.headers["Resumes"] = resumed;
-        }
-        return httpCall(m_fleet.routers()[router].callers, request);
-    }
-
-    /// Version of the last server that began to execute the request \p id; empty if none did.
-    auto versionOf(const std::string &id) -> std::string
-    {
-        auto version = std::string();
-        for (auto index = std::size_t(0); index < m_fleet.servers().size(); ++index) {
-            for (const auto &entry : m_fleet.servers()[index]->record()) {
-                if (entry.at("request_id").as_string() == id && entry.at("state").as_string() == "started") {
-                    version = index < m_versions.size() ? m_versions[index] : "v1";
-                }
-            }
-        }
-        return version;
-    }
-
-    auto versions() -> std::vector<std::string> &
-    {
-        return m_versions;
-    }
-
-private:
-    auto makePlan(int routers, std::vector<std::string> versions) -> gateway_plan
-    {
-        m_versions = versions;
-        auto plan = gateway_plan();
-        plan.routers = routers;
-        plan.servers = 4;
-        plan.retryReserve = 100;
-        plan.serverVersions = std::move(versions);
-        return plan;
-    }
-
-    std::vector<std::string> m_versions;
-    gateway_fleet m_fleet;
-    int m_lastBlock = 0;
-};
-
-auto isNotRun(const http_answer &answer) -> bool
-{
-    return answer.status == 503 || answer.status == 429;
-}
+constexpr int settleMs = mixed_fleet::SETTLE_MS;
 
 } // namespace
 
@@ -230,9 +151,7 @@
     for (auto round = 0; round < takeUps; ++round) {
         mixed.send(0, "first-" + std::to_string(round));
     }
-    mixed.versions()[3] = "v2";
-    mixed.fleet().setServerVersion(3, "v2");
-    mixed.fleet().writeServer(3, "ready", 1);
+    mixed.replace(3, "v2");
     sleepMs(settleMs);
     for (auto round = 0; round < takeUps; ++round) {
         const auto takeUp = "next-" + std::to_string(round);
