--- /dev/null
+++ b/src/gateway/knowledge/platform_feed_updates.cpp
@@ -0,0 +1,122 @@
+// Updates about the store's contents to and from other routers.
+#include "marjoramloom/core/event_loop.h"
+#include "marjoramloom/core/log.h"
+#include "marjoramloom/gateway/knowledge/platform_feed.h"
+#include "platform/configuration_format.h"
+
+namespace marjoramloom {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Ages are reported up to this limit.
+constexpr auto maxReportedAge = std::chrono::milliseconds(600'000);
+
+} // namespace
+
+auto platform_feed::updateSince(std::uint64_t serversRevision, std::uint64_t configurationRevision) const
+    -> store_update
+{
+    auto update = store_update();
+    const auto age = m_state.keys.age(boot_clock::now());
+    if (m_isNewestApplied && m_state.keys.isFresh(boot_clock::now())) {
+        // Rounded up, so that the validation never appears newer than it is.
+        update.validationAge = std::chrono::ceil<std::chrono::milliseconds>(age);
+    }
+    update.configurationRevision = m_configurationRevision;
+    const auto needsConfiguration = configurationRevision > 0 && configurationRevision < m_configurationRevision;
+    if (needsConfiguration && m_configuration.size() <= MAX_RELAYED_CONFIGURATION) {
+        update.configuration = m_configuration;
+    }
+    auto changes = m_serverChanges.changesAfter(serversRevision, MAX_CHANGES_PER_UPDATE, MAX_CHANGE_BYTES_PER_UPDATE);
+    update.serversBaseRevision = changes ? serversRevision : m_serverChanges.revision();
+    update.serversRevision = m_serverChanges.revision();
+    if (changes && !changes->empty() && changes->back().object.revision < m_serverChanges.newestChange()) {
+        update.serversRevision = changes->back().object.revision;
+    }
+    if (changes) {
+        update.changes = std::move(*changes);
+    }
+    update.storeLost = m_storeLost;
+    update.answerAge = std::min(
+        std::chrono::ceil<std::chrono::milliseconds>(system_clock_source().now() - m_lastOwnAnswer), maxReportedAge);
+    update.renewalLeft = m_state.servers.renewalLeft(system_clock_source().now());
+    return update;
+}
+
+auto platform_feed::applyUpdate(const store_update &update, std::optional<boot_time> queriedAt) -> bool
+{
+    const auto now = system_clock_source().now();
+    if (update.configuration && update.configurationRevision > m_configurationRevision) {
+        applyConfiguration({ .kind = std::string(platform::configurationKind),
+                             .name = std::string(platform::configurationName),
+                             .revision = update.configurationRevision,
+                             .value = *update.configuration },
+                           "router");
+    }
+    if (update.storeLost) {
+        if (!m_watching && now - m_lastAnswer > LOST_REPORT_DELAY) {
+            auto why = last_reason();
+            why.fail(failure_kind::unavailable, "query watcher", "platform",
+                     "the watcher gets no answer from the store");
+            noteStoreFailure(why);
+        }
+        return false;
+    }
+    if (m_watching) {
+        // The store is available, although this router may get no answer from it.
+        m_state.servers.onStoreRegained(now);
+    } else {
+        noteStoreAnswer();
+    }
+    m_state.servers.expectRenewals(now + update.renewalLeft);
+    limitRenewals(now);
+    const auto isListContinued = m_state.hasServers && update.serversBaseRevision <= m_serverChanges.revision();
+    if (isListContinued) {
+        for (const auto &change : update.changes) {
+            applyServer(change);
+        }
+        m_serverChanges.advanceTo(update.serversRevision);
+        m_serversWatchRevision = std::max(m_serversWatchRevision, update.serversRevision);
+    }
+    const auto hasNewestConfiguration = update.configurationRevision <= m_configurationRevision;
+    m_state.hasNewerConfiguration = m_state.hasNewerConfiguration || !hasNewestConfiguration;
+    if (hasNewestConfiguration && m_isNewestApplied && update.validationAge && queriedAt) {
+        m_state.keys.noteValidation(*queriedAt - *update.validationAge);
+    }
+    if (m_watching && !m_storeLost) {
+        // The watch is about to deliver what is missing; the update only shows whether watching is still necessary.
+        return update.configurationRevision >= m_configurationRevision;
+    }
+    m_needsServers = m_needsServers || (!isListContinued && update.serversRevision > 0);
+    m_needsConfiguration = m_needsConfiguration || !hasNewestConfiguration;
+    if ((m_needsServers || m_needsConfiguration) && !m_isReadingMissing && now >= m_nextMissingRead) {
+        m_isReadingMissing = true;
+        runTask(m_executor, "missing changes", m_state.counters, [this] { return readMissing(); });
+    }
+    return isListContinued && hasNewestConfiguration;
+}
+
+/// Reads the missing configuration or list of servers from the store once. A failed read is retried with an update of
+/// another router after MISSING_READ_INTERVAL.
+auto platform_feed::readMissing() -> asio::awaitable<void>
+{
+    m_isReadingMissing = true;
+    auto why = last_reason();
+    auto complete = true;
+    if (std::exchange(m_needsConfiguration, false) && !co_await listConfiguration(why)) {
+        log_line(log_level::warning, "refresh_failed").with("reason", why.text());
+        complete = false;
+    }
+    if (std::exchange(m_needsServers, false) && !co_await listServers(why)) {
+        log_line(log_level::warning, "refresh_failed").with("reason", why.text());
+        complete = false;
+    }
+    if (!complete) {
+        m_nextMissingRead = system_clock_source().now() + MISSING_READ_INTERVAL;
+    }
+    m_isReadingMissing = false;
+}
+
+} // namespace marjoramloom
