Streams begin at a new software version only after routers that missed it know that their list is old

What callers saw: streams that began at servers of a new version broke, were taken up at a router that was cut off from the store, and went on at a server of the old version.

Cause: such a router takes a version for the only one as long as it does not count the store as lost, 2.6 s, by a list that it cannot know to be current. Class: absence in a list that may be outdated is taken for proof.

Change: the list of servers has an age from the start of the read that confirmed it, which is relayed with updates and counts suspensions. It proves a single version for 3.5 s. Streams that may be resumed begin at a version 4 s after the choosing router has heard of it, unless no other version has servers. A list that lacks the version is then always too old when a stream of it comes back. Keepers that are asked for a stream also answer for a service with a single version by their own list. key_freshness becomes knowledge_freshness, as it now holds for two things.

--- a/include/marjoramloom/gateway/decisions/decision_trace.h
+++ b/include/marjoramloom/gateway/decisions/decision_trace.h
@@ -19,6 +19,7 @@
     evacuated, ///< Its data centre is evacuated.
     otherShard, ///< Another dispatcher places requests there.
     otherVersion, ///< Of another software version than the one that began the stream.
+    newVersion, ///< Of a software version that has just joined, at which no stream begins yet.
     otherRegion, ///< Outside the regions of the route or account.
     tried, ///< The request has failed there, or was refused.
     paused, ///< It asked this router for a pause.
@@ -38,6 +39,7 @@
         enum_name<rejection>{ rejection::evacuated, "evacuated" },
         enum_name<rejection>{ rejection::otherShard, "other shard" },
         enum_name<rejection>{ rejection::otherVersion, "other software version" },
+        enum_name<rejection>{ rejection::newVersion, "new software version" },
         enum_name<rejection>{ rejection::otherRegion, "other region" },
         enum_name<rejection>{ rejection::tried, "tried" },
         enum_name<rejection>{ rejection::paused, "paused" },
--- a/include/marjoramloom/gateway/decisions/engine_decision.h
+++ b/include/marjoramloom/gateway/decisions/engine_decision.h
@@ -28,6 +28,7 @@
     tried_servers coldServers = {}; ///< Of the cold servers, those to which the querying router may send a request now.
     std::optional<region_set> regions = std::nullopt; ///< Of the servers that may be chosen; nothing for all.
 
+    bool beginsStream = false; ///< A stream that may be resumed begins, which does not happen at a new version.
     std::uint64_t softwareVersion = 0; ///< Of the servers that may be chosen, from softwareVersionId(); 0 for any.
 
     /// The servers that are not chosen again.
--- a/include/marjoramloom/gateway/knowledge/gateway_state.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_state.h
@@ -25,7 +25,7 @@
 #include "marjoramloom/gateway/knowledge/evacuated_data_centres.h"
 #include "marjoramloom/gateway/knowledge/fleet_loads.h"
 #include "marjoramloom/gateway/knowledge/gateway_settings.h"
-#include "marjoramloom/gateway/knowledge/key_freshness.h"
+#include "marjoramloom/gateway/knowledge/knowledge_freshness.h"
 #include "marjoramloom/gateway/knowledge/route_table.h"
 #include "marjoramloom/gateway/knowledge/router_roster.h"
 #include "marjoramloom/gateway/knowledge/served_versions.h"
@@ -142,9 +142,11 @@
     connection_pacing pacing;
     fair_request_limit requestLimit; ///< Used only with the setting fairRefusals.
     bool shouldMoveCallers = false; ///< Kept connections are closed after the next answer, as other routers have room.
-    key_freshness keys;
+    knowledge_freshness keys;
     store_contact storeContact;
     server_directory servers;
+    /// Of the list of servers, for conclusions from what it does not contain.
+    knowledge_freshness serverListFreshness{ served_versions::LIST_LIFETIME };
     evacuated_data_centres evacuations; ///< Known only where settings.evacuationLimit is set.
     server_loads loads;
     cold_engines coldEngines;
--- a/include/marjoramloom/gateway/knowledge/store_update.h
+++ b/include/marjoramloom/gateway/knowledge/store_update.h
@@ -33,6 +33,9 @@
     std::uint64_t serversBaseRevision = 0; ///< The changes start after this revision of the list of backend servers.
     std::uint64_t serversRevision = 0; ///< Revision of the list after the changes.
     std::vector<server_change> changes;
+    /// Time since the start of the latest read that showed serversRevision to be the newest; nothing if that is longer
+    /// ago than the list is relied on, or if more changes follow.
+    std::optional<std::chrono::milliseconds> listAge = std::nullopt;
     bool storeLost = false; ///< The sender gets no answers from the store.
     std::chrono::milliseconds answerAge{ 0 }; ///< Time since the store last answered the sender itself.
     std::chrono::milliseconds renewalLeft{ 0 }; ///< How much longer expired entries may be renewed.
--- a/include/marjoramloom/gateway/traffic/stream_lookup.h
+++ b/include/marjoramloom/gateway/traffic/stream_lookup.h
@@ -14,16 +14,23 @@
 
 namespace marjoramloom {
 
+/// Asks a router for the software version that began a stream.
+struct stream_question
+{
+    std::uint64_t stream = 0; ///< From stream_versions::streamId().
+    std::uint64_t service = 0; ///< From stream_lookup::serviceId(); 0 if it is not stated.
+};
+
 /// Finds the software version that began a stream, for a caller that takes it up at any router.
 ///
 /// While a service has a single version by a list of servers that is not outdated, no message is needed. Otherwise the
-/// router that begins a stream tells a few
-/// routers, its keepers, which every router derives from the stream's id; a router that gets a take-up asks them. A
-/// version that nobody knows is never guessed. Not thread safe: belongs to the router's only thread.
+/// router that begins a stream tells a few routers, its keepers, which every router derives from the stream's id; a
+/// router that gets a take-up asks them. A keeper whose own list is current also knows the streams of a service with a
+/// single version. A version that nobody knows is never guessed. Not thread safe: belongs to the router's only thread.
 class stream_lookup
 {
 public:
-    using send_question = std::function<void(std::uint64_t router, std::uint64_t stream)>;
+    using send_question = std::function<void(std::uint64_t router, const stream_question &question)>;
     using send_versions = std::function<void(std::uint64_t router, const std::vector<stream_version> &streams)>;
 
     /// Routers that are told of a stream. The death of all of them at once leaves a stream unknown.
@@ -44,8 +51,11 @@
     /// with a single version is known.
     auto find(const std::string &service, std::uint64_t stream) -> boost::asio::awaitable<std::optional<std::uint64_t>>;
 
+    /// Id of \p service in questions: a hash, equal on every router.
+    [[nodiscard]] static auto serviceId(const std::string &service) -> std::uint64_t;
+
     /// Answers the question of another router.
-    auto handleQuestion(std::uint64_t router, std::uint64_t stream) -> void;
+    auto handleQuestion(std::uint64_t router, const stream_question &question) -> void;
 
     /// Takes over what another router knows; answers to questions may say that a stream is unknown.
     auto handleVersions(const std::vector<stream_version> &streams) -> void;
@@ -69,6 +79,7 @@
     /// The first routers of the order of \p stream, up to \p limit, without this one.
     auto keepersOf(std::uint64_t stream, std::size_t limit) -> std::vector<std::uint64_t>;
     auto tellKeepers(const std::vector<stream_version> &streams) -> void;
+    auto soleVersionOf(std::uint64_t serviceId, time_point now) const -> std::optional<std::uint64_t>;
     auto isAnyUncertain(time_point now) const -> bool;
 
     boost::asio::any_io_executor m_executor;
--- a/src/gateway/decisions/cold_choice.cpp
+++ b/src/gateway/decisions/cold_choice.cpp
@@ -15,6 +15,20 @@
     return state.settings.coldOvershoot > 0 && service.coldPerSecond > 0;
 }
 
+/// Whether \p query may not be answered with a server of a new version: a stream begins, and servers of other versions
+/// can take it.
+auto avoidsNewVersions(const gateway_state &state, const placement_query &query, time_point now) -> bool
+{
+    if (!query.beginsStream || !state.servedVersions.isMixed(query.service, now)) {
+        return false;
+    }
+    const auto &servers = state.servers.usable(query.service);
+    return std::any_of(servers.begin(), servers.end(), [&](const auto &server) {
+        return isInRegions(state, query.regions, *server)
+            && !state.servedVersions.isNew(query.service, server->softwareVersion, now);
+    });
+}
+
 } // namespace
 
 auto isColdLimited(const gateway_state &state, const routed_service &service, const listed_server &server,
@@ -61,7 +75,7 @@
         return true; // The choice fails for this reason.
     }
     const auto mayBeCold = hasColdLimit(state, *service) && state.coldEngines.mayBeCold(now);
-    if (!mayBeCold && !query.regions && query.softwareVersion == 0) {
+    if (!mayBeCold && !query.regions && query.softwareVersion == 0 && !avoidsNewVersions(state, query, now)) {
         return true;
     }
     const auto noteRoom = [&] {
@@ -101,7 +115,8 @@
     auto excluded = excluded_servers{ .servers = query.triedServers() };
     const auto *service = state.routes ? state.routes->findService(query.service) : nullptr;
     const auto mayBeCold = service != nullptr && hasColdLimit(state, *service) && state.coldEngines.mayBeCold(now);
-    if (!mayBeCold && !query.regions && query.softwareVersion == 0) {
+    const auto isNewExcluded = avoidsNewVersions(state, query, now);
+    if (!mayBeCold && !query.regions && query.softwareVersion == 0 && !isNewExcluded) {
         return excluded;
     }
     excluded.isAnyLeft = false;
@@ -110,7 +125,8 @@
             continue;
         }
         const auto incarnation = server_loads::incarnationId(*server);
-        if (!isInRegions(state, query.regions, *server) || !isOfVersion(query.softwareVersion, *server)) {
+        const auto isTooNew = isNewExcluded && state.servedVersions.isNew(query.service, server->softwareVersion, now);
+        if (!isInRegions(state, query.regions, *server) || !isOfVersion(query.softwareVersion, *server) || isTooNew) {
             excluded.servers.insert(incarnation);
         } else if (mayBeCold && !query.coldServers.contains(incarnation)
                    && isColdLimited(state, *service, *server, now)) {
--- a/src/gateway/decisions/engine_decision.cpp
+++ b/src/gateway/decisions/engine_decision.cpp
@@ -34,6 +34,8 @@
             query.trace->reject(server->id, rejection::otherVersion);
         } else if (isOutside || isColdLimited(state, service, *server, now)) {
             query.trace->reject(server->id, isOutside ? rejection::otherRegion : rejection::coldBudget);
+        } else {
+            query.trace->reject(server->id, rejection::newVersion);
         }
     }
 }
--- a/src/gateway/knowledge/datagram_codec.cpp
+++ b/src/gateway/knowledge/datagram_codec.cpp
@@ -114,6 +114,7 @@
     query.plain = message.plain();
     query.dataCentre = message.data_centre();
     query.alreadySent = message.begun();
+    query.beginsStream = message.begins_stream();
     query.objective = std::chrono::milliseconds(message.objective_ms());
     return query;
 }
@@ -143,6 +144,7 @@
         message.add_regions(region);
     }
     message.set_software_version(query.softwareVersion);
+    message.set_begins_stream(query.beginsStream);
     message.set_plain(query.plain);
     if (query.plain) {
         message.set_data_centre(query.dataCentre);
@@ -277,6 +279,9 @@
     if (message.proved()) {
         update.validationAge = std::chrono::milliseconds(message.proof_age_ms());
     }
+    if (message.has_servers_proof_age_ms()) {
+        update.listAge = std::chrono::milliseconds(message.servers_proof_age_ms());
+    }
     if (message.has_configuration()) {
         update.configuration = message.configuration();
     }
@@ -308,6 +313,9 @@
         serverChange->set_removed(change.removed);
         serverChange->set_entry(change.object.value);
     }
+    if (update.listAge) {
+        message.set_servers_proof_age_ms(static_cast<std::uint32_t>(update.listAge->count()));
+    }
     message.set_store_lost(update.storeLost);
     message.set_answer_age_ms(static_cast<std::uint32_t>(update.answerAge.count()));
     message.set_renewal_left_ms(static_cast<std::uint32_t>(update.renewalLeft.count()));
--- a/src/gateway/knowledge/gateway_state.cpp
+++ b/src/gateway/knowledge/gateway_state.cpp
@@ -53,7 +53,8 @@
     state.servedVersions.setHorizon(streamAnswers * state.routes->longestStream() + streamMargin);
     for (const auto &service : state.routes->services()) {
         state.servers.forEachOf(service.name, [&](const listed_server &server, std::optional<rejection>) {
-            state.servedVersions.noteServed(server.service, server.softwareVersion, now);
+            state.servedVersions.noteServed(server.service, server.softwareVersion, served_versions::source::laterList,
+                                            now);
         });
     }
     state.streamVersions.expire(state.servedVersions.horizon(), now);
@@ -69,7 +70,8 @@
     , keys(initialSettings.keyLifetime)
     , servers([this](const listed_server &server, std::string_view change) {
         logServer(server, change);
-        servedVersions.noteServed(server.service, server.softwareVersion, system_clock_source().now());
+        const auto source = hasServers ? served_versions::source::laterList : served_versions::source::firstList;
+        servedVersions.noteServed(server.service, server.softwareVersion, source, system_clock_source().now());
         if (!servers.isListed(server)) {
             loads.forget(server);
             coldEngines.forget(server);
@@ -205,7 +207,8 @@
 
 auto gateway_state::soleVersion(const std::string &service, time_point now) const -> std::optional<std::uint64_t>
 {
-    return servers.isStoreLost() ? std::nullopt : servedVersions.soleVersion(service, now);
+    const auto isCurrent = !servers.isStoreLost() && serverListFreshness.isFresh(boot_clock::now());
+    return isCurrent ? servedVersions.soleVersion(service, now) : std::nullopt;
 }
 
 auto gateway_state::tick(time_point now) -> void
--- a/src/gateway/knowledge/key_freshness.cpp
+++ b/src/gateway/knowledge/knowledge_freshness.cpp
@@ -1,33 +1,33 @@
-#include "marjoramloom/gateway/knowledge/key_freshness.h"
+#include "marjoramloom/gateway/knowledge/knowledge_freshness.h"
 
 #include <algorithm>
 #include <cassert>
 
 namespace marjoramloom {
 
-key_freshness::key_freshness(std::chrono::milliseconds lifetime)
+knowledge_freshness::knowledge_freshness(std::chrono::milliseconds lifetime)
     : m_lifetime(lifetime)
 {
     assert(lifetime.count() > 0);
 }
 
-auto key_freshness::setLifetime(std::chrono::milliseconds lifetime) -> void
+auto knowledge_freshness::setLifetime(std::chrono::milliseconds lifetime) -> void
 {
     assert(lifetime.count() > 0);
     m_lifetime = lifetime;
 }
 
-auto key_freshness::noteValidation(boot_time readStartedAt) -> void
+auto knowledge_freshness::noteValidation(boot_time readStartedAt) -> void
 {
     m_validatedAt = std::max(m_validatedAt, readStartedAt);
 }
 
-auto key_freshness::isFresh(boot_time now) const -> bool
+auto knowledge_freshness::isFresh(boot_time now) const -> bool
 {
     return m_validatedAt != boot_time::min() && now - m_validatedAt < m_lifetime;
 }
 
-auto key_freshness::age(boot_time now) const -> boot_clock::duration
+auto knowledge_freshness::age(boot_time now) const -> boot_clock::duration
 {
     return m_validatedAt == boot_time::min() ? boot_clock::duration::max() : now - m_validatedAt;
 }
--- a/src/gateway/knowledge/load_exchange.cpp
+++ b/src/gateway/knowledge/load_exchange.cpp
@@ -47,9 +47,10 @@
           [this](std::uint64_t router, const slot_release &release) { sendRelease(router, release); })
     , m_streams(
           executor, state,
-          [this](std::uint64_t router, std::uint64_t stream) {
+          [this](std::uint64_t router, const stream_question &question) {
               auto datagram = wire::RouterDatagram();
-              datagram.set_stream_question(stream);
+              datagram.set_stream_question(question.stream);
+              datagram.set_stream_service(question.service);
               send(router, datagram);
           },
           [this](std::uint64_t router, const std::vector<stream_version> &streams) {
@@ -115,7 +116,8 @@
 auto load_exchange::handleStreams(std::uint64_t router, const wire::RouterDatagram &datagram) -> void
 {
     if (datagram.stream_question() != 0) {
-        m_streams.handleQuestion(router, datagram.stream_question());
+        m_streams.handleQuestion(router,
+                                 { .stream = datagram.stream_question(), .service = datagram.stream_service() });
     }
     auto streams = std::vector<stream_version>();
     for (const auto &stream : datagram.streams()) {
--- a/src/gateway/knowledge/platform_feed.cpp
+++ b/src/gateway/knowledge/platform_feed.cpp
@@ -1,6 +1,5 @@
 #include "marjoramloom/gateway/knowledge/platform_feed.h"
 
-#include "marjoramloom/core/event_loop.h"
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/store/retry_backoff.h"
 #include "platform/configuration_format.h"
@@ -225,6 +224,7 @@
         return;
     }
     m_serverChanges.advanceTo(event.revision);
+    m_state.serverListFreshness.noteValidation(event.requestedAt);
     if (std::exchange(m_serversChanged, false)) {
         m_listeners.onStoreChange();
     }
@@ -232,6 +232,7 @@
 
 auto platform_feed::listServers(last_reason &why) -> asio::awaitable<bool>
 {
+    const auto requestedAt = boot_clock::now();
     const auto listed = co_await m_client.list(std::string(platform::serverKind), why);
     if (!listed) {
         co_return false;
@@ -263,6 +264,7 @@
         m_state.noteServerEntry(servers[index], revisions[index], source, now);
     }
     m_state.hasServers = true;
+    m_state.serverListFreshness.noteValidation(requestedAt);
     m_serverChanges.reset(listed->revision);
     m_serversWatchRevision = listed->revision;
     m_listeners.onStoreChange();
--- a/src/gateway/knowledge/platform_feed_updates.cpp
+++ b/src/gateway/knowledge/platform_feed_updates.cpp
@@ -32,8 +32,13 @@
     auto changes = m_serverChanges.changesAfter(serversRevision, MAX_CHANGES_PER_UPDATE, MAX_CHANGE_BYTES_PER_UPDATE);
     update.serversBaseRevision = changes ? serversRevision : m_serverChanges.revision();
     update.serversRevision = m_serverChanges.revision();
-    if (changes && !changes->empty() && changes->back().object.revision < m_serverChanges.newestChange()) {
+    const auto isTruncated =
+        changes && !changes->empty() && changes->back().object.revision < m_serverChanges.newestChange();
+    if (isTruncated) {
         update.serversRevision = changes->back().object.revision;
+    } else if (m_state.serverListFreshness.isFresh(boot_clock::now())) {
+        update.listAge =
+            std::chrono::ceil<std::chrono::milliseconds>(m_state.serverListFreshness.age(boot_clock::now()));
     }
     if (changes) {
         update.changes = std::move(*changes);
@@ -79,6 +84,9 @@
         }
         m_serverChanges.advanceTo(update.serversRevision);
         m_serversWatchRevision = std::max(m_serversWatchRevision, update.serversRevision);
+        if (update.listAge && queriedAt) {
+            m_state.serverListFreshness.noteValidation(*queriedAt - *update.listAge);
+        }
     }
     const auto hasNewestConfiguration = update.configurationRevision <= m_configurationRevision;
     m_state.hasNewerConfiguration = m_state.hasNewerConfiguration || !hasNewestConfiguration;
--- a/src/gateway/knowledge/version_record.cpp
+++ b/src/gateway/knowledge/version_record.cpp
@@ -76,7 +76,7 @@
     const auto now = system_clock_source().now();
     for (const auto &[service, names] : m_recorded) {
         for (const auto &name : names) {
-            m_state.servedVersions.noteServed(service, name, now);
+            m_state.servedVersions.noteServed(service, name, served_versions::source::record, now);
         }
     }
     m_state.servedVersions.noteRecordRead();
--- a/src/gateway/traffic/gateway_call_cold.cpp
+++ b/src/gateway/traffic/gateway_call_cold.cpp
@@ -33,6 +33,7 @@
 {
     const auto now = system_clock_source().now();
     query.softwareVersion = m_streamVersion;
+    query.beginsStream = m_streamVersion == 0 && m_route.kind == route_kind::eventStream && m_route.resumable;
     return restrictToPlaces(m_state, m_routes->regionsOf(m_route, m_account), now, query, why);
 }
 
--- a/src/gateway/traffic/stream_lookup.cpp
+++ b/src/gateway/traffic/stream_lookup.cpp
@@ -87,7 +87,7 @@
     pending->timer.expires_after(ANSWER_TIMEOUT);
     m_pending[stream].push_back(pending);
     for (const auto router : asked) {
-        m_ask(router, stream);
+        m_ask(router, { .stream = stream, .service = serviceId(service) });
     }
     if (!asked.empty()) {
         auto error = boost::system::error_code();
@@ -109,9 +109,30 @@
     co_return pending->version;
 }
 
-auto stream_lookup::handleQuestion(std::uint64_t router, std::uint64_t stream) -> void
+auto stream_lookup::serviceId(const std::string &service) -> std::uint64_t
 {
-    m_tell(router, { { .stream = stream, .version = m_state.streamVersions.find(stream).value_or(0) } });
+    return std::max<std::uint64_t>(hash64(service), 1);
+}
+
+auto stream_lookup::handleQuestion(std::uint64_t router, const stream_question &question) -> void
+{
+    auto version = m_state.streamVersions.find(question.stream);
+    if (!version && question.service != 0) {
+        version = soleVersionOf(question.service, system_clock_source().now());
+    }
+    m_tell(router, { { .stream = question.stream, .version = version.value_or(0) } });
+}
+
+auto stream_lookup::soleVersionOf(std::uint64_t serviceId, time_point now) const -> std::optional<std::uint64_t>
+{
+    if (!m_state.routes) {
+        return std::nullopt;
+    }
+    const auto &services = m_state.routes->services();
+    const auto found = std::find_if(services.begin(), services.end(), [&](const auto &service) {
+        return stream_lookup::serviceId(service.name) == serviceId;
+    });
+    return found == services.end() ? std::nullopt : m_state.soleVersion(found->name, now);
 }
 
 auto stream_lookup::handleVersions(const std::vector<stream_version> &streams) -> void
--- a/tests/support/mixed_fleet.cpp
+++ b/tests/support/mixed_fleet.cpp
@@ -6,21 +6,23 @@
 
 constexpr int callersWait = 4'000;
 
-auto makePlan(int routers, std::vector<std::string> versions) -> gateway_plan
+auto makePlan(int routers, std::vector<std::string> versions, mixed_fleet::store_address storeAddressForRouter)
+    -> gateway_plan
 {
     auto plan = gateway_plan();
     plan.routers = routers;
     plan.servers = 4;
     plan.retryReserve = 100;
     plan.serverVersions = std::move(versions);
+    plan.storeAddressForRouter = std::move(storeAddressForRouter);
     return plan;
 }
 
 } // namespace
 
-mixed_fleet::mixed_fleet(int routers, std::vector<std::string> versions)
+mixed_fleet::mixed_fleet(int routers, std::vector<std::string> versions, store_address storeAddressForRouter)
     : m_versions(versions)
-    , m_fleet(makePlan(routers, std::move(versions)))
+    , m_fleet(makePlan(routers, std::move(versions), std::move(storeAddressForRouter)))
 {
     sleepMs(SETTLE_MS);
 }
--- a/tests/support/mixed_fleet.h
+++ b/tests/support/mixed_fleet.h
@@ -3,6 +3,7 @@
 #include "support/gateway_fleet.h"
 
 #include <atomic>
+#include <functional>
 
 namespace marjoramloom::test {
 
@@ -13,7 +14,11 @@
     /// A stream's router tells others of it by datagrams, and routers read new entries of servers from the store.
     static constexpr int SETTLE_MS = 700;
 
-    explicit mixed_fleet(int routers, std::vector<std::string> versions = { "v1", "v1", "v2", "v2" });
+    /// As gateway_plan::storeAddressForRouter.
+    using store_address = std::function<std::string(int router, const std::string &address)>;
+
+    explicit mixed_fleet(int routers, std::vector<std::string> versions = { "v1", "v1", "v2", "v2" },
+                         store_address storeAddressForRouter = {});
 
     [[nodiscard]] auto fleet() -> gateway_fleet &;
 
--- a/tests/unit/gateway/freshness_and_budget_test.cpp
+++ b/tests/unit/gateway/freshness_and_budget_test.cpp
@@ -1,6 +1,6 @@
 #include "marjoramloom/gateway/decisions/gateway_retry_budget.h"
 #include "marjoramloom/gateway/knowledge/gateway_state.h"
-#include "marjoramloom/gateway/knowledge/key_freshness.h"
+#include "marjoramloom/gateway/knowledge/knowledge_freshness.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,7 +11,7 @@
 
 BOOST_AUTO_TEST_CASE(keys_expire_a_lifetime_after_the_start_of_the_validating_read)
 {
-    auto keys = key_freshness(4'500ms);
+    auto keys = knowledge_freshness(4'500ms);
     const auto start = boot_time(1'000s);
     BOOST_TEST(!keys.isFresh(start));
     keys.noteValidation(start);
--- a/tests/unit/gateway/stream_version_test.cpp
+++ b/tests/unit/gateway/stream_version_test.cpp
@@ -1,3 +1,4 @@
+#include "marjoramloom/gateway/decisions/cold_choice.h"
 #include "marjoramloom/gateway/knowledge/version_record.h"
 #include "marjoramloom/gateway/traffic/stream_lookup.h"
 
@@ -33,6 +34,7 @@
             state.roster.put({ "10.0.0." + std::to_string(number) + ":7400", "north", 1 });
         }
         state.servedVersions.noteRecordRead();
+        state.serverListFreshness.noteValidation(boot_clock::now());
         state.servers.put(listed("a", "v1"), system_clock_source().now());
     }
 
@@ -53,15 +55,18 @@
     std::vector<std::uint64_t> told;
     std::uint64_t answer = 0; ///< Version that every asked router knows.
     bool isSilent = false; ///< Asked routers do not answer.
+    stream_version lastTold;
     stream_lookup lookup{ context.get_executor(), state,
-                          [this](std::uint64_t router, std::uint64_t id) {
+                          [this](std::uint64_t router, const stream_question &question) {
                               asked.push_back(router);
                               if (!isSilent) {
+                                  const auto id = question.stream;
                                   asio::post(context, [this, id] { lookup.handleVersions({ { id, answer } }); });
                               }
                           },
-                          [this](std::uint64_t router, const std::vector<stream_version> &) {
+                          [this](std::uint64_t router, const std::vector<stream_version> &versions) {
                               told.push_back(router);
+                              lastTold = versions.back();
                           } };
 };
 
@@ -99,11 +104,11 @@
     auto versions = served_versions();
     const auto now = system_clock_source().now();
     versions.setHorizon(35s);
-    versions.noteServed("pool", "v1", now);
+    versions.noteServed("pool", "v1", served_versions::source::firstList, now);
     BOOST_TEST(!versions.soleVersion("pool", now)); // What served before the start is not known yet.
     versions.noteRecordRead();
     BOOST_TEST((versions.soleVersion("pool", now) == softwareVersionId("v1")));
-    versions.noteServed("pool", "v2", now + 10s);
+    versions.noteServed("pool", "v2", served_versions::source::laterList, now + 10s);
     BOOST_TEST(versions.isMixed("pool", now + 34s));
     BOOST_TEST(!versions.soleVersion("pool", now + 34s));
     BOOST_TEST((versions.soleVersion("pool", now + 36s) == softwareVersionId("v2")));
@@ -121,6 +126,76 @@
     BOOST_TEST(state.soleVersion("pool", system_clock_source().now()).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_list_that_was_not_validated_lately_does_not_prove_that_a_single_version_serves)
+{
+    state.serverListFreshness = knowledge_freshness(served_versions::LIST_LIFETIME);
+    BOOST_TEST(!state.soleVersion("pool", system_clock_source().now()));
+    state.serverListFreshness.noteValidation(boot_clock::now() - served_versions::LIST_LIFETIME);
+    BOOST_TEST(!find(99));
+    BOOST_TEST(asked.size() == 3U);
+    answer = softwareVersionId("v1");
+    BOOST_TEST((find(98) == softwareVersionId("v1")));
+    state.serverListFreshness.noteValidation(boot_clock::now() - served_versions::LIST_LIFETIME + 500ms);
+    BOOST_TEST((find(99) == softwareVersionId("v1")));
+}
+
+BOOST_AUTO_TEST_CASE(a_router_with_a_current_list_answers_for_a_service_with_a_single_version)
+{
+    auto content = route_table_content();
+    content.version = 1;
+    content.services = { { .name = "pool", .engine = engine_profile{ .slots = 8, .kvCapacityTokens = 100'000 } } };
+    state.routes = std::make_shared<const route_table>(std::move(content));
+    const auto answerTo = [&](const stream_question &question) {
+        lookup.handleQuestion(3, question);
+        return lastTold.version;
+    };
+    const auto question = stream_question{ .stream = 99, .service = stream_lookup::serviceId("pool") };
+    BOOST_TEST(answerTo(question) == softwareVersionId("v1"));
+    BOOST_TEST(answerTo({ .stream = 99, .service = 0 }) == 0U);
+    BOOST_TEST(answerTo({ .stream = 99, .service = stream_lookup::serviceId("other") }) == 0U);
+    state.servers.put(listed("b", "v2"), system_clock_source().now());
+    BOOST_TEST(answerTo(question) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(no_stream_begins_at_a_version_before_outdated_routers_notice_that_they_are)
+{
+    static_assert(served_versions::LAUNCH_DELAY > served_versions::LIST_LIFETIME + stream_lookup::ANSWER_TIMEOUT);
+    const auto now = system_clock_source().now();
+    state.hasServers = true;
+    state.servers.put(listed("b", "v2"), now);
+    auto query = placement_query();
+    query.service = "pool";
+    query.beginsStream = true;
+    const auto isExcluded = [&](const std::string &id, const std::string &version, time_point at) {
+        return excludedServers(state, query, at).servers.contains(server_loads::incarnationId(listed(id, version)));
+    };
+    BOOST_TEST(isExcluded("b", "v2", now + 1s));
+    BOOST_TEST(!isExcluded("a", "v1", now + 1s));
+    BOOST_TEST(!isExcluded("b", "v2", now + served_versions::LAUNCH_DELAY + 1s));
+    query.beginsStream = false;
+    BOOST_TEST(!isExcluded("b", "v2", now + 1s));
+    // Without other servers, streams begin at the new version.
+    query.beginsStream = true;
+    state.servers.remove("a", 99, now);
+    state.servers.tick(now + 10s);
+    BOOST_TEST(!isExcluded("b", "v2", now + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(versions_that_a_router_finds_when_it_starts_are_new_unless_the_record_has_them)
+{
+    auto versions = served_versions();
+    const auto now = system_clock_source().now();
+    versions.noteServed("pool", "v1", served_versions::source::firstList, now);
+    versions.noteServed("pool", "v2", served_versions::source::firstList, now + 1ms);
+    BOOST_TEST(!versions.isNew("pool", "v2", now + 1ms));
+    versions.noteServed("pool", "v1", served_versions::source::record, now);
+    BOOST_TEST(!versions.isNew("pool", "v1", now));
+    BOOST_TEST(versions.isNew("pool", "v2", now + 1ms));
+    BOOST_TEST(versions.isNew("pool", "v3", now));
+    BOOST_TEST(!versions.isNew("pool", "v2", now + 1ms + served_versions::LAUNCH_DELAY));
+    BOOST_TEST(!versions.isNew("other", "v2", now));
+}
+
 BOOST_AUTO_TEST_CASE(streams_are_forgotten_and_bounded)
 {
     auto streams = stream_versions();
