The shortage of engine memory is judged by the time that faded work stands for

Recent work fades since the level of shards, so its sum is that of 1.05 s of a steady flow and no longer of 2 s.

--- a/include/marjoramloom/gateway/decisions/sliding_window_sum.h
+++ b/include/marjoramloom/gateway/decisions/sliding_window_sum.h
@@ -12,6 +12,8 @@
 {
 public:
     static constexpr duration LENGTH = std::chrono::milliseconds(2'000);
+    /// A steady flow of this time amounts to fading().
+    static constexpr duration FADING_LENGTH = std::chrono::milliseconds(1'050);
 
     auto add(std::uint64_t amount, time_point now) -> void
     {
--- a/src/gateway/decisions/engine_memory.cpp
+++ b/src/gateway/decisions/engine_memory.cpp
@@ -14,7 +14,8 @@
     , m_fullTokens(m_commitment.fullTokens())
 {
     const auto engines = state.servers.usable(service.name).size();
-    m_shortage = memoryShortage(state.accounts.fleetTokens(now), sliding_window_sum::LENGTH, m_kvTokens * engines);
+    m_shortage =
+        memoryShortage(state.accounts.fleetTokens(now), sliding_window_sum::FADING_LENGTH, m_kvTokens * engines);
     if (m_limited) {
         state.memoryGrants.expire(now);
         const auto routers = static_cast<double>(state.roster.runningRouters());
