The level follows the largest account, and near it the wait does not depend on a prompt's length

The level was adapted in tokens from where it first stood, so it lagged behind while all work grew, and the largest accounts were refused without contention after a start. It is now kept in relation to the largest account. Near the level the longest wait is a fraction of the objective, the same for all prompts, so long prompts no longer have to be given more time at little load, which held the queues longer than before. Accounts far below the level have the limits that hold without contention. The target is three quarters of the longest wait.

--- a/include/marjoramloom/gateway/decisions/account_level.h
+++ b/include/marjoramloom/gateway/decisions/account_level.h
@@ -19,7 +19,7 @@
     /// The level is adapted this often while prompts arrive.
     static constexpr duration UPDATE_PERIOD = std::chrono::milliseconds(50);
     /// The level is adapted until prompts would wait for this fraction of their longest wait, on average.
-    static constexpr double TARGET_WAIT = 0.65;
+    static constexpr double TARGET_WAIT = 0.75;
     /// The level rises up to this multiple of the largest account, where it limits nobody.
     static constexpr double HIGHEST_LEVEL = 1.25;
 
@@ -40,6 +40,7 @@
 
 private:
     auto update(double evenTokens, time_point now) -> void;
+    [[nodiscard]] auto highestLevel() const -> double;
 
     /// Longest time that the level is adapted for at once, after a pause without prompts.
     static constexpr duration MAX_STEP = std::chrono::milliseconds(200);
@@ -52,6 +53,7 @@
     double m_weightedWaits = 0; ///< Sum of the wait fractions, by tokens.
     double m_largest = 0; ///< Recent work of the largest account since m_largestSince.
     double m_largestBefore = 0; ///< The same for the period before.
+    double m_fraction = 1; ///< The level in relation to the highest, so that it follows when all work grows.
     double m_level = 0;
 };
 
--- a/include/marjoramloom/gateway/decisions/admission_policy.h
+++ b/include/marjoramloom/gateway/decisions/admission_policy.h
@@ -21,8 +21,9 @@
     [[nodiscard]] static auto blend(duration free, duration contended, double contention) -> duration;
 
     /// Longest expected queue wait while prompts would wait long. \p fractionOfLevel is the account's recent work in
-    /// relation to the level, from account_level. At the level the wait is half of that of an account with little work,
-    /// and it falls steeply beyond, without a lower limit: of two accounts, the one with more work is refused sooner.
+    /// relation to the level, from account_level. Near the level the wait depends on that alone and not on the length
+    /// of the prompt, so that accounts with long prompts are not refused sooner. It falls steeply, without a lower
+    /// limit: of two accounts, the one with more work is refused sooner.
     [[nodiscard]] auto maxContendedWait(duration objective, duration prefillTime, double fractionOfLevel) const
         -> duration;
 
--- a/src/gateway/decisions/account_level.cpp
+++ b/src/gateway/decisions/account_level.cpp
@@ -31,17 +31,24 @@
     const auto step = std::min(now - m_updatedAt, MAX_STEP);
     m_updatedAt = now;
     const auto meanWait = m_askedTokens > 0 ? m_weightedWaits / m_askedTokens : 0;
-    const auto highest = std::max(m_largest, m_largestBefore) * HIGHEST_LEVEL;
     const auto factor = std::exp(gain * (TARGET_WAIT - meanWait) * toSeconds(step));
-    m_level = std::clamp(m_level > 0 ? m_level * factor : highest, std::min(evenTokens, highest), highest);
     m_askedTokens = 0;
     m_weightedWaits = 0;
+    const auto highest = highestLevel();
+    const auto lowestFraction = highest > 0 ? std::min(evenTokens / highest, 1.0) : 1.0;
+    m_fraction = std::clamp(m_fraction * factor, lowestFraction, 1.0);
+    m_level = m_fraction * highest;
     if (now - m_largestSince >= LARGEST_PERIOD) {
         m_largestSince = now;
         m_largestBefore = std::exchange(m_largest, 0);
     }
 }
 
+auto account_level::highestLevel() const -> double
+{
+    return std::max(m_largest, m_largestBefore) * HIGHEST_LEVEL;
+}
+
 auto account_level::fractionOfLevel(double accountTokens) const -> double
 {
     return m_level > 0 ? accountTokens / m_level : 0;
@@ -54,8 +61,7 @@
 
 auto account_level::contention() const -> double
 {
-    const auto highest = std::max(m_largest, m_largestBefore) * HIGHEST_LEVEL;
-    return m_level > 0 ? std::clamp((highest / m_level - 1) / (HIGHEST_LEVEL - 1), 0.0, 1.0) : 0;
+    return std::clamp((1 / m_fraction - 1) / (HIGHEST_LEVEL - 1), 0.0, 1.0);
 }
 
 } // namespace marjoramloom
--- a/src/gateway/decisions/admission_policy.cpp
+++ b/src/gateway/decisions/admission_policy.cpp
@@ -18,10 +18,9 @@
 /// The same for prompts of small accounts.
 constexpr double minWaitFractionOfSmallAccounts = 1.0;
 
-/// As minWaitFraction, for prompts of accounts that are not limited. They come before the short prompts of others, and
-/// mostly still within their objective.
-constexpr double minWaitFractionIfContended = 0.6;
-/// Exponent of an account's relation to the level, by which its longest wait falls.
+/// Fraction of the objective that a prompt of an account at the level may wait, whatever its length.
+constexpr double levelWaitFraction = 0.35;
+/// Exponent of an account's relation to the level, by which that wait falls.
 constexpr double levelExponent = 4;
 
 } // namespace
@@ -49,9 +48,11 @@
 auto admission_policy::maxContendedWait(duration objective, duration prefillTime, double fractionOfLevel) const
     -> duration
 {
-    const auto longest = std::max<duration>(
-        objective - prefillTime, std::chrono::duration_cast<duration>(objective * minWaitFractionIfContended));
-    return std::chrono::duration_cast<duration>(longest / (1 + std::pow(fractionOfLevel, levelExponent)));
+    const auto longest =
+        std::max<duration>(objective - prefillTime, std::chrono::duration_cast<duration>(objective * minWaitFraction));
+    const auto limited = toSeconds(objective) * levelWaitFraction / std::pow(fractionOfLevel, levelExponent);
+    return limited < toSeconds(longest) ? std::chrono::duration_cast<duration>(std::chrono::duration<double>(limited))
+                                        : longest;
 }
 
 } // namespace marjoramloom
