--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -26,7 +26,7 @@
     const auto draw = [&](int minimum, int maximum) {
         return boost::random::uniform_int_distribution<int>(minimum, maximum)(random);
     };
-    constexpr auto kinds = static_cast<int>(enum_names<fault_kind>::table.size());
+    constexpr auto kinds = static_cast<int>(fault_kind::versionJoins);
     auto faults = std::vector<planned_fault>();
     auto at = milliseconds(500);
     while (at < length) {
@@ -43,9 +43,23 @@
         }
         at += milliseconds(draw(0, 2 * meanSpacingMs));
     }
+    if (doesVersionJoin(seed)) {
+        // A router gets no answers from the store while the version joins, or stands still.
+        const auto joins = milliseconds(draw(0, static_cast<int>(length.count()) / 2));
+        faults.push_back({ .kind = draw(0, 1) == 0 ? fault_kind::storeSilent : fault_kind::pauseRouter,
+                           .at = joins,
+                           .duration = milliseconds(draw(minDurationMs, maxDurationMs)),
+                           .target = static_cast<std::uint32_t>(draw(0, 99)) });
+        faults.push_back({ .kind = fault_kind::versionJoins, .at = joins + milliseconds(draw(0, minDurationMs)) });
+    }
     std::stable_sort(faults.begin(), faults.end(),
                      [](const auto &left, const auto &right) { return left.at < right.at; });
     return faults;
 }
 
+auto doesVersionJoin(std::uint64_t seed) -> bool
+{
+    return seed % 2 == 1;
+}
+
 } // namespace marjoramloom::soak
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -28,6 +28,7 @@
     serverAsksPause, ///< A server refuses all requests and asks for a pause by Retry-After.
     keyRevoked, ///< The key of a client account is replaced.
     configurationChange, ///< A new configuration version with the same content is written.
+    versionJoins, ///< The servers of a second software version are listed for the first time. Not drawn at random.
 };
 
 /// One fault of a run.
@@ -43,6 +44,10 @@
 /// on one target. The same \p seed gives the same faults.
 auto generateFaults(std::uint64_t seed, std::chrono::milliseconds length) -> std::vector<planned_fault>;
 
+/// Whether the servers of a second software version join in the run with \p seed. In other runs they are there from the
+/// start.
+auto doesVersionJoin(std::uint64_t seed) -> bool;
+
 } // namespace marjoramloom::soak
 
 template<>
@@ -68,5 +73,6 @@
         row{ kind::serverAsksPause, "server_asks_pause" },
         row{ kind::keyRevoked, "key_revoked" },
         row{ kind::configurationChange, "configuration_change" },
+        row{ kind::versionJoins, "version_joins" },
     };
 };
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -19,7 +19,8 @@
 {
     return kind == fault_kind::stopRouter || kind == fault_kind::reloadRouter || kind == fault_kind::serverLeaves
         || kind == fault_kind::serverSaysLeaving || kind == fault_kind::serverAsksPause
-        || kind == fault_kind::keyRevoked || kind == fault_kind::configurationChange;
+        || kind == fault_kind::keyRevoked || kind == fault_kind::configurationChange
+        || kind == fault_kind::versionJoins;
 }
 
 } // namespace
@@ -48,7 +49,12 @@
     };
     m_fleet = std::make_unique<test::gateway_fleet>(std::move(plan));
     for (auto index = std::size_t(0); index < versions.size(); ++index) {
-        m_history.versions[m_fleet->servers()[index]->name()] = versions[index];
+        const auto &name = m_fleet->servers()[index]->name();
+        m_history.versions[name] = versions[index];
+        if (versions[index] != versions.front() && doesVersionJoin(m_options.seed)) {
+            m_fleet->removeObject("servers", name);
+            m_joining.push_back(index);
+        }
     }
     m_serverIncarnations.resize(static_cast<std::size_t>(m_options.servers));
     m_start = std::chrono::steady_clock::now();
@@ -161,6 +167,13 @@
     case fault_kind::configurationChange:
         m_fleet->writeConfiguration({ m_alphaKey });
         break;
+    case fault_kind::versionJoins:
+        for (const auto joining : m_joining) {
+            if (!m_leavingSince.contains(joining)) {
+                listAnew(joining);
+            }
+        }
+        break;
     }
 }
 
