The level of accounts returns within seconds after any overload

Without a lower bound its fraction of the largest account could fall so far, where no account has an even part yet, that it would have needed minutes to return. It stays at a thousandth at least.

--- a/src/gateway/decisions/account_level.cpp
+++ b/src/gateway/decisions/account_level.cpp
@@ -12,6 +12,8 @@
 constexpr double gain = 4;
 /// Wait fractions count up to this one, so that the level falls about as fast as it rises.
 constexpr double maxWaitFraction = 2 * account_level::TARGET_WAIT;
+/// The level stays at least this fraction of the highest, so that it returns within seconds.
+constexpr double lowestFraction = 0.001;
 
 } // namespace
 
@@ -35,8 +37,8 @@
     m_askedTokens = 0;
     m_weightedWaits = 0;
     const auto highest = highestLevel();
-    const auto lowestFraction = highest > 0 ? std::min(evenTokens / highest, 1.0) : 1.0;
-    m_fraction = std::clamp(m_fraction * factor, lowestFraction, 1.0);
+    const auto evenFraction = highest > 0 ? std::clamp(evenTokens / highest, lowestFraction, 1.0) : 1.0;
+    m_fraction = std::clamp(m_fraction * factor, evenFraction, 1.0);
     m_level = m_fraction * highest;
     if (now - m_largestSince >= LARGEST_PERIOD) {
         m_largestSince = now;
--- a/tests/unit/gateway/account_level_test.cpp
+++ b/tests/unit/gateway/account_level_test.cpp
@@ -63,6 +63,14 @@
     BOOST_TEST(level.fractionOfLevel(410) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(after_a_long_overload_the_level_limits_nobody_within_seconds)
+{
+    ask(2, 60s);
+    BOOST_TEST(level.contention() == 1);
+    ask(0, 5s);
+    BOOST_TEST(level.contention() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(the_largest_account_is_forgotten_when_it_asks_no_more)
 {
     ask(0, 2s);
