--- a/tests/unit/gateway/platform_feed_test.cpp
+++ b/tests/unit/gateway/platform_feed_test.cpp
@@ -126,6 +126,29 @@
 
 BOOST_FIXTURE_TEST_SUITE(platform_feed_test, follower_fixture)
 
+BOOST_AUTO_TEST_CASE(an_update_validates_the_list_of_servers_only_as_of_the_senders_own_read)
+{
+    state.hasServers = true;
+    const auto queriedAt = boot_clock::now() - 200ms;
+    auto update = updateOf({ entryOf("e-1", 5, "ready") }, 5);
+    feed.applyUpdate(update, queriedAt); // The sender's list is old itself.
+    BOOST_TEST(!state.serverListFreshness.isFresh(boot_clock::now()));
+    update = updateOf({}, 5);
+    update.listAge = 1'000ms;
+    feed.applyUpdate(update, std::nullopt);
+    BOOST_TEST(!state.serverListFreshness.isFresh(boot_clock::now()));
+    feed.applyUpdate(update, queriedAt);
+    BOOST_TEST(state.serverListFreshness.isFresh(boot_clock::now()));
+    BOOST_TEST((state.serverListFreshness.age(boot_clock::now()) >= 1'200ms));
+    BOOST_REQUIRE(feed.updateSince(5, 0).listAge.has_value());
+    BOOST_TEST((*feed.updateSince(5, 0).listAge >= 1'200ms));
+    update.serversBaseRevision = 9; // Changes are missing in between.
+    update.serversRevision = 9;
+    update.listAge = 0ms;
+    feed.applyUpdate(update, boot_clock::now());
+    BOOST_TEST((state.serverListFreshness.age(boot_clock::now()) >= 1'200ms));
+}
+
 BOOST_AUTO_TEST_CASE(a_router_that_does_not_watch_does_not_poll)
 {
     boost::asio::co_spawn(
