--- a/tests/standins/http_exchange.cpp
+++ b/tests/standins/http_exchange.cpp
@@ -1,6 +1,7 @@
 #include "http_exchange.h"
 
 #include <boost/asio.hpp>
+#include <cctype>
 
 namespace standins {
 
@@ -8,7 +9,27 @@
 
 namespace {
 
-/// Splits a query of the form a=1&b=2. Percent-encoding is not decoded.
+/// Decodes percent-encoding. In a query, a plus sign stands for a blank (application/x-www-form-urlencoded).
+auto decodeComponent(std::string_view text, bool isQuery) -> std::string
+{
+    constexpr auto escapeLength = std::size_t(3);
+    constexpr auto hexadecimal = 16;
+    auto decoded = std::string();
+    for (auto at = std::size_t(0); at < text.size(); ++at) {
+        const auto isEscape = text[at] == '%' && at + escapeLength <= text.size() && std::isxdigit(text[at + 1]) != 0
+            && std::isxdigit(text[at + 2]) != 0;
+        if (isEscape) {
+            const auto digits = std::string(text.substr(at + 1, 2));
+            decoded += static_cast<char>(std::strtoul(digits.c_str(), nullptr, hexadecimal));
+            at += 2;
+        } else {
+            decoded += isQuery && text[at] == '+' ? ' ' : text[at];
+        }
+    }
+    return decoded;
+}
+
+/// Splits a query of the form a=1&b=2.
 auto parseQuery(std::string_view text) -> std::map<std::string, std::string>
 {
     auto parsed = std::map<std::string, std::string>();
@@ -17,7 +38,7 @@
         const auto pair = text.substr(0, end);
         const auto equals = std::min(pair.find('='), pair.size());
         const auto value = pair.substr(std::min(equals + 1, pair.size()));
-        parsed[std::string(pair.substr(0, equals))] = std::string(value);
+        parsed[decodeComponent(pair.substr(0, equals), true)] = decodeComponent(value, true);
         text.remove_prefix(std::min(end + 1, text.size()));
     }
     return parsed;
@@ -39,9 +60,10 @@
     , m_epoch(epoch)
     , m_openedAt(openedAt)
 {
-    const auto target = std::string(m_request.target());
+    auto target = std::string(m_request.target());
+    target.resize(std::min(target.find('#'), target.size())); // A fragment is no part of the resource.
     const auto mark = target.find('?');
-    m_path = target.substr(0, mark);
+    m_path = decodeComponent(target.substr(0, mark), false);
     if (mark != std::string::npos) {
         m_query = parseQuery(std::string_view(target).substr(mark + 1));
     }
@@ -91,6 +113,11 @@
     return filled;
 }
 
+auto http_exchange::setCommonHeader(std::string name, std::string value) -> void
+{
+    m_commonHeaders[std::move(name)] = std::move(value);
+}
+
 auto http_exchange::reply(http_reply answer) -> void_awaitable
 {
     if (m_closed) {
@@ -102,6 +129,9 @@
     for (const auto &[name, value] : answer.headers) {
         response.set(name, value);
     }
+    for (const auto &[name, value] : m_commonHeaders) {
+        response.set(name, value);
+    }
     response.keep_alive(m_request.keep_alive());
     response.body() = std::move(answer.body);
     response.prepare_payload();
--- a/tests/standins/http_exchange.h
+++ b/tests/standins/http_exchange.h
@@ -52,6 +52,9 @@
     /// This request as an entry of the execution record, without tokens and state.
     [[nodiscard]] auto entry() const -> execution_entry;
 
+    /// Sets a header field of every complete response to this request.
+    auto setCommonHeader(std::string name, std::string value) -> void;
+
     /// Sends a complete response. Does nothing after close().
     auto reply(http_reply answer) -> void_awaitable;
 
@@ -77,6 +80,7 @@
     /// Calls stall() if the freeze_open fault applies to the connection. Requests to /control/ are exempt.
     auto stallIfFrozen() -> void_awaitable;
 
+    std::map<std::string, std::string> m_commonHeaders;
     beast::tcp_stream &m_stream;
     http::request<http::string_body> m_request;
     const freeze_epoch &m_epoch;
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -31,6 +31,7 @@
     int eventMs = 5;
     int callSlots = 0;
     int queueLength = 0;
+    int pageSize = static_cast<int>(platform_standin_options().pageSize);
     int checksFencing = 0;
     int seed = 1;
     std::string standin;
@@ -58,6 +59,7 @@
         { "call-slots", 0, POPT_ARG_INT, &parsed.callSlots, 0, "routed: calls at once; 0: no limit", "N" },
         { "queue", 0, POPT_ARG_INT, &parsed.queueLength, 0, "routed: calls that may wait for a slot", "N" },
         { "event-ms", 0, POPT_ARG_INT, &parsed.eventMs, 0, "routed: time before each event", "MS" },
+        { "page-size", 0, POPT_ARG_INT, &parsed.pageSize, 0, "platform: objects in one page of a list", "N" },
         { "seed", 0, POPT_ARG_INT, &parsed.seed, 0, "engine: seed of the variation of token delays", "N" },
         POPT_AUTOHELP POPT_TABLEEND,
     };
@@ -116,7 +118,9 @@
     auto context = boost::asio::io_context(1);
     auto shared = standin_context();
     if (line.standin == "platform") {
-        auto platform = platform_standin(context, shared, platform_standin_options());
+        auto options = platform_standin_options();
+        options.pageSize = static_cast<std::size_t>(line.pageSize);
+        auto platform = platform_standin(context, shared, options);
         return runStandin(context, platform, shared, line.listen);
     }
     if (line.standin == "engine") {
--- a/tests/standins/object_log.cpp
+++ b/tests/standins/object_log.cpp
@@ -43,6 +43,16 @@
     return write;
 }
 
+auto object_log::restore(std::uint64_t revision) -> void
+{
+    m_writes.resize(std::min<std::size_t>(revision, m_writes.size()));
+    for (auto &[kind, names] : m_revisions) {
+        for (auto &[name, revisions] : names) {
+            revisions.erase(std::upper_bound(revisions.begin(), revisions.end(), revision), revisions.end());
+        }
+    }
+}
+
 auto object_log::after(std::uint64_t since) const -> std::vector<object_write>
 {
     const auto first = std::min<std::uint64_t>(since, m_writes.size());
--- a/tests/standins/object_log.h
+++ b/tests/standins/object_log.h
@@ -39,6 +39,9 @@
     /// All writes with a revision higher than \p since, in order.
     [[nodiscard]] auto after(std::uint64_t since) const -> std::vector<object_write>;
 
+    /// Forgets all writes with a revision higher than \p revision; their revisions are given out again.
+    auto restore(std::uint64_t revision) -> void;
+
 private:
     std::vector<object_write> m_writes; ///< The write at index N has revision N + 1.
     std::map<std::string, std::map<std::string, std::vector<std::uint64_t>>> m_revisions; ///< By kind and name.
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -14,6 +14,7 @@
 constexpr auto maxValueBytes = std::size_t(1) << 20U;
 /// Longest time that a watch request is kept open without events.
 constexpr auto maxWait = std::chrono::milliseconds(30'000);
+constexpr auto eraField = "Store-Era";
 constexpr auto objectsPath = std::string_view("/v1/objects/");
 
 /// The store keeps values that are nested deeper than its readers may expect.
@@ -22,6 +23,7 @@
     constexpr auto maxDepth = std::size_t(20'000);
     auto options = json::parse_options();
     options.max_depth = maxDepth;
+    options.allow_invalid_utf8 = true;
     return options;
 }
 
@@ -95,6 +97,7 @@
 
 auto platform_standin::handle(http_exchange &exchange) -> void_awaitable
 {
+    exchange.setCommonHeader(eraField, std::to_string(m_era));
     const auto isObject = exchange.path().starts_with(objectsPath);
     auto key = isObject ? exchange.path().substr(objectsPath.size()) : exchange.path();
     if (exchange.method() == "POST") {
@@ -206,12 +209,19 @@
     const auto wait = std::chrono::milliseconds(std::strtoll(waitText.c_str(), nullptr, 10));
     const auto limit = clock::now() + std::min(wait, maxWait);
     ++m_watches;
+    const auto era = m_era;
     auto events = eventsAfter(kind, since);
-    while (events.empty() && clock::now() < limit) {
+    while (events.empty() && clock::now() < limit && m_era == era) {
         co_await waitForWrite(limit);
         events = eventsAfter(kind, since);
     }
     --m_watches;
+    if (m_era != era) {
+        exchange.setCommonHeader(eraField, std::to_string(m_era));
+        const auto answer = replyWith(http::status::gone, {});
+        co_await exchange.reply(answer);
+        co_return;
+    }
     const auto answer = replyWith(http::status::ok, { { "events", std::move(events) }, { "at", m_log.revision() } });
     co_await exchange.reply(answer);
 }
@@ -263,6 +273,14 @@
                      { { "entries", std::move(entries) }, { "truncated", false }, { "at", revision } });
 }
 
+auto platform_standin::restore(std::uint64_t revision) -> http_reply
+{
+    m_log.restore(revision);
+    ++m_era;
+    m_writeSignal.cancel();
+    return replyWith(http::status::ok, {});
+}
+
 auto platform_standin::statistics() const -> http_reply
 {
     auto body = json::object();
@@ -278,6 +296,9 @@
     if (exchange.path() == "/control/statistics") {
         return statistics();
     }
+    if (exchange.path() == "/control/restore") {
+        return restore(document.at("revision").to_number<std::uint64_t>());
+    }
     const auto *instances = document.as_object().if_contains("instances");
     if (exchange.path() != "/control/instances" || instances == nullptr || !instances->is_array()) {
         return replyWith(http::status::bad_request, {});
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -44,11 +44,14 @@
     auto waitForWrite(clock::time_point limit) -> void_awaitable;
     auto eventsAfter(const std::string &kind, std::uint64_t since) const -> boost::json::array;
     auto listInstances() -> http_reply;
+    /// Continues from an older copy of the store, in the next era. Open watches end.
+    auto restore(std::uint64_t revision) -> http_reply;
     auto statistics() const -> http_reply;
 
     standin_context &m_shared;
     platform_standin_options m_options;
     object_log m_log;
+    std::uint64_t m_era = 1; ///< Number of times that the store was restored from an older copy, plus one.
     boost::asio::steady_timer m_writeSignal; ///< Never expires; cancelled at every write to wake the watches.
     std::deque<instances_version> m_instances;
     std::uint64_t m_reads = 0;
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -37,6 +37,18 @@
     };
 }
 
+/// Path of an object of the store; the name may hold any character.
+auto objectPath(const std::string &kind, const std::string &name) -> std::string
+{
+    constexpr auto hexDigits = std::string_view("0123456789ABCDEF");
+    auto path = "/v1/objects/" + kind + "/";
+    for (const auto letter : name) {
+        const auto byte = static_cast<unsigned char>(letter);
+        path.append({ '%', hexDigits[byte >> 4U], hexDigits[byte & 0xFU] });
+    }
+    return path;
+}
+
 } // namespace
 
 auto sleepMs(int milliseconds) -> void
@@ -47,7 +59,9 @@
 gateway_fleet::gateway_fleet(gateway_plan plan)
     : m_plan(plan)
     , m_folder(makeTestFolder())
-    , m_store(std::make_unique<standin>("store", std::vector<std::string>{ "platform" }, m_folder + "/store.log"))
+    , m_store(std::make_unique<standin>(
+          "store", std::vector<std::string>{ "platform", "--page-size=" + std::to_string(m_plan.storePageSize) },
+          m_folder + "/store.log"))
 {
     writeConfiguration({ "key-alpha" });
     for (auto index = 0; index < m_plan.servers; ++index) {
@@ -197,7 +211,7 @@
 {
     const auto body =
         json::serialize(json::object{ { "metadata", json::object{ { "name", name } } }, { "spec", spec } });
-    const auto updated = httpCall(m_store->address(), { "PUT", "/v1/objects/" + kind + "/" + name, {}, body });
+    const auto updated = httpCall(m_store->address(), { "PUT", objectPath(kind, name), {}, body });
     if (updated.status == 404) {
         return httpCall(m_store->address(), { "POST", "/v1/objects/" + kind, {}, body }).status < 300;
     }
@@ -206,7 +220,7 @@
 
 auto gateway_fleet::removeObject(const std::string &kind, const std::string &name) -> bool
 {
-    return httpCall(m_store->address(), { "DELETE", "/v1/objects/" + kind + "/" + name, {}, {} }).status < 300;
+    return httpCall(m_store->address(), { "DELETE", objectPath(kind, name), {}, {} }).status < 300;
 }
 
 auto gateway_fleet::call(const router_handle &router, const std::string &path, const std::string &id,
