--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <set>
 
 namespace marjoramloom {
 
@@ -109,6 +110,7 @@
     auto listed = object_list();
     auto unreadable = std::size_t(0);
     auto after = std::string();
+    auto pageEnds = std::set<std::string>();
     while (true) {
         auto sent = sent_state::notSent;
         const auto response =
@@ -126,10 +128,15 @@
         // Later pages may lack changes made after the first page's revision; a watch from that revision delivers them.
         listed.revision = after.empty() ? page->revision : listed.revision;
         std::move(page->objects.begin(), page->objects.end(), std::back_inserter(listed.objects));
-        if (!page->hasMore || page->objects.empty()) {
+        if (!page->hasMore) {
             break;
         }
-        after = listed.objects.back().name;
+        // Without this check, a store that reads the name of a page's end differently would return that page for ever.
+        if (!page->lastName || !pageEnds.insert(*page->lastName).second) {
+            co_return why.fail(failure_kind::protocolViolation, "list objects", "platform",
+                               "a page without a next one");
+        }
+        after = std::move(*page->lastName);
     }
     if (unreadable > 0) {
         log_line(log_level::warning, "objects_unreadable").with("kind", kind).with("count", unreadable);
--- a/tests/process/gateway/odd_entry_test.cpp
+++ b/tests/process/gateway/odd_entry_test.cpp
@@ -55,6 +55,21 @@
     };
 }
 
+/// Names that another writer may give an entry. Each has a meaning of its own in a URI, or is no UTF-8.
+auto oddNames() -> std::vector<std::string>
+{
+    return { "a&b=c", "a+b", "a#b", "a%41b", "a%",   "a b",      "a?b",
+             "a/b",   "a=b", "a;b", "a\"b",  "a\\b", "\xc3\xa4", "a\xff" };
+}
+
+/// Creates an entry in the list of servers whose name may hold any character.
+auto createServerEntry(gateway_fleet &fleet, const std::string &name) -> bool
+{
+    const auto body = json::serialize(json::object{ { "metadata", json::object{ { "name", name } } },
+                                                    { "spec", json::object{ { "note", "of another writer" } } } });
+    return httpCall(fleet.store().address(), { "POST", "/v1/objects/servers", {}, body }).status < 300U;
+}
+
 /// Sends requests through every router; returns how many were not served, or by a server other than \p expected.
 auto countMisplaced(gateway_fleet &fleet, const std::string &name, std::size_t expected) -> int
 {
@@ -106,4 +121,48 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_with_an_odd_name_at_the_end_of_a_page_does_not_keep_restarted_routers_from_serving)
+{
+    // Each entry is the last one of a page.
+    auto fleet = gateway_fleet({ .routers = 2, .servers = 1, .storePageSize = 1 });
+    auto number = 0;
+    for (const auto &name : oddNames()) {
+        BOOST_TEST_CONTEXT("name " << name)
+        {
+            BOOST_REQUIRE(createServerEntry(fleet, name));
+            for (auto &router : fleet.routers()) {
+                router.process->signal(SIGKILL);
+                router.process->waitForExit(changeMs);
+                fleet.start(router, false);
+            }
+            constexpr auto recoveryMs = 12'000;
+            for (const auto &router : fleet.routers()) {
+                BOOST_REQUIRE(waitUntil(recoveryMs, [&] { return fleet.isReady(router); }));
+            }
+            BOOST_TEST(countMisplaced(fleet, "name-" + std::to_string(++number), 0) == 0);
+            BOOST_TEST(fleet.removeObject("servers", name));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_with_an_odd_name_does_not_hold_up_relayed_changes)
+{
+    auto fleet = gateway_fleet({ .routers = routerCount, .servers = 2 });
+    auto names = oddNames();
+    names.emplace_back(60'000, 'n'); // Longer than what fits into a datagram beside other changes.
+    auto leaving = std::size_t(1);
+    auto incarnation = 0;
+    for (const auto &name : names) {
+        BOOST_TEST_CONTEXT("name " << name.substr(0, 20))
+        {
+            BOOST_REQUIRE(createServerEntry(fleet, name));
+            fleet.writeServer(1 - leaving, "ready", ++incarnation);
+            fleet.writeServer(leaving, "draining", incarnation);
+            sleepMs(changeMs);
+            BOOST_TEST(countMisplaced(fleet, "relayed-" + std::to_string(incarnation), 1 - leaving) == 0);
+            leaving = 1 - leaving;
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/platform/object_format_test.cpp
+++ b/tests/unit/platform/object_format_test.cpp
@@ -30,8 +30,16 @@
     BOOST_REQUIRE(page.has_value());
     BOOST_TEST(page->objects.size() == 1U);
     BOOST_TEST(page->hasMore);
+    BOOST_TEST(!page->lastName.has_value());
     BOOST_TEST(page->revision == 9U);
     BOOST_TEST(unreadable == 2U);
+    const auto odd = platform::decodePage(
+        "kind",
+        R"({"entries":[{"metadata":{"name":"a","revision":3}},{"metadata":{"name":"b","revision":"?"}}],"at":9})",
+        unreadable, why);
+    BOOST_REQUIRE(odd.has_value());
+    BOOST_TEST(odd->objects.size() == 1U);
+    BOOST_TEST((odd->lastName == "b"));
     const auto batch = platform::decodeEvents(
         "kind",
         R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":10}}},{"object":"..."},7],"at":11})",
@@ -97,4 +105,16 @@
                == "/v1/objects/servers?subscription=5&wait_ms=1500");
 }
 
+BOOST_AUTO_TEST_CASE(names_with_special_characters_are_percent_encoded_in_request_targets)
+{
+    const auto name = std::string("a b&c+d#e%f/g?h=\xc3\xa4\xff");
+    const auto encoded = std::string("a%20b%26c%2Bd%23e%25f%2Fg%3Fh%3D%C3%A4%FF");
+    BOOST_TEST(platform::pageTarget("servers", name) == "/v1/objects/servers?after=" + encoded);
+    BOOST_TEST(platform::pageTarget("servers", name, read_freshness::mayBeStale)
+               == "/v1/objects/servers?allow_stale=1&after=" + encoded);
+    BOOST_TEST(platform::objectTarget("servers", name) == "/v1/objects/servers/" + encoded);
+    BOOST_TEST(platform::objectTargetAt("servers", name, 5) == "/v1/objects/servers/" + encoded + "?revision=5");
+    BOOST_TEST(platform::objectTarget("servers", "i-7_x.Y~") == "/v1/objects/servers/i-7_x.Y~");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/store/store_client_test.cpp
+++ b/tests/unit/store/store_client_test.cpp
@@ -209,4 +209,44 @@
     BOOST_TEST(counters.at("marjoramloom_platform_calls_total").value() <= 3U);
 }
 
+// A list of which the end is missing would count the servers there as removed.
+BOOST_AUTO_TEST_CASE(a_list_whose_pages_do_not_continue_fails_instead_of_ending_early_or_never)
+{
+    using tcp = boost::asio::ip::tcp;
+    const auto entry = std::string(R"({"metadata":{"name":"a","revision":3},"spec":{}})");
+    for (const auto &entries : { entry, std::string(), std::string("7") }) {
+        BOOST_TEST_CONTEXT("pages with the entries " << entries)
+        {
+            constexpr auto maxCalls = 10;
+            auto serverContext = boost::asio::io_context();
+            auto acceptor = tcp::acceptor(serverContext, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+            const auto body = R"({"entries":[)" + entries + R"(],"truncated":true,"at":5})";
+            auto calls = 0;
+            auto server = std::thread([&] {
+                auto error = boost::system::error_code();
+                auto socket = acceptor.accept(error);
+                auto received = std::string();
+                while (!error && calls < maxCalls) {
+                    const auto size =
+                        boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
+                    if (!error) {
+                        ++calls;
+                        received.erase(0, size);
+                        const auto head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size());
+                        boost::asio::write(socket, boost::asio::buffer(head + "\r\n\r\n" + body), error);
+                    }
+                }
+            });
+            const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+            auto why = last_reason();
+            {
+                auto reader = store_client(context.get_executor(), { .addresses = { address } }, counters);
+                BOOST_TEST(!run(reader.list("kind", why)).has_value());
+            }
+            server.join();
+            BOOST_TEST(calls < maxCalls);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
