--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -181,7 +181,13 @@
           json::array{ json::object{ { "name", "alpha" }, { "api_keys", std::move(keys) } },
                        json::object{ { "name", "beta" }, { "api_keys", json::array{ "key-beta" } } } } },
     };
-    return writeObject("config", "main", spec);
+    m_configuration = spec;
+    return writeConfigurationAgain();
+}
+
+auto gateway_fleet::writeConfigurationAgain() -> bool
+{
+    return writeObject("config", "main", m_configuration);
 }
 
 auto gateway_fleet::writeServer(std::size_t index, const std::string &state, int incarnation, int coldMs) -> void
@@ -223,6 +229,20 @@
     return httpCall(m_store->address(), { "DELETE", objectPath(kind, name), {}, {} }).status < 300;
 }
 
+auto gateway_fleet::storeStatistic(const std::string &name) -> std::uint64_t
+{
+    const auto answer = httpCall(m_store->address(), { "GET", "/control/statistics", {}, {} });
+    return json::parse(answer.body).at(name).to_number<std::uint64_t>();
+}
+
+auto gateway_fleet::restoreStore(std::uint64_t revision) -> void
+{
+    const auto body = json::serialize(json::object{ { "revision", revision } });
+    if (httpCall(m_store->address(), { "POST", "/control/restore", {}, body }).status != 200) {
+        throw std::runtime_error("the store was not restored");
+    }
+}
+
 auto gateway_fleet::call(const router_handle &router, const std::string &path, const std::string &id,
                          const std::string &method, const std::string &key, const std::string &body) -> http_answer
 {
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -66,6 +66,9 @@
     /// acknowledged it.
     auto writeConfiguration(const std::vector<std::string> &alphaKeys) -> bool;
 
+    /// Writes the newest configuration again, with its version. Returns whether the store acknowledged it.
+    auto writeConfigurationAgain() -> bool;
+
     /// Writes a backend server's entry in the store. Each \p incarnation of the server has another start time (`born`).
     /// The server states that it is cold for \p coldMs more.
     auto writeServer(std::size_t index, const std::string &state, int incarnation = 0, int coldMs = 0) -> void;
@@ -79,6 +82,12 @@
     /// Removes an object from the store. Returns whether the store acknowledged it.
     auto removeObject(const std::string &kind, const std::string &name) -> bool;
 
+    /// A number of the store's statistics: "revision", "reads", "writes" or "watches".
+    auto storeStatistic(const std::string &name) -> std::uint64_t;
+
+    /// Has the store continue from its copy of \p revision.
+    auto restoreStore(std::uint64_t revision) -> void;
+
     /// Sends a request with the X-Attempt-Id \p id through \p router.
     auto call(const router_handle &router, const std::string &path, const std::string &id,
               const std::string &method = "GET", const std::string &key = "key-alpha", const std::string &body = {})
@@ -108,6 +117,7 @@
     std::vector<std::unique_ptr<standin>> m_servers;
     std::vector<router_handle> m_routers;
     int m_version = 0;
+    boost::json::value m_configuration; ///< As written last.
     std::int64_t m_entrySequence = 0;
 };
 
