--- a/include/marjoramloom/contract/snapshot_store.inl
+++ b/include/marjoramloom/contract/snapshot_store.inl
@@ -1,6 +1,7 @@
 #include "marjoramloom/contract/configuration_codec.h"
 #include "marjoramloom/core/hash.h"
 #include "marjoramloom/core/log.h"
+#include "marjoramloom/store/store_revision.h"
 
 namespace marjoramloom {
 
@@ -22,7 +23,7 @@
     const auto head = parseSnapshotHead(*object);
     if (!head) {
         // Changes must stay readable even if the head is malformed. The next snapshot replaces it.
-        log_line(log_level::error, "snapshot_head_malformed").with("revision", object->revision);
+        log_line(log_level::error, "snapshot_head_malformed").with("revision", revisionText(object->revision));
         co_return snapshot_head{ .sequence = 0, .floor = 0, .nonce = {}, .chunks = 0, .revision = object->revision };
     }
     co_return head;
--- a/include/marjoramloom/gateway/knowledge/evidence_memory.h
+++ b/include/marjoramloom/gateway/knowledge/evidence_memory.h
@@ -30,6 +30,9 @@
     /// Whether the entry that counts for the id exists and was not removed.
     [[nodiscard]] auto isListed(const std::string &id) const -> bool;
 
+    /// Whether the incarnation in \p entry was removed in an earlier era of the store than that of the entry.
+    [[nodiscard]] auto wasRemovedBefore(const listed_server &entry) const -> bool;
+
     /// Forgets what is too old. Call every few hundred milliseconds.
     auto tick(time_point now) -> void;
 
--- a/include/marjoramloom/gateway/knowledge/platform_feed.h
+++ b/include/marjoramloom/gateway/knowledge/platform_feed.h
@@ -16,6 +16,10 @@
 /// without a change also validates the keys. A router that does not watch, or whose watch fails, gets updates from
 /// other routers, and reads from the store only a configuration that is too large for an update, or the list of servers
 /// where an update does not continue its own list.
+///
+/// After the store returned from an older copy (a new era), it shows the past until the operator and the servers have
+/// written again. Until then the configuration that was in force stays so, servers that the copy lacks stay in use for
+/// RENEWAL_TIME, and those that were gone stay out of use.
 /// Not thread safe: runs on the router's only thread.
 class platform_feed
 {
@@ -69,7 +73,7 @@
     /// Applies an update of another router, which answers a query sent at \p queriedAt; an update that answers no query
     /// validates no keys. Returns true if this router is then as current as the update. Returns false if the other
     /// router has lost the store or is behind, or if this one first has to read from the store, which it starts to do.
-    auto applyUpdate(const store_update &update, std::optional<boot_time> queriedAt) -> bool;
+    auto applyUpdate(store_update update, std::optional<boot_time> queriedAt) -> bool;
 
 private:
     /// The store counts as lost after this time without a valid answer: one long poll and a slow answer.
@@ -103,6 +107,7 @@
     auto noteOwnStoreAnswer() -> void;
     auto limitRenewals(time_point now) -> void;
     auto noteStoreFailure(const last_reason &why) -> void;
+    auto noteEra(std::uint64_t listRevision, time_point now) -> void;
 
     boost::asio::any_io_executor m_executor;
     store_client &m_client;
@@ -126,6 +131,7 @@
     time_point m_lastAnswer; ///< Of the store, or of a router that gets answers from it.
     time_point m_lastOwnAnswer; ///< Of the store to this router.
     bool m_storeLost = true;
+    boot_time m_eraSince = boot_time::min(); ///< When a list showed that a new era had begun.
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/knowledge/server_directory.h
+++ b/include/marjoramloom/gateway/knowledge/server_directory.h
@@ -39,6 +39,9 @@
 /// disappear during or shortly after an outage of the store therefore stay in use until the servers have had time to
 /// renew them.
 ///
+/// A list of a new era of the store shows the past: an entry of a server that was gone may be there again. It counts
+/// only once the server has written it anew, or once it has outlasted RESTORED_TIME.
+///
 /// A server that leaves also says so in its answers. That ends the use of its incarnation for good, whatever the list
 /// says: the list may be outdated, or its entry may disappear and come back around an outage. Not thread safe.
 class server_directory
@@ -50,6 +53,9 @@
     /// Servers renew an expired entry within about two seconds after the store is available again.
     static constexpr duration RENEWAL_TIME = std::chrono::milliseconds(2'300);
 
+    /// Entries that no server renews expire after three of its write intervals, which are shorter than two seconds.
+    static constexpr duration RESTORED_TIME = std::chrono::seconds(6);
+
     /// Calls \p onChange for every server that is added, changed or removed.
     explicit server_directory(listener onChange);
 
@@ -141,17 +147,26 @@
         std::optional<time_point> expiredKeptUntil;
     };
 
+    /// An entry that the store may have only from an older copy.
+    struct restored_entry
+    {
+        listed_server server;
+        time_point until; ///< It counts from then on.
+    };
+
     [[nodiscard]] auto mayBeRenewed(time_point now) const -> bool;
     auto removeEntry(const std::string &id, std::string_view change) -> void;
     auto rebuildIndexes() -> void;
     auto forgetOldStatements(time_point now) -> void;
     auto endMisdirections(time_point now) -> void;
+    auto addOutlastingEntries(time_point now) -> void;
 
     listener m_onChange;
     evidence_memory m_evidence;
     /// By incarnation, when a server that stated that it leaves was last listed or, if it was not, stated it.
     std::unordered_map<std::uint64_t, time_point> m_statedLeaving;
     std::map<std::string, entry> m_entries;
+    std::map<std::string, restored_entry> m_restored; ///< By id; none of them is in m_entries.
     std::set<std::string> m_evacuated; ///< Data centres whose servers are not used.
     std::unordered_map<std::string, std::vector<server_ptr>> m_usableByService;
     std::unordered_map<std::uint64_t, server_ptr> m_usableByIncarnation;
--- a/include/marjoramloom/gateway/knowledge/server_evidence.h
+++ b/include/marjoramloom/gateway/knowledge/server_evidence.h
@@ -41,6 +41,9 @@
     /// Whether the entry that counts was not removed.
     [[nodiscard]] auto isListed() const -> bool;
 
+    /// Whether the incarnation in \p entry was removed in an earlier era of the store than that of the entry.
+    [[nodiscard]] auto wasRemovedBefore(const listed_server &entry) const -> bool;
+
 private:
     /// An incarnation with an earlier start than the newest one.
     struct earlier_start
--- a/include/marjoramloom/store/store_client.h
+++ b/include/marjoramloom/store/store_client.h
@@ -55,8 +55,9 @@
 /// Client of the platform's object API and instance list, over keep-alive connections.
 ///
 /// Reads are retried on a new connection. A write is sent at most once per call, and its result distinguishes whether
-/// it took effect, certainly did not, or may have. Thread safe; a watch calls its callback on the executor of the
-/// coroutine that awaits it.
+/// it took effect, certainly did not, or may have. Revisions are ordered across the store's eras (store_revision.h). An
+/// answer of an era that is known to be over counts as none. Thread safe; a watch calls its callback on the executor of
+/// the coroutine that awaits it.
 class store_client
 {
 public:
@@ -81,11 +82,11 @@
     auto create(std::string kind, std::string name, std::string value, last_reason &why)
         -> boost::asio::awaitable<write_outcome>;
 
-    /// Replaces the object if it is at \p revision.
+    /// Replaces the object if it is at \p revision. A revision of an earlier era is a conflict.
     auto update(std::string kind, std::string name, std::string value, std::uint64_t revision, last_reason &why)
         -> boost::asio::awaitable<write_outcome>;
 
-    /// Deletes the object if it is at \p revision.
+    /// Deletes the object if it is at \p revision. A revision of an earlier era is a conflict.
     auto remove(std::string kind, std::string name, std::uint64_t revision, last_reason &why)
         -> boost::asio::awaitable<write_outcome>;
 
@@ -97,11 +98,14 @@
     /// of one kind come in order and exactly once, with bookmarks between them. Changes are fetched by long polling,
     /// with one request after another for each kind. Where a connection fails or times out, the watch reconnects or
     /// ends, as store_options::reconnectsWatches says. It ends, too, when the callback returns false, and when the
-    /// platform no longer holds the changes after the last revision seen (watch_end::expired); the caller then has to
-    /// list again. Precondition: \p kinds is not empty.
+    /// platform no longer holds the changes after the last revision seen (watch_end::expired), or a new era of the
+    /// store began; the caller then has to list again. Precondition: \p kinds is not empty.
     auto watch(std::vector<std::string> kinds, std::uint64_t afterRevision, watch_callback callback)
         -> boost::asio::awaitable<watch_end>;
 
+    /// The latest era that the store stated; 0 before the first one.
+    [[nodiscard]] auto era() const -> std::uint32_t;
+
     /// Time since the platform's last valid response; duration::max() before the first one.
     [[nodiscard]] auto timeSinceLastAnswer() const -> duration;
 
@@ -116,10 +120,23 @@
     /// State that the attempts of one call share.
     struct call_context;
 
+    /// An answer of the store and the era that it is of.
+    struct store_answer
+    {
+        http_response response;
+        std::uint32_t era = 0;
+    };
+
     auto call(http_request request, bool retryable, sent_state &sent, last_reason &why)
-        -> boost::asio::awaitable<std::optional<http_response>>;
+        -> boost::asio::awaitable<std::optional<store_answer>>;
     auto attempt(call_context &state, http_request request, sent_state &sent, last_reason &why)
-        -> boost::asio::awaitable<std::optional<http_response>>;
+        -> boost::asio::awaitable<std::optional<store_answer>>;
+    auto isOfEarlierEra(std::uint64_t revision) const -> bool;
+    auto conflictWithCurrent(std::string kind, std::string name, last_reason &why)
+        -> boost::asio::awaitable<write_outcome>;
+    auto eraOfAnswer(const http_response &response, std::uint32_t eraAtRequest, last_reason &why)
+        -> std::optional<std::uint32_t>;
+    auto noteOddEra(std::string_view stated) -> void;
     auto write(http_request request, std::string kind, last_reason &why) -> boost::asio::awaitable<write_outcome>;
     auto watchKind(std::string kind, std::uint64_t revision, watch_callback callback)
         -> boost::asio::awaitable<watch_end>;
@@ -140,6 +157,9 @@
     counter &m_calls;
     counter &m_failures;
     counter &m_reconnects;
+    counter &m_earlierEraAnswers; ///< Answers that were dropped because a later era had begun.
+    std::atomic<std::uint32_t> m_era = 0; ///< See era().
+    std::atomic<bool> m_isOddEraLogged = false;
     std::atomic<std::size_t> m_preferred = 0; ///< Index of the preferred address, modulo their number.
     std::atomic<duration::rep> m_lastAnswerTime = 0; ///< Steady clock; 0 before the first valid response.
     std::mutex m_mutex;
--- a/src/gateway/knowledge/datagram_codec.cpp
+++ b/src/gateway/knowledge/datagram_codec.cpp
@@ -1,5 +1,6 @@
 #include "datagram_codec.h"
 
+#include "marjoramloom/store/store_revision.h"
 #include "platform/evacuation_format.h"
 
 #include <algorithm>
@@ -12,6 +13,11 @@
 constexpr auto maxContactAge = std::chrono::milliseconds(600'000);
 constexpr auto permille = 1'000.0;
 
+auto readRevision(std::uint32_t era, std::uint64_t number) -> std::uint64_t
+{
+    return orderedRevision(std::min(era, maxStoreEra), std::min(number, maxRevisionNumber));
+}
+
 /// Combines the lists of block ids and token counts; nothing if their lengths differ.
 template<typename Message>
 auto readPrefixBlocks(const Message &message) -> std::optional<std::vector<prefix_block>>
@@ -244,7 +250,7 @@
 
 auto readEvacuations(const wire::EvacuatedSet &message) -> evacuation_set
 {
-    auto evacuations = evacuation_set{ .revision = message.revision(), .names = {} };
+    auto evacuations = evacuation_set{ .revision = readRevision(message.era(), message.revision()), .names = {} };
     for (const auto &name : message.data_centres()) {
         if (platform::isDataCentreName(name)) {
             evacuations.names.insert(name);
@@ -255,24 +261,43 @@
 
 auto write(const evacuation_set &evacuations, wire::EvacuatedSet &message) -> void
 {
-    message.set_revision(evacuations.revision);
+    message.set_revision(revisionNumber(evacuations.revision));
+    message.set_era(eraOf(evacuations.revision));
     for (const auto &name : evacuations.names) {
         message.add_data_centres(name);
     }
 }
 
+auto readStoreQuery(const wire::StoreQuestion &message) -> store_query
+{
+    return { .number = message.number(),
+             .serversRevision = readRevision(message.servers_era(), message.servers_revision()),
+             .configurationRevision = readRevision(message.configuration_era(), message.configuration_revision()) };
+}
+
+auto write(const store_query &query, wire::StoreQuestion &message) -> void
+{
+    message.set_number(query.number);
+    message.set_servers_revision(revisionNumber(query.serversRevision));
+    message.set_servers_era(eraOf(query.serversRevision));
+    message.set_configuration_revision(revisionNumber(query.configurationRevision));
+    message.set_configuration_era(eraOf(query.configurationRevision));
+}
+
 auto readStoreUpdate(const wire::StoreNews &message) -> store_update
 {
-    auto update = store_update{ .number = message.number(),
-                                .validationAge = std::nullopt,
-                                .configurationRevision = message.configuration_revision(),
-                                .configuration = std::nullopt,
-                                .serversBaseRevision = message.servers_after(),
-                                .serversRevision = message.servers_revision(),
-                                .changes = {},
-                                .storeLost = message.store_lost(),
-                                .answerAge = std::chrono::milliseconds(message.answer_age_ms()),
-                                .renewalLeft = std::chrono::milliseconds(message.renewal_left_ms()) };
+    auto update =
+        store_update{ .number = message.number(),
+                      .validationAge = std::nullopt,
+                      .configurationRevision =
+                          readRevision(message.configuration_era(), message.configuration_revision()),
+                      .configuration = std::nullopt,
+                      .serversBaseRevision = readRevision(message.servers_after_era(), message.servers_after()),
+                      .serversRevision = readRevision(message.servers_era(), message.servers_revision()),
+                      .changes = {},
+                      .storeLost = message.store_lost(),
+                      .answerAge = std::chrono::milliseconds(message.answer_age_ms()),
+                      .renewalLeft = std::chrono::milliseconds(message.renewal_left_ms()) };
     if (message.has_evacuated()) {
         update.evacuations = readEvacuations(message.evacuated());
     }
@@ -286,9 +311,10 @@
         update.configuration = message.configuration();
     }
     for (const auto &serverChange : message.changes()) {
-        auto object = stored_object{
-            .kind = {}, .name = serverChange.id(), .revision = serverChange.revision(), .value = serverChange.entry()
-        };
+        auto object = stored_object{ .kind = {},
+                                     .name = serverChange.id(),
+                                     .revision = readRevision(message.servers_era(), serverChange.revision()),
+                                     .value = serverChange.entry() };
         update.changes.push_back({ .object = std::move(object), .removed = serverChange.removed() });
     }
     return update;
@@ -300,16 +326,19 @@
     message.set_proved(update.validationAge.has_value());
     message.set_proof_age_ms(
         static_cast<std::uint32_t>(update.validationAge.value_or(std::chrono::milliseconds(0)).count()));
-    message.set_configuration_revision(update.configurationRevision);
+    message.set_configuration_revision(revisionNumber(update.configurationRevision));
+    message.set_configuration_era(eraOf(update.configurationRevision));
     if (update.configuration) {
         message.set_configuration(*update.configuration);
     }
-    message.set_servers_after(update.serversBaseRevision);
-    message.set_servers_revision(update.serversRevision);
+    message.set_servers_after(revisionNumber(update.serversBaseRevision));
+    message.set_servers_after_era(eraOf(update.serversBaseRevision));
+    message.set_servers_revision(revisionNumber(update.serversRevision));
+    message.set_servers_era(eraOf(update.serversRevision));
     for (const auto &change : update.changes) {
         auto *serverChange = message.add_changes();
         serverChange->set_id(change.object.name);
-        serverChange->set_revision(change.object.revision);
+        serverChange->set_revision(revisionNumber(change.object.revision));
         serverChange->set_removed(change.removed);
         serverChange->set_entry(change.object.value);
     }
--- a/src/gateway/knowledge/datagram_codec.h
+++ b/src/gateway/knowledge/datagram_codec.h
@@ -42,6 +42,9 @@
 auto readBlockRecord(const wire::BlockRecord &message) -> block_record;
 auto write(const block_record &record, wire::BlockRecord &message) -> void;
 
+auto readStoreQuery(const wire::StoreQuestion &message) -> store_query;
+auto write(const store_query &query, wire::StoreQuestion &message) -> void;
+
 auto readStoreUpdate(const wire::StoreNews &message) -> store_update;
 auto write(const store_update &update, wire::StoreNews &message) -> void;
 
--- a/src/gateway/knowledge/evacuation_feed.cpp
+++ b/src/gateway/knowledge/evacuation_feed.cpp
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/store/retry_backoff.h"
+#include "marjoramloom/store/store_revision.h"
 #include "platform/evacuation_format.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -147,6 +148,10 @@
 auto evacuation_feed::applyRelayed(evacuation_set relayed) -> void
 {
     m_lastRelayed = system_clock_source().now();
+    if (eraOf(relayed.revision) == 0) {
+        // Routers of an earlier version state no era.
+        relayed.revision = orderedRevision(eraOf(m_state.evacuations.current().revision), relayed.revision);
+    }
     m_state.evacuations.apply(std::move(relayed));
 }
 
--- a/src/gateway/knowledge/evidence_memory.cpp
+++ b/src/gateway/knowledge/evidence_memory.cpp
@@ -1,6 +1,7 @@
 #include "marjoramloom/gateway/knowledge/evidence_memory.h"
 
 #include "marjoramloom/core/log.h"
+#include "marjoramloom/store/store_revision.h"
 
 namespace marjoramloom {
 
@@ -12,16 +13,16 @@
     if (!known.evidence.addEntry(entry, now)) {
         log_line(log_level::info, "server_entry_late")
             .with("server", entry.id)
-            .with("revision", entry.revision)
+            .with("revision", revisionText(entry.revision))
             .with("started", entry.startUnixMs)
-            .with("known_revision", previous->revision)
+            .with("known_revision", revisionText(previous->revision))
             .with("known_started", previous->startUnixMs);
         return nullptr;
     }
     if (previous && entry.startUnixMs < previous->startUnixMs) {
         log_line(log_level::warning, "server_start_earlier")
             .with("server", entry.id)
-            .with("revision", entry.revision)
+            .with("revision", revisionText(entry.revision))
             .with("started", entry.startUnixMs)
             .with("known_started", previous->startUnixMs);
     }
@@ -46,6 +47,12 @@
     return found != m_records.end() && found->second.evidence.isListed();
 }
 
+auto evidence_memory::wasRemovedBefore(const listed_server &entry) const -> bool
+{
+    const auto found = m_records.find(entry.id);
+    return found != m_records.end() && found->second.evidence.wasRemovedBefore(entry);
+}
+
 auto evidence_memory::tick(time_point now) -> void
 {
     std::erase_if(m_records, [&](const auto &entry) {
--- a/src/gateway/knowledge/gateway_state.cpp
+++ b/src/gateway/knowledge/gateway_state.cpp
@@ -1,6 +1,7 @@
 #include "marjoramloom/gateway/knowledge/gateway_state.h"
 
 #include "marjoramloom/core/log.h"
+#include "marjoramloom/store/store_revision.h"
 
 #include <algorithm>
 
@@ -145,7 +146,7 @@
         log_line(log_level::warning, "evacuation")
             .with("data_centre", name)
             .with("change", what)
-            .with("revision", revision)
+            .with("revision", revisionText(revision))
             .with("servers", affected)
             .with("running", running);
     };
--- a/src/gateway/knowledge/load_exchange.cpp
+++ b/src/gateway/knowledge/load_exchange.cpp
@@ -172,9 +172,7 @@
 auto load_exchange::sendStoreQuery(std::uint64_t router, const store_query &query) -> void
 {
     auto datagram = wire::RouterDatagram();
-    datagram.mutable_question()->set_number(query.number);
-    datagram.mutable_question()->set_servers_revision(query.serversRevision);
-    datagram.mutable_question()->set_configuration_revision(query.configurationRevision);
+    write(query, *datagram.mutable_question());
     send(router, datagram);
 }
 
@@ -278,10 +276,7 @@
         m_dispatch.handleRelease(datagram.sender(), readRelease(datagram.release()));
     }
     if (datagram.has_question() && m_storeHandlers.onQuery) {
-        m_storeHandlers.onQuery(router,
-                                { .number = datagram.question().number(),
-                                  .serversRevision = datagram.question().servers_revision(),
-                                  .configurationRevision = datagram.question().configuration_revision() });
+        m_storeHandlers.onQuery(router, readStoreQuery(datagram.question()));
     }
     if (datagram.has_news() && m_storeHandlers.onUpdate) {
         m_storeHandlers.onUpdate(readStoreUpdate(datagram.news()));
--- a/src/gateway/knowledge/platform_feed.cpp
+++ b/src/gateway/knowledge/platform_feed.cpp
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/store/retry_backoff.h"
+#include "marjoramloom/store/store_revision.h"
 #include "platform/configuration_format.h"
 #include "platform/server_format.h"
 
@@ -55,6 +56,7 @@
     -> asio::awaitable<void>
 {
     auto backoff = retry_backoff(firstRetryWait, maxRetryWait, m_state.random());
+    auto relistBackoff = retry_backoff(firstRetryWait, maxRetryWait, m_state.random());
     while (true) {
         co_await waitUntilWatching();
         if (kind != platform::configurationKind) {
@@ -64,7 +66,8 @@
         const auto previousOwnAnswer = m_lastOwnAnswer;
         auto end = watch_end::broken;
         auto why = last_reason();
-        if (revision == 0 && !co_await list(why)) {
+        const auto isListed = revision == 0;
+        if (isListed && !co_await list(why)) {
             noteStoreFailure(why);
         } else {
             auto kinds = std::vector<std::string>(1, std::string(kind));
@@ -75,7 +78,14 @@
         }
         if (end == watch_end::expired) {
             revision = 0;
-        } else if (end == watch_end::broken) {
+            if (isListed) {
+                // A list that the store itself cannot continue from is not repeated at once.
+                co_await pause(relistBackoff.next());
+            }
+            continue;
+        }
+        relistBackoff.reset();
+        if (end == watch_end::broken) {
             // A connection that has worked may break while the store is available, so the first retry is soon.
             const auto hasWorked = m_lastOwnAnswer != previousOwnAnswer;
             const auto minWait = hasWorked ? std::chrono::milliseconds(0) : m_client.watchThrottle().minRetryWait;
@@ -175,25 +185,34 @@
     m_newestConfigurationRevision = object.revision;
     auto why = last_reason();
     auto content = platform::decodeConfiguration(object.value, why);
-    m_isNewestApplied = content.has_value();
+    const auto previousVersion = m_state.routes ? m_state.routes->version() : 0;
+    const auto isReverted =
+        content && content->version < previousVersion && eraOf(object.revision) > eraOf(m_configurationRevision);
+    m_isNewestApplied = content && !isReverted;
     m_state.hasNewerConfiguration = !m_isNewestApplied;
     if (!content) {
         log_line(log_level::error, "configuration_unreadable")
-            .with("revision", object.revision)
+            .with("revision", revisionText(object.revision))
             .with("reason", why.text());
         return false;
     }
+    if (isReverted) {
+        log_line(log_level::warning, "configuration_reverted")
+            .with("version", content->version)
+            .with("in_force", previousVersion)
+            .with("revision", revisionText(object.revision));
+        return false;
+    }
     if (object.revision <= m_configurationRevision) {
         return true; // The current configuration.
     }
     m_configurationRevision = object.revision;
     m_configuration = object.value;
-    const auto previousVersion = m_state.routes ? m_state.routes->version() : 0;
     m_state.routes = std::make_shared<const route_table>(std::move(*content));
     log_line(log_level::info, "configuration")
         .with("version", m_state.routes->version())
         .with("before", previousVersion)
-        .with("revision", object.revision)
+        .with("revision", revisionText(object.revision))
         .with("source", source)
         .with("bytes", object.value.size())
         .with("routes", m_state.routes->routeCount())
@@ -242,8 +261,8 @@
         // Other routers relayed newer changes while the answer was on its way.
         m_serversWatchRevision = m_serverChanges.revision();
         log_line(log_level::info, "late_list")
-            .with("revision", listed->revision)
-            .with("applied", m_serverChanges.revision());
+            .with("revision", revisionText(listed->revision))
+            .with("applied", revisionText(m_serverChanges.revision()));
         co_return true;
     }
     auto servers = std::vector<listed_server>();
@@ -258,6 +277,7 @@
         }
     }
     const auto now = system_clock_source().now();
+    noteEra(listed->revision, now);
     const auto source = m_state.hasServers ? cold_engines::entry_source::change : cold_engines::entry_source::firstList;
     m_state.servers.replaceAll(servers, listed->revision, now);
     for (auto index = std::size_t(0); index < servers.size(); ++index) {
@@ -341,11 +361,21 @@
 auto platform_feed::limitRenewals(time_point now) -> void
 {
     if (const auto &answered = m_state.storeContact.latest()) {
-        const auto available = std::chrono::duration_cast<duration>(boot_clock::now() - answered->since);
+        const auto since = std::max(answered->since, m_eraSince);
+        const auto available = std::chrono::duration_cast<duration>(boot_clock::now() - since);
         m_state.servers.limitRenewals(now + server_directory::RENEWAL_TIME - available);
     }
 }
 
+/// Servers whose entries are missing since the store returned from an older copy may write them again.
+auto platform_feed::noteEra(std::uint64_t listRevision, time_point now) -> void
+{
+    if (m_state.hasServers && eraOf(listRevision) > eraOf(m_serverChanges.revision())) {
+        m_eraSince = boot_clock::now();
+        m_state.servers.expectRenewals(now + server_directory::RENEWAL_TIME);
+    }
+}
+
 auto platform_feed::noteStoreAnswer() -> void
 {
     m_lastAnswer = system_clock_source().now();
--- a/src/gateway/knowledge/platform_feed_updates.cpp
+++ b/src/gateway/knowledge/platform_feed_updates.cpp
@@ -2,6 +2,7 @@
 #include "marjoramloom/core/event_loop.h"
 #include "marjoramloom/core/log.h"
 #include "marjoramloom/gateway/knowledge/platform_feed.h"
+#include "marjoramloom/store/store_revision.h"
 #include "platform/configuration_format.h"
 
 namespace marjoramloom {
@@ -13,11 +14,19 @@
 /// Ages are reported up to this limit.
 constexpr auto maxReportedAge = std::chrono::milliseconds(600'000);
 
+/// Routers of an earlier version state no era; a revision without one is taken for one of the era of \p own.
+auto inEraOf(std::uint64_t own, std::uint64_t revision) -> std::uint64_t
+{
+    return revision != 0 && eraOf(revision) == 0 ? orderedRevision(eraOf(own), revision) : revision;
+}
+
 } // namespace
 
 auto platform_feed::updateSince(std::uint64_t serversRevision, std::uint64_t configurationRevision) const
     -> store_update
 {
+    serversRevision = inEraOf(m_serverChanges.revision(), serversRevision);
+    configurationRevision = inEraOf(m_configurationRevision, configurationRevision);
     auto update = store_update();
     const auto age = m_state.keys.age(boot_clock::now());
     if (m_isNewestApplied && m_state.keys.isFresh(boot_clock::now())) {
@@ -50,8 +59,14 @@
     return update;
 }
 
-auto platform_feed::applyUpdate(const store_update &update, std::optional<boot_time> queriedAt) -> bool
+auto platform_feed::applyUpdate(store_update update, std::optional<boot_time> queriedAt) -> bool
 {
+    update.configurationRevision = inEraOf(m_configurationRevision, update.configurationRevision);
+    update.serversBaseRevision = inEraOf(m_serverChanges.revision(), update.serversBaseRevision);
+    update.serversRevision = inEraOf(m_serverChanges.revision(), update.serversRevision);
+    for (auto &change : update.changes) {
+        change.object.revision = inEraOf(update.serversRevision, change.object.revision);
+    }
     const auto now = system_clock_source().now();
     if (update.configuration && update.configurationRevision > m_configurationRevision) {
         applyConfiguration({ .kind = std::string(platform::configurationKind),
--- a/src/gateway/knowledge/server_directory.cpp
+++ b/src/gateway/knowledge/server_directory.cpp
@@ -17,9 +17,18 @@
 auto server_directory::replaceAll(std::vector<listed_server> listed, std::uint64_t revision, time_point now) -> void
 {
     auto present = std::set<std::string>();
+    auto restored = std::exchange(m_restored, {});
     for (auto &server : listed) {
         present.insert(server.id);
-        put(std::move(server), now);
+        if (m_entries.contains(server.id) || !m_evidence.wasRemovedBefore(server)) {
+            put(std::move(server), now);
+            continue;
+        }
+        const auto known = restored.find(server.id);
+        const auto isKnown = known != restored.end() && known->second.server.revision == server.revision;
+        const auto until = isKnown ? known->second.until : now + RESTORED_TIME;
+        const auto id = server.id;
+        m_restored.emplace(id, restored_entry{ .server = std::move(server), .until = until });
     }
     auto absent = std::vector<std::string>();
     for (const auto &[id, current] : m_entries) {
@@ -34,6 +43,7 @@
 
 auto server_directory::put(listed_server server, time_point now) -> void
 {
+    m_restored.erase(server.id);
     auto newest = m_evidence.addEntry(server, now);
     if (!newest || !m_evidence.isListed(server.id)) {
         // It is late. A removed server that may renew its entry stays in use, unless it turns out to be leaving or to
@@ -65,6 +75,7 @@
 
 auto server_directory::remove(const std::string &id, std::uint64_t revision, time_point now) -> void
 {
+    m_restored.erase(id);
     const auto isRemoved = m_evidence.addRemoval(id, revision, now);
     const auto found = m_entries.find(id);
     if (!isRemoved || found == m_entries.end()) {
@@ -137,6 +148,7 @@
     for (const auto &id : expired) {
         removeEntry(id, "not renewed");
     }
+    addOutlastingEntries(now);
     endMisdirections(now);
     forgetOldStatements(now);
     m_evidence.tick(now);
@@ -275,6 +287,19 @@
     m_onChange(*server, change);
 }
 
+auto server_directory::addOutlastingEntries(time_point now) -> void
+{
+    auto outlasting = std::vector<listed_server>();
+    for (const auto &[id, entry] : m_restored) {
+        if (entry.until <= now) {
+            outlasting.push_back(entry.server);
+        }
+    }
+    for (auto &server : outlasting) {
+        put(std::move(server), now);
+    }
+}
+
 /// Makes servers usable again whose misdirection was seen MISDIRECTED_TIME ago.
 auto server_directory::endMisdirections(time_point now) -> void
 {
--- a/src/gateway/knowledge/server_evidence.cpp
+++ b/src/gateway/knowledge/server_evidence.cpp
@@ -1,5 +1,7 @@
 #include "marjoramloom/gateway/knowledge/server_evidence.h"
 
+#include "marjoramloom/store/store_revision.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -42,6 +44,12 @@
     return m_newest && (!m_removedRevision || m_newest->revision > *m_removedRevision);
 }
 
+auto server_evidence::wasRemovedBefore(const listed_server &entry) const -> bool
+{
+    return m_newest && !isListed() && m_newest->isSameIncarnation(entry)
+        && eraOf(*m_removedRevision) < eraOf(entry.revision);
+}
+
 auto server_evidence::addEarlier(const listed_server &entry, time_point now) -> bool
 {
     if (entry.revision <= m_newest->revision) {
--- a/src/gateway/traffic/places_status.cpp
+++ b/src/gateway/traffic/places_status.cpp
@@ -1,6 +1,7 @@
 #include "marjoramloom/gateway/traffic/places_status.h"
 
 #include "marjoramloom/gateway/decisions/cold_choice.h"
+#include "marjoramloom/store/store_revision.h"
 
 #include <boost/json.hpp>
 
@@ -45,7 +46,7 @@
     auto evacuations = json::object{ { "known", state.evacuations.isKnown() } };
     if (state.evacuations.isKnown()) {
         const auto &current = state.evacuations.current();
-        evacuations["revision"] = current.revision;
+        evacuations["revision"] = revisionNumber(current.revision);
         evacuations["data_centres"] = json::array(current.names.begin(), current.names.end());
     }
     return json::serialize(
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -72,6 +72,7 @@
     , m_calls(counters.at("marjoramloom_platform_calls_total"))
     , m_failures(counters.at("marjoramloom_platform_failures_total"))
     , m_reconnects(counters.at("marjoramloom_platform_watch_redials_total"))
+    , m_earlierEraAnswers(counters.at("marjoramloom_platform_earlier_era_answers_total"))
 {
     assert(!m_options.addresses.empty());
 }
@@ -91,17 +92,18 @@
 {
     auto sent = sent_state::notSent;
     auto request = makeRequest(http::verb::get, platform::objectTarget(kind, name));
-    const auto response = co_await call(std::move(request), true, sent, why);
-    if (!response) {
+    const auto answer = co_await call(std::move(request), true, sent, why);
+    if (!answer) {
         co_return std::nullopt;
     }
+    const auto *response = &answer->response;
     if (response->result() == http::status::not_found) {
         co_return stored_object{ .kind = std::move(kind), .name = std::move(name), .revision = 0, .value = {} };
     }
     if (response->result() != http::status::ok) {
         co_return why.fail(failure_kind::unavailable, "get object", "platform", statusText(*response));
     }
-    co_return platform::decodeObject(kind, response->body(), why);
+    co_return platform::decodeObject(kind, response->body(), why, answer->era);
 }
 
 auto store_client::list(std::string kind, last_reason &why, read_freshness freshness)
@@ -113,18 +115,26 @@
     auto pageEnds = std::set<std::string>();
     while (true) {
         auto sent = sent_state::notSent;
-        const auto response =
+        const auto answer =
             co_await call(makeRequest(http::verb::get, platform::pageTarget(kind, after, freshness)), true, sent, why);
-        if (!response) {
+        if (!answer) {
             co_return std::nullopt;
         }
+        const auto *response = &answer->response;
         if (response->result() != http::status::ok) {
             co_return why.fail(failure_kind::unavailable, "list objects", "platform", statusText(*response));
         }
-        auto page = platform::decodePage(kind, response->body(), unreadable, why);
+        auto page = platform::decodePage(kind, response->body(), unreadable, why, answer->era);
         if (!page) {
             co_return std::nullopt;
         }
+        if (!after.empty() && answer->era != eraOf(listed.revision)) {
+            // Pages of two eras are no list: it begins anew.
+            listed = object_list();
+            after.clear();
+            pageEnds.clear();
+            continue;
+        }
         // Later pages may lack changes made after the first page's revision; a watch from that revision delivers them.
         listed.revision = after.empty() ? page->revision : listed.revision;
         std::move(page->objects.begin(), page->objects.end(), std::back_inserter(listed.objects));
@@ -180,6 +190,9 @@
 auto store_client::update(std::string kind, std::string name, std::string value, std::uint64_t revision,
                           last_reason &why) -> asio::awaitable<write_outcome>
 {
+    if (isOfEarlierEra(revision)) {
+        co_return co_await conflictWithCurrent(std::move(kind), std::move(name), why);
+    }
     auto request = makeRequest(http::verb::put, platform::objectTarget(kind, name));
     request.body() = platform::encodeObject(name, value, revision);
     co_return co_await write(std::move(request), kind, why);
@@ -188,6 +201,9 @@
 auto store_client::remove(std::string kind, std::string name, std::uint64_t revision, last_reason &why)
     -> asio::awaitable<write_outcome>
 {
+    if (isOfEarlierEra(revision)) {
+        co_return co_await conflictWithCurrent(std::move(kind), std::move(name), why);
+    }
     auto request = makeRequest(http::verb::delete_, platform::objectTargetAt(kind, name, revision));
     co_return co_await write(std::move(request), kind, why);
 }
@@ -196,19 +212,20 @@
 {
     auto sent = sent_state::notSent;
     const auto creating = request.method() == http::verb::post;
-    const auto response = co_await call(std::move(request), false, sent, why);
-    if (!response) {
+    const auto answer = co_await call(std::move(request), false, sent, why);
+    const auto *response = answer ? &answer->response : nullptr;
+    if (response == nullptr) {
         co_return write_outcome{ sent == sent_state::notSent ? write_result::notSent : write_result::unknown, {} };
     }
     if (http::to_status_class(response->result()) == http::status_class::successful) {
         auto reason = last_reason();
-        auto stored = platform::decodeObject(kind, response->body(), reason);
+        auto stored = platform::decodeObject(kind, response->body(), reason, answer->era);
         co_return write_outcome{ write_result::written, stored ? std::move(*stored) : stored_object() };
     }
     if (response->result() == http::status::conflict) {
         why.fail(failure_kind::conflict, "write object", "platform", "another write came first");
         auto reason = last_reason();
-        auto current = platform::decodeObject(kind, response->body(), reason);
+        auto current = platform::decodeObject(kind, response->body(), reason, answer->era);
         co_return write_outcome{ write_result::conflict, current ? std::move(*current) : stored_object() };
     }
     if (!creating && response->result() == http::status::not_found) {
@@ -224,7 +241,7 @@
 }
 
 auto store_client::call(http_request request, bool retryable, sent_state &sent, last_reason &why)
-    -> asio::awaitable<std::optional<http_response>>
+    -> asio::awaitable<std::optional<store_answer>>
 {
     auto state = call_context{ .deadline = std::chrono::steady_clock::now() + m_options.timeout,
                                .retryable = retryable,
@@ -233,10 +250,10 @@
     const auto attempts = m_options.addresses.size() + 1;
     for (auto tried = std::size_t(0); tried < attempts; ++tried) {
         sent = sent_state::notSent;
-        auto response = co_await attempt(state, request, sent, why);
-        if (response) {
+        auto answer = co_await attempt(state, request, sent, why);
+        if (answer) {
             recordAnswerTime();
-            co_return response;
+            co_return answer;
         }
         state.newConnectionOnly = true;
         const auto mayRetry = retryable || sent == sent_state::notSent;
@@ -251,9 +268,10 @@
 }
 
 auto store_client::attempt(call_context &state, http_request request, sent_state &sent, last_reason &why)
-    -> asio::awaitable<std::optional<http_response>>
+    -> asio::awaitable<std::optional<store_answer>>
 {
     m_calls.add();
+    const auto eraAtRequest = era();
     const auto address = preferredAddress();
     request.set(http::field::host, address);
     const auto remaining =
@@ -280,7 +298,67 @@
     if (response->keep_alive()) {
         returnIdle(std::move(connection));
     }
-    co_return response;
+    const auto eraOfResponse = eraOfAnswer(*response, eraAtRequest, why);
+    if (!eraOfResponse) {
+        co_return std::nullopt;
+    }
+    co_return store_answer{ .response = std::move(*response), .era = *eraOfResponse };
+}
+
+auto store_client::era() const -> std::uint32_t
+{
+    return m_era.load(std::memory_order_relaxed);
+}
+
+auto store_client::isOfEarlierEra(std::uint64_t revision) const -> bool
+{
+    return eraOf(revision) < era();
+}
+
+/// The outcome of a write whose condition is a revision of an earlier era. Its number may have been given out again, so
+/// the write must not be sent.
+auto store_client::conflictWithCurrent(std::string kind, std::string name, last_reason &why)
+    -> asio::awaitable<write_outcome>
+{
+    auto current = co_await get(std::move(kind), std::move(name), why);
+    if (!current) {
+        co_return write_outcome{ write_result::notSent, {} };
+    }
+    why.fail(failure_kind::conflict, "write object", "platform", "the store returned from an older copy");
+    co_return write_outcome{ write_result::conflict, std::move(*current) };
+}
+
+/// The era of an answer to a request that was sent in \p eraAtRequest; nothing if a later era began since. An answer
+/// without a valid era counts as one of the current era.
+auto store_client::eraOfAnswer(const http_response &response, std::uint32_t eraAtRequest, last_reason &why)
+    -> std::optional<std::uint32_t>
+{
+    const auto known = era();
+    const auto field = response[boost::beast::string_view(platform::eraField.data(), platform::eraField.size())];
+    const auto text = std::string_view(field.data(), field.size());
+    const auto stated = platform::decodeEra(text);
+    if (stated && *stated > known) {
+        m_era.store(*stated, std::memory_order_relaxed);
+        if (known > 0) {
+            log_line(log_level::warning, "store_era").with("era", *stated).with("before", known);
+        }
+        return stated;
+    }
+    if (stated && *stated < known && eraAtRequest < known) {
+        m_earlierEraAnswers.add();
+        return why.fail(failure_kind::unavailable, "read answer", "platform", "an answer of an earlier era");
+    }
+    if (stated != known && (known > 0 || !text.empty())) {
+        noteOddEra(text);
+    }
+    return known;
+}
+
+auto store_client::noteOddEra(std::string_view stated) -> void
+{
+    if (!m_isOddEraLogged.exchange(true, std::memory_order_relaxed)) {
+        log_line(log_level::warning, "store_era_odd").with("stated", stated).with("known", era());
+    }
 }
 
 auto store_client::takeIdle(const std::string &address) -> std::shared_ptr<store_connection>
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -67,7 +67,7 @@
         log_line(log_level::warning, "watch_redial")
             .with("kind", kind)
             .with("reason", why.text())
-            .with("revision", revision);
+            .with("revision", revisionText(revision));
         if (!m_options.reconnectsWatches) {
             co_return watch_end::broken;
         }
@@ -80,6 +80,9 @@
                             std::uint64_t &revision, watch_callback &callback, last_reason &why)
     -> asio::awaitable<watch_end>
 {
+    if (revision > 0 && isOfEarlierEra(revision)) {
+        co_return watch_end::expired;
+    }
     const auto address = preferredAddress();
     if (!connection || connection->address() != address) {
         connection = std::make_shared<store_connection>(m_executor, address);
@@ -93,16 +96,20 @@
     request.set(http::field::host, address);
     request.keep_alive(true);
     const auto requestedAt = boot_clock::now();
+    const auto eraAtRequest = era();
     auto sent = sent_state::notSent;
     m_calls.add();
     const auto response = co_await connection->exchange(std::move(request), m_options.watchTimeout, sent, why);
-    if (response && response->result() == http::status::gone) {
+    const auto eraOfResponse = response ? eraOfAnswer(*response, eraAtRequest, why) : std::nullopt;
+    // In a new era, the same number stands for another change, so the events after it are not those that are missing.
+    const auto isNewEra = eraOfResponse && revision > 0 && *eraOfResponse > eraOf(revision);
+    if (eraOfResponse && (isNewEra || response->result() == http::status::gone)) {
         co_return watch_end::expired;
     }
     auto batch = std::optional<platform::event_batch>();
-    if (response && response->result() == http::status::ok) {
-        batch = platform::decodeEvents(kind, response->body(), why);
-    } else if (response) {
+    if (eraOfResponse && response->result() == http::status::ok) {
+        batch = platform::decodeEvents(kind, response->body(), why, *eraOfResponse);
+    } else if (eraOfResponse) {
         why.fail(failure_kind::unavailable, "watch", address, "status " + std::to_string(response->result_int()));
     }
     if (!batch) {
--- a/tests/unit/gateway/platform_feed_test.cpp
+++ b/tests/unit/gateway/platform_feed_test.cpp
@@ -1,5 +1,7 @@
 #include "marjoramloom/gateway/knowledge/platform_feed.h"
 
+#include "marjoramloom/store/store_revision.h"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -60,6 +62,7 @@
         std::string body;
         std::chrono::milliseconds delay{};
         bool closes = false; ///< The store then closes the connection.
+        std::string status = "200 OK";
     };
 
     scripted_store(boost::asio::io_context &context, std::vector<answer> answers)
@@ -106,8 +109,8 @@
                 }
                 timer.expires_after(next.delay);
                 co_await timer.async_wait(boost::asio::use_awaitable);
-                const auto text =
-                    "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(next.body.size()) + "\r\n\r\n" + next.body;
+                const auto text = "HTTP/1.1 " + next.status + "\r\nContent-Length: " + std::to_string(next.body.size())
+                    + "\r\n\r\n" + next.body;
                 co_await boost::asio::async_write(socket, boost::asio::buffer(text), boost::asio::use_awaitable);
                 if (next.closes) {
                     co_return;
@@ -321,4 +324,76 @@
     BOOST_TEST(state.routes->version() == 7U);
 }
 
+BOOST_AUTO_TEST_CASE(an_older_configuration_of_a_new_era_neither_takes_effect_nor_validates_keys)
+{
+    const auto configurationOf = [](int version) {
+        return R"({"version":)" + std::to_string(version)
+            + R"(,"routes":[],"services":[],"tenants":[],"limits":{"max_header_bytes":16384,"max_body_bytes":100000,)"
+              R"("header_timeout_ms":2000,"idle_timeout_ms":5000}})";
+    };
+    const auto relay = [&](std::uint64_t revision, int version) {
+        auto update = updateOf({}, revision);
+        update.configurationRevision = revision;
+        update.configuration = configurationOf(version);
+        update.validationAge = 0ms;
+        feed.applyUpdate(update, boot_clock::now());
+    };
+    state.hasServers = true;
+    relay(orderedRevision(1, 90), 7);
+    BOOST_REQUIRE(state.routes);
+    BOOST_TEST(state.routes->version() == 7U);
+    BOOST_TEST(state.isConfigurationCurrent(boot_clock::now()));
+    relay(orderedRevision(2, 80), 5);
+    BOOST_TEST(state.routes->version() == 7U);
+    BOOST_TEST(!state.isConfigurationCurrent(boot_clock::now()));
+    BOOST_TEST(!feed.updateSince(0, 0).validationAge.has_value());
+    // The operator has written it again, and then the next one; their numbers are lower than that of the lost write.
+    relay(orderedRevision(2, 81), 7);
+    BOOST_TEST(state.isConfigurationCurrent(boot_clock::now()));
+    relay(orderedRevision(2, 82), 9);
+    BOOST_TEST(state.routes->version() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(a_revision_without_an_era_is_one_of_the_receivers_era)
+{
+    state.hasServers = true;
+    auto first = entryOf("a", orderedRevision(2, 5), "ready");
+    BOOST_TEST(feed.applyUpdate(updateOf({ first }, orderedRevision(2, 5)), std::nullopt));
+    // From a router of an earlier version.
+    auto update = updateOf({ entryOf("a", 6, "draining") }, 6);
+    update.serversBaseRevision = 5;
+    BOOST_TEST(feed.applyUpdate(update, std::nullopt));
+    BOOST_TEST(state.servers.usable("pool").empty());
+    BOOST_TEST(feed.serversRevision() == orderedRevision(2, 6));
+    BOOST_TEST(feed.updateSince(6, 0).serversBaseRevision == orderedRevision(2, 6));
+}
+
+BOOST_AUTO_TEST_CASE(a_list_that_the_store_does_not_continue_is_not_read_without_end)
+{
+    const auto list = std::string(R"({"entries":[],"truncated":false,"at":2})");
+    auto answers = std::vector<scripted_store::answer>();
+    constexpr auto manyAnswers = 2'000;
+    for (auto number = 0; number < manyAnswers; ++number) {
+        answers.push_back({ "/v1/objects/servers?subscription", "", 0ms, false, "410 Gone" });
+        answers.push_back({ "/v1/objects/servers", list });
+    }
+    auto store = scripted_store(context, std::move(answers));
+    auto storeClient = store_client(context.get_executor(),
+                                    { .addresses = { store.address() }, .reconnectsWatches = false }, counters);
+    auto storeFeed = platform_feed(context.get_executor(), storeClient, state,
+                                   { .onRoutes = [] {},
+                                     .onStoreChange =
+                                         [] {
+                                         } });
+    // Shows that the store answers, so that the list of servers is followed.
+    storeFeed.applyUpdate(updateOf({}, 1), std::nullopt);
+    boost::asio::co_spawn(
+        context, [&storeFeed] { return storeFeed.followServers(); }, boost::asio::detached);
+    storeFeed.setWatching(true, true, system_clock_source().now());
+    context.run_for(2s);
+    const auto calls = counters.at("marjoramloom_platform_calls_total").value();
+    BOOST_TEST(calls >= 4U);
+    BOOST_TEST(calls <= 100U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/gateway/server_directory_test.cpp
+++ b/tests/unit/gateway/server_directory_test.cpp
@@ -1,6 +1,7 @@
 #include "marjoramloom/gateway/knowledge/server_directory.h"
 
 #include "marjoramloom/gateway/knowledge/server_loads.h"
+#include "marjoramloom/store/store_revision.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -202,4 +203,56 @@
     BOOST_TEST(!directory.noteLeaving(2 * server_directory::MAX_LEAVING_SERVERS, leaving_source::answer, now));
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_of_a_removed_server_in_an_older_copy_of_the_store_counts_only_once_it_is_written_again)
+{
+    auto restored = std::vector<listed_server>();
+    for (const auto *id : { "written", "outlasting", "expiring" }) {
+        putNext(makeServer(id), now);
+        removeNext(id, now);
+        restored.push_back(makeServer(id));
+    }
+    BOOST_TEST(usable() == 0U);
+    revision = orderedRevision(1, 0);
+    listNext(restored);
+    BOOST_TEST(usable() == 0U);
+    putNext(makeServer("written"), now + 1s);
+    BOOST_TEST(usable() == 1U);
+    removeNext("expiring", now + 4s);
+    directory.tick(now + server_directory::RESTORED_TIME - 1ms);
+    BOOST_TEST(usable() == 1U);
+    directory.tick(now + server_directory::RESTORED_TIME);
+    BOOST_TEST(usable() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(reading_an_older_copy_again_does_not_put_off_when_its_entries_count)
+{
+    putNext(makeServer("a"), now);
+    removeNext("a", now);
+    auto restored = makeServer("a");
+    restored.revision = orderedRevision(1, 1);
+    directory.replaceAll({ restored }, orderedRevision(1, 2), now);
+    directory.replaceAll({ restored }, orderedRevision(1, 3), now + 5s);
+    directory.tick(now + server_directory::RESTORED_TIME);
+    BOOST_TEST(usable() == 1U);
+    // A list without it shows that its lease has expired.
+    removeNext("a", now);
+    directory.remove("a", orderedRevision(1, 4), now);
+    restored.revision = orderedRevision(2, 1);
+    directory.replaceAll({ restored }, orderedRevision(2, 2), now);
+    directory.replaceAll({}, orderedRevision(2, 3), now);
+    directory.tick(now + 2 * server_directory::RESTORED_TIME);
+    BOOST_TEST(usable() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_server_stays_so_if_an_older_copy_of_the_store_lists_it_as_ready)
+{
+    putNext(makeServer("a"), now);
+    putNext(makeServer("a", 1, true), now);
+    revision = orderedRevision(1, 0);
+    listNext({ makeServer("a") });
+    BOOST_TEST(usable() == 0U);
+    listNext({ makeServer("a", 2) });
+    BOOST_TEST(usable() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/store/store_client_test.cpp
+++ b/tests/unit/store/store_client_test.cpp
@@ -3,6 +3,9 @@
 #include "support/fleet.h"
 #include "support/run_coroutine.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
--- /dev/null
+++ b/tests/unit/store/store_revision_test.cpp
@@ -0,0 +1,191 @@
+#include "marjoramloom/store/store_revision.h"
+
+#include "marjoramloom/store/store_client.h"
+#include "platform/object_format.h"
+#include "support/fleet.h"
+#include "support/run_coroutine.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace marjoramloom;
+
+namespace {
+
+struct restored_store_fixture
+{
+    boost::asio::io_context context;
+    counter_registry counters;
+    test::standin platform{ "platform", { "platform" }, "/dev/null" };
+    store_client client{ context.get_executor(), { .addresses = { platform.address() } }, counters };
+    last_reason why;
+
+    template<typename Value>
+    auto run(boost::asio::awaitable<Value> work) -> Value
+    {
+        auto result = boost::asio::co_spawn(context, std::move(work), boost::asio::use_future);
+        context.restart();
+        context.run();
+        return result.get();
+    }
+
+    auto create(const std::string &name) -> std::uint64_t
+    {
+        return run(client.create("kind", name, name, why)).current.revision;
+    }
+
+    /// The operator's write, past the client.
+    auto put(const std::string &name, const std::string &value) const -> void
+    {
+        const auto body = R"({"metadata":{"name":")" + name + R"("},"spec":")" + value + R"("})";
+        if (test::httpCall(platform.address(), { "PUT", "/v1/objects/kind/" + name, {}, body }).status == 404U) {
+            test::httpCall(platform.address(), { "POST", "/v1/objects/kind", {}, body });
+        }
+    }
+
+    auto restore(std::uint64_t revision) const -> void
+    {
+        const auto body = R"({"revision":)" + std::to_string(revisionNumber(revision)) + "}";
+        test::httpCall(platform.address(), { "POST", "/control/restore", {}, body });
+    }
+};
+
+/// Answers the calls on one connection by lists at revision 7, each with the next of \p headers.
+class era_server
+{
+public:
+    explicit era_server(std::vector<std::string> headers)
+        : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , m_thread([this, headers = std::move(headers)] { serve(headers); })
+    {
+    }
+
+    ~era_server()
+    {
+        m_thread.join();
+    }
+    era_server(const era_server &) = delete;
+    auto operator=(const era_server &) -> era_server & = delete;
+
+    [[nodiscard]] auto address() const -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+private:
+    using tcp = boost::asio::ip::tcp;
+
+    auto serve(const std::vector<std::string> &headers) -> void
+    {
+        auto error = boost::system::error_code();
+        auto socket = m_acceptor.accept(error);
+        auto received = std::string();
+        const auto body = std::string(R"({"entries":[],"truncated":false,"at":7})");
+        for (const auto &header : headers) {
+            const auto size = boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
+            received.erase(0, error ? 0 : size);
+            const auto head = "HTTP/1.1 200 OK\r\n" + header + "Content-Length: " + std::to_string(body.size());
+            boost::asio::write(socket, boost::asio::buffer(head + "\r\n\r\n" + body), error);
+        }
+    }
+
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(store_revision_test, restored_store_fixture)
+
+BOOST_AUTO_TEST_CASE(a_revision_of_a_later_era_is_newer_whatever_its_number)
+{
+    BOOST_TEST(orderedRevision(0, 990) == 990U);
+    BOOST_TEST(orderedRevision(2, 1) > orderedRevision(1, maxRevisionNumber));
+    BOOST_TEST(orderedRevision(2, 990) < orderedRevision(2, 991));
+    BOOST_TEST(eraOf(orderedRevision(maxStoreEra, 5)) == maxStoreEra);
+    BOOST_TEST(revisionNumber(orderedRevision(maxStoreEra, 5)) == 5U);
+    BOOST_TEST(revisionText(orderedRevision(0, 5)) == "5");
+    BOOST_TEST(revisionText(orderedRevision(3, 5)) == "3:5");
+    // Only the number is sent.
+    BOOST_TEST(platform::watchTarget("k", orderedRevision(3, 5), std::chrono::milliseconds(9))
+               == "/v1/objects/k?subscription=5&wait_ms=9");
+    BOOST_TEST(platform::objectTargetAt("k", "n", orderedRevision(3, 5)) == "/v1/objects/k/n?revision=5");
+    BOOST_TEST(platform::encodeObject("n", "v", orderedRevision(3, 5)) == platform::encodeObject("n", "v", 5));
+}
+
+BOOST_AUTO_TEST_CASE(only_whole_numbers_in_range_are_eras)
+{
+    BOOST_TEST((platform::decodeEra("12") == 12U));
+    for (const auto *value : { "", "-1", "1.5", " 1", "1 ", "x", "99999999999999999999", "2048" }) {
+        BOOST_TEST(!platform::decodeEra(value).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(what_a_store_says_after_its_return_from_an_older_copy_is_newer)
+{
+    const auto copy = create("a");
+    create("b");
+    create("c");
+    const auto before = run(client.list("kind", why));
+    restore(copy);
+    const auto after = run(client.list("kind", why));
+    BOOST_REQUIRE((before && after));
+    BOOST_TEST(after->objects.size() == 1U);
+    BOOST_TEST(after->revision > before->revision);
+    BOOST_TEST(after->objects.front().revision > before->revision);
+    BOOST_TEST(client.era() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_watch_does_not_continue_from_a_revision_that_was_given_out_again)
+{
+    const auto copy = create("a");
+    const auto seen = create("b");
+    restore(copy);
+    put("x", "1");
+    put("y", "1"); // The store is past the number that the watch has seen.
+    auto events = 0;
+    const auto end = run(client.watch({ "kind" }, seen, [&](const watch_event &) {
+        ++events;
+        return false;
+    }));
+    BOOST_TEST((end == watch_end::expired));
+    BOOST_TEST(events == 0);
+    const auto again = run(client.watch({ "kind" }, seen, [](const watch_event &) { return false; }));
+    BOOST_TEST((again == watch_end::expired));
+}
+
+BOOST_AUTO_TEST_CASE(a_write_whose_condition_is_of_an_earlier_era_does_not_replace_other_content)
+{
+    create("a");
+    const auto copy = create("b");
+    const auto lost = run(client.update("kind", "a", "old", orderedRevision(1, 1), why)).current.revision;
+    restore(copy);
+    put("a", "new"); // Gets the number of the lost write.
+    BOOST_REQUIRE(run(client.list("kind", why)));
+    const auto updated = run(client.update("kind", "a", "mine", lost, why));
+    BOOST_TEST((updated.result == write_result::conflict));
+    BOOST_TEST(updated.current.value == "new");
+    BOOST_TEST((run(client.remove("kind", "a", lost, why)).result == write_result::conflict));
+    const auto current = run(client.get("kind", "a", why));
+    BOOST_REQUIRE(current);
+    BOOST_TEST(current->value == "new");
+    BOOST_TEST((run(client.update("kind", "a", "mine", current->revision, why)).result == write_result::written));
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_odd_or_falling_era_changes_nothing)
+{
+    auto server = era_server({ "Store-Era: 3\r\n", "", "Store-Era: x\r\n", "Store-Era: -1\r\n", "Store-Era: 2\r\n",
+                               "Store-Era: 99999999999999999999\r\n", "Store-Era: 4\r\n" });
+    auto reader = store_client(context.get_executor(), { .addresses = { server.address() } }, counters);
+    for (const auto expected : { 3U, 3U, 3U, 3U, 3U, 3U, 4U }) {
+        const auto listed = run(reader.list("kind", why));
+        BOOST_REQUIRE(listed);
+        BOOST_TEST(listed->revision == orderedRevision(expected, 7));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
