Soak: the store returns from an older copy while other faults overlap

The copy is that of the fault's start; at its end the store continues from it, and the operator and the servers write again what they had written, as soon as the store accepts writes.

--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -28,6 +28,7 @@
     serverAsksPause, ///< A server refuses all requests and asks for a pause by Retry-After.
     keyRevoked, ///< The key of a client account is replaced.
     configurationChange, ///< A new configuration version with the same content is written.
+    storeRestored, ///< At the end, the store returns from its copy of the start; all is then written again.
     versionJoins, ///< The servers of a second software version are listed for the first time. Not drawn at random.
 };
 
@@ -73,6 +74,7 @@
         row{ kind::serverAsksPause, "server_asks_pause" },
         row{ kind::keyRevoked, "key_revoked" },
         row{ kind::configurationChange, "configuration_change" },
+        row{ kind::storeRestored, "store_restored" },
         row{ kind::versionJoins, "version_joins" },
     };
 };
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,5 +1,6 @@
 #include "soak_run.h"
 
+#include <algorithm>
 #include <csignal>
 #include <queue>
 
@@ -167,7 +168,11 @@
     case fault_kind::configurationChange:
         m_fleet->writeConfiguration({ m_alphaKey });
         break;
+    case fault_kind::storeRestored:
+        m_copies.emplace(fault.at, m_fleet->storeStatistic("revision"));
+        break;
     case fault_kind::versionJoins:
+        m_hasJoined = true;
         for (const auto joining : m_joining) {
             if (!m_leavingSince.contains(joining)) {
                 listAnew(joining);
@@ -277,6 +282,12 @@
         break;
     case fault_kind::storeOutage:
         m_fleet->store().setFaults("[]");
+        writeAgain();
+        break;
+    case fault_kind::storeRestored:
+        m_fleet->restoreStore(m_copies.at(fault.at));
+        m_mustWriteAgain = true;
+        writeAgain();
         break;
     case fault_kind::storeSilent:
         m_routerStores[index]->resume(m_storeAddress);
@@ -342,9 +353,28 @@
     m_fleet->servers()[index]->setFaults("[" + faults + "]");
 }
 
+auto soak_run::writeAgain() -> void
+{
+    if (!m_mustWriteAgain) {
+        return;
+    }
+    m_mustWriteAgain = !m_fleet->writeConfigurationAgain();
+    for (auto index = std::size_t(0); index < m_fleet->servers().size(); ++index) {
+        const auto isJoining = std::find(m_joining.begin(), m_joining.end(), index) != m_joining.end();
+        if (isJoining && !m_hasJoined && m_serverIncarnations[index] == 0) {
+            continue;
+        }
+        const auto isDraining = m_leavingSince.contains(index) && m_saysLeaving[index] == 0;
+        const auto isWritten =
+            m_fleet->writeServer(index, isDraining ? "draining" : "ready", m_serverIncarnations[index]);
+        m_mustWriteAgain = m_mustWriteAgain || !isWritten;
+    }
+}
+
 auto soak_run::restoreFleet() -> void
 {
     m_fleet->store().setFaults("[]");
+    writeAgain();
     for (auto &router : m_fleet->routers()) {
         if (!router.process->running()) {
             m_fleet->start(router, false);
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -181,8 +181,11 @@
           json::array{ json::object{ { "name", "alpha" }, { "api_keys", std::move(keys) } },
                        json::object{ { "name", "beta" }, { "api_keys", json::array{ "key-beta" } } } } },
     };
+    if (!writeObject("config", "main", spec)) {
+        return false;
+    }
     m_configuration = spec;
-    return writeConfigurationAgain();
+    return true;
 }
 
 auto gateway_fleet::writeConfigurationAgain() -> bool
@@ -190,7 +193,7 @@
     return writeObject("config", "main", m_configuration);
 }
 
-auto gateway_fleet::writeServer(std::size_t index, const std::string &state, int incarnation, int coldMs) -> void
+auto gateway_fleet::writeServer(std::size_t index, const std::string &state, int incarnation, int coldMs) -> bool
 {
     const auto &server = *m_servers[index];
     const auto spec = json::object{
@@ -204,7 +207,7 @@
         { "sequence", ++m_entrySequence },
         { "born", 1'700'000'000'000 + index + static_cast<std::size_t>(incarnation) * 1'000 },
     };
-    writeObject("servers", server.name(), spec);
+    return writeObject("servers", server.name(), spec);
 }
 
 auto gateway_fleet::setServerVersion(std::size_t index, const std::string &version) -> void
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -70,8 +70,8 @@
     auto writeConfigurationAgain() -> bool;
 
     /// Writes a backend server's entry in the store. Each \p incarnation of the server has another start time (`born`).
-    /// The server states that it is cold for \p coldMs more.
-    auto writeServer(std::size_t index, const std::string &state, int incarnation = 0, int coldMs = 0) -> void;
+    /// The server states that it is cold for \p coldMs more. Returns whether the store acknowledged it.
+    auto writeServer(std::size_t index, const std::string &state, int incarnation = 0, int coldMs = 0) -> bool;
 
     /// Sets the software version in entries of a backend server that are written from now on.
     auto setServerVersion(std::size_t index, const std::string &version) -> void;
@@ -117,7 +117,7 @@
     std::vector<std::unique_ptr<standin>> m_servers;
     std::vector<router_handle> m_routers;
     int m_version = 0;
-    boost::json::value m_configuration; ///< As written last.
+    boost::json::value m_configuration; ///< As acknowledged last.
     std::int64_t m_entrySequence = 0;
 };
 
