--- a/src/gateway/knowledge/server_change_log.cpp
+++ b/src/gateway/knowledge/server_change_log.cpp
@@ -4,6 +4,15 @@
 
 namespace marjoramloom {
 
+namespace {
+
+auto sizeOf(const server_change &change) -> std::size_t
+{
+    return change.object.name.size() + change.object.value.size();
+}
+
+} // namespace
+
 auto server_change_log::reset(std::uint64_t revision) -> void
 {
     m_changes.clear();
@@ -14,6 +23,10 @@
 auto server_change_log::add(server_change change) -> void
 {
     m_revision = std::max(m_revision, change.object.revision);
+    if (sizeOf(change) > MAX_CHANGE_BYTES) {
+        reset(m_revision); // Routers that lack it read the whole list.
+        return;
+    }
     m_changes.push_back(std::move(change));
     if (m_changes.size() > CAPACITY) {
         m_startRevision = m_changes.front().object.revision;
@@ -48,7 +61,7 @@
         if (change.object.revision <= after) {
             continue;
         }
-        bytes += change.object.value.size();
+        bytes += sizeOf(change);
         if (changes.size() == limit || (!changes.empty() && bytes > maxBytes)) {
             break;
         }
