A store's return from an older copy is seen from its lists where it states no era

A store that states no Store-Era made routers deaf as before: store_restore_test with a stand-in that hides its era failed (4 checks: a new key refused at 4 of 4 routers; of 40 requests each, about 12 and 21 reached two servers that had left). The store's answers are linearizable, so a list at a revision below one that was known when the list was asked for is proof of a return. It begins a new era, and the list is read again in it. Routers take over the era that another one found, as they may not have seen a high revision themselves. Lists that may be stale prove nothing, and a store that states its eras is believed.

--- a/include/marjoramloom/store/store_client.h
+++ b/include/marjoramloom/store/store_client.h
@@ -56,8 +56,9 @@
 ///
 /// Reads are retried on a new connection. A write is sent at most once per call, and its result distinguishes whether
 /// it took effect, certainly did not, or may have. Revisions are ordered across the store's eras (store_revision.h). An
-/// answer of an era that is known to be over counts as none. Thread safe; a watch calls its callback on the executor of
-/// the coroutine that awaits it.
+/// answer of an era that is known to be over counts as none. Where the store states no era, a list at a revision below
+/// one that was known when it was asked for shows that a new one began. Thread safe; a watch calls its callback on the
+/// executor of the coroutine that awaits it.
 class store_client
 {
 public:
@@ -103,9 +104,12 @@
     auto watch(std::vector<std::string> kinds, std::uint64_t afterRevision, watch_callback callback)
         -> boost::asio::awaitable<watch_end>;
 
-    /// The latest era that the store stated; 0 before the first one.
+    /// The latest known era of the store; 0 before the first one.
     [[nodiscard]] auto era() const -> std::uint32_t;
 
+    /// Records that another router knows of \p era. Has no effect where the store states its eras itself.
+    auto noteEraOfOthers(std::uint32_t era) -> void;
+
     /// Time since the platform's last valid response; duration::max() before the first one.
     [[nodiscard]] auto timeSinceLastAnswer() const -> duration;
 
@@ -137,6 +141,8 @@
     auto eraOfAnswer(const http_response &response, std::uint32_t eraAtRequest, last_reason &why)
         -> std::optional<std::uint32_t>;
     auto noteOddEra(std::string_view stated) -> void;
+    auto noteRevision(std::uint64_t revision) -> void;
+    auto beginUnstatedEra(std::uint64_t listRevision, std::uint64_t knownRevision) -> bool;
     auto write(http_request request, std::string kind, last_reason &why) -> boost::asio::awaitable<write_outcome>;
     auto watchKind(std::string kind, std::uint64_t revision, watch_callback callback)
         -> boost::asio::awaitable<watch_end>;
@@ -159,6 +165,8 @@
     counter &m_reconnects;
     counter &m_earlierEraAnswers; ///< Answers that were dropped because a later era had begun.
     std::atomic<std::uint32_t> m_era = 0; ///< See era().
+    std::atomic<bool> m_statesEra = false; ///< The store stated an era at least once.
+    std::atomic<std::uint64_t> m_latestRevision = 0; ///< Of all answers that are not stale on request.
     std::atomic<bool> m_isOddEraLogged = false;
     std::atomic<std::size_t> m_preferred = 0; ///< Index of the preferred address, modulo their number.
     std::atomic<duration::rep> m_lastAnswerTime = 0; ///< Steady clock; 0 before the first valid response.
--- a/src/gateway/knowledge/platform_feed_updates.cpp
+++ b/src/gateway/knowledge/platform_feed_updates.cpp
@@ -61,6 +61,7 @@
 
 auto platform_feed::applyUpdate(store_update update, std::optional<boot_time> queriedAt) -> bool
 {
+    m_client.noteEraOfOthers(eraOf(std::max(update.serversRevision, update.configurationRevision)));
     update.configurationRevision = inEraOf(m_configurationRevision, update.configurationRevision);
     update.serversBaseRevision = inEraOf(m_serverChanges.revision(), update.serversBaseRevision);
     update.serversRevision = inEraOf(m_serverChanges.revision(), update.serversRevision);
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -115,6 +115,7 @@
     auto pageEnds = std::set<std::string>();
     while (true) {
         auto sent = sent_state::notSent;
+        const auto knownRevision = m_latestRevision.load(std::memory_order_relaxed);
         const auto answer =
             co_await call(makeRequest(http::verb::get, platform::pageTarget(kind, after, freshness)), true, sent, why);
         if (!answer) {
@@ -128,13 +129,18 @@
         if (!page) {
             co_return std::nullopt;
         }
-        if (!after.empty() && answer->era != eraOf(listed.revision)) {
+        const auto isCurrent = freshness == read_freshness::current;
+        const auto isNewEra = isCurrent && beginUnstatedEra(page->revision, knownRevision);
+        if (isNewEra || (!after.empty() && answer->era != eraOf(listed.revision))) {
             // Pages of two eras are no list: it begins anew.
             listed = object_list();
             after.clear();
             pageEnds.clear();
             continue;
         }
+        if (isCurrent) {
+            noteRevision(page->revision);
+        }
         // Later pages may lack changes made after the first page's revision; a watch from that revision delivers them.
         listed.revision = after.empty() ? page->revision : listed.revision;
         std::move(page->objects.begin(), page->objects.end(), std::back_inserter(listed.objects));
@@ -337,6 +343,9 @@
     const auto field = response[boost::beast::string_view(platform::eraField.data(), platform::eraField.size())];
     const auto text = std::string_view(field.data(), field.size());
     const auto stated = platform::decodeEra(text);
+    if (stated) {
+        m_statesEra.store(true, std::memory_order_relaxed);
+    }
     if (stated && *stated > known) {
         m_era.store(*stated, std::memory_order_relaxed);
         if (known > 0) {
@@ -354,6 +363,39 @@
     return known;
 }
 
+auto store_client::noteEraOfOthers(std::uint32_t era) -> void
+{
+    if (!m_statesEra.load(std::memory_order_relaxed) && era > this->era()) {
+        m_era.store(era, std::memory_order_relaxed);
+    }
+}
+
+auto store_client::noteRevision(std::uint64_t revision) -> void
+{
+    if (revision > m_latestRevision.load(std::memory_order_relaxed)) {
+        m_latestRevision.store(revision, std::memory_order_relaxed);
+    }
+}
+
+/// Begins a new era if a list at \p listRevision shows that the store returned from an older copy without stating so:
+/// \p knownRevision was known when the list was asked for, and the store's answers are linearizable.
+auto store_client::beginUnstatedEra(std::uint64_t listRevision, std::uint64_t knownRevision) -> bool
+{
+    const auto known = eraOf(knownRevision);
+    if (m_statesEra.load(std::memory_order_relaxed) || listRevision >= knownRevision || known == maxStoreEra) {
+        return false;
+    }
+    if (era() == known) {
+        m_era.store(known + 1, std::memory_order_relaxed);
+        log_line(log_level::warning, "store_era")
+            .with("era", known + 1)
+            .with("before", known)
+            .with("revision", revisionText(listRevision))
+            .with("known_revision", revisionText(knownRevision));
+    }
+    return true;
+}
+
 auto store_client::noteOddEra(std::string_view stated) -> void
 {
     if (!m_isOddEraLogged.exchange(true, std::memory_order_relaxed)) {
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -129,6 +129,7 @@
         }
     }
     revision = std::max(revision, batch->revision);
+    noteRevision(revision);
     const auto bookmark = watch_event{
         .kind = watch_event_kind::bookmark, .revision = revision, .object = {}, .requestedAt = requestedAt
     };
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -31,6 +31,7 @@
     int eventMs = 5;
     int callSlots = 0;
     int queueLength = 0;
+    int hidesEra = 0;
     int pageSize = static_cast<int>(platform_standin_options().pageSize);
     int checksFencing = 0;
     int seed = 1;
@@ -60,6 +61,7 @@
         { "queue", 0, POPT_ARG_INT, &parsed.queueLength, 0, "routed: calls that may wait for a slot", "N" },
         { "event-ms", 0, POPT_ARG_INT, &parsed.eventMs, 0, "routed: time before each event", "MS" },
         { "page-size", 0, POPT_ARG_INT, &parsed.pageSize, 0, "platform: objects in one page of a list", "N" },
+        { "hides-era", 0, POPT_ARG_NONE, &parsed.hidesEra, 0, "platform: answers state no era of the store", nullptr },
         { "seed", 0, POPT_ARG_INT, &parsed.seed, 0, "engine: seed of the variation of token delays", "N" },
         POPT_AUTOHELP POPT_TABLEEND,
     };
@@ -120,6 +122,7 @@
     if (line.standin == "platform") {
         auto options = platform_standin_options();
         options.pageSize = static_cast<std::size_t>(line.pageSize);
+        options.statesEra = line.hidesEra == 0;
         auto platform = platform_standin(context, shared, options);
         return runStandin(context, platform, shared, line.listen);
     }
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -14,7 +14,6 @@
 constexpr auto maxValueBytes = std::size_t(1) << 20U;
 /// Longest time that a watch request is kept open without events.
 constexpr auto maxWait = std::chrono::milliseconds(30'000);
-constexpr auto eraField = "Store-Era";
 constexpr auto objectsPath = std::string_view("/v1/objects/");
 
 /// The store keeps values that are nested deeper than its readers may expect.
@@ -97,7 +96,7 @@
 
 auto platform_standin::handle(http_exchange &exchange) -> void_awaitable
 {
-    exchange.setCommonHeader(eraField, std::to_string(m_era));
+    stateEra(exchange);
     const auto isObject = exchange.path().starts_with(objectsPath);
     auto key = isObject ? exchange.path().substr(objectsPath.size()) : exchange.path();
     if (exchange.method() == "POST") {
@@ -217,7 +216,7 @@
     }
     --m_watches;
     if (m_era != era) {
-        exchange.setCommonHeader(eraField, std::to_string(m_era));
+        stateEra(exchange);
         const auto answer = replyWith(http::status::gone, {});
         co_await exchange.reply(answer);
         co_return;
@@ -273,6 +272,13 @@
                      { { "entries", std::move(entries) }, { "truncated", false }, { "at", revision } });
 }
 
+auto platform_standin::stateEra(http_exchange &exchange) const -> void
+{
+    if (m_options.statesEra) {
+        exchange.setCommonHeader("Store-Era", std::to_string(m_era));
+    }
+}
+
 auto platform_standin::restore(std::uint64_t revision) -> http_reply
 {
     m_log.restore(revision);
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -12,6 +12,7 @@
 {
     std::uint64_t watchHistory = 10'000; ///< Number of past writes that a watch can start from; older ones are gone.
     std::size_t pageSize = 500; ///< Maximum number of objects in one page of a list.
+    bool statesEra = true; ///< Answers state the store's era.
 };
 
 /// Simulates the platform's metadata store: versioned objects with conditional writes, lists and watches. Objects of
@@ -44,6 +45,7 @@
     auto waitForWrite(clock::time_point limit) -> void_awaitable;
     auto eventsAfter(const std::string &kind, std::uint64_t since) const -> boost::json::array;
     auto listInstances() -> http_reply;
+    auto stateEra(http_exchange &exchange) const -> void;
     /// Continues from an older copy of the store, in the next era. Open watches end.
     auto restore(std::uint64_t revision) -> http_reply;
     auto statistics() const -> http_reply;
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -49,6 +49,15 @@
     return path;
 }
 
+auto storeArguments(const gateway_plan &plan) -> std::vector<std::string>
+{
+    auto arguments = std::vector<std::string>{ "platform", "--page-size=" + std::to_string(plan.storePageSize) };
+    if (!plan.storeStatesEra) {
+        arguments.emplace_back("--hides-era");
+    }
+    return arguments;
+}
+
 } // namespace
 
 auto sleepMs(int milliseconds) -> void
@@ -59,9 +68,7 @@
 gateway_fleet::gateway_fleet(gateway_plan plan)
     : m_plan(plan)
     , m_folder(makeTestFolder())
-    , m_store(std::make_unique<standin>(
-          "store", std::vector<std::string>{ "platform", "--page-size=" + std::to_string(m_plan.storePageSize) },
-          m_folder + "/store.log"))
+    , m_store(std::make_unique<standin>("store", storeArguments(m_plan), m_folder + "/store.log"))
 {
     writeConfiguration({ "key-alpha" });
     for (auto index = 0; index < m_plan.servers; ++index) {
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -17,6 +17,7 @@
     int routers = 2;
     int servers = 2; ///< Number of backend servers; all belong to one service.
     int storePageSize = 500; ///< Objects in one page of a list of the store.
+    bool storeStatesEra = true; ///< Answers of the store state its era.
     int callMs = 0; ///< Duration of a call that is not a stream.
     int callSlots = 0; ///< Calls that a backend server runs at once; 0 for no limit.
     int callQueue = 0; ///< Calls that may wait for a slot of a backend server; it refuses further ones.
--- a/tests/unit/store/store_revision_test.cpp
+++ b/tests/unit/store/store_revision_test.cpp
@@ -53,13 +53,20 @@
     }
 };
 
-/// Answers the calls on one connection by lists at revision 7, each with the next of \p headers.
+/// Answers the calls on one connection by empty lists, each with the next of \p answers.
 class era_server
 {
 public:
-    explicit era_server(std::vector<std::string> headers)
+    /// One answer: a header line or none, and the revision of the list.
+    struct answer
+    {
+        std::string header;
+        int revision = 7;
+    };
+
+    explicit era_server(std::vector<answer> answers)
         : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-        , m_thread([this, headers = std::move(headers)] { serve(headers); })
+        , m_thread([this, answers = std::move(answers)] { serve(answers); })
     {
     }
 
@@ -78,16 +85,16 @@
 private:
     using tcp = boost::asio::ip::tcp;
 
-    auto serve(const std::vector<std::string> &headers) -> void
+    auto serve(const std::vector<answer> &answers) -> void
     {
         auto error = boost::system::error_code();
         auto socket = m_acceptor.accept(error);
         auto received = std::string();
-        const auto body = std::string(R"({"entries":[],"truncated":false,"at":7})");
-        for (const auto &header : headers) {
+        for (const auto &next : answers) {
+            const auto body = R"({"entries":[],"truncated":false,"at":)" + std::to_string(next.revision) + "}";
             const auto size = boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
             received.erase(0, error ? 0 : size);
-            const auto head = "HTTP/1.1 200 OK\r\n" + header + "Content-Length: " + std::to_string(body.size());
+            const auto head = "HTTP/1.1 200 OK\r\n" + next.header + "Content-Length: " + std::to_string(body.size());
             boost::asio::write(socket, boost::asio::buffer(head + "\r\n\r\n" + body), error);
         }
     }
@@ -178,8 +185,13 @@
 
 BOOST_AUTO_TEST_CASE(a_missing_odd_or_falling_era_changes_nothing)
 {
-    auto server = era_server({ "Store-Era: 3\r\n", "", "Store-Era: x\r\n", "Store-Era: -1\r\n", "Store-Era: 2\r\n",
-                               "Store-Era: 99999999999999999999\r\n", "Store-Era: 4\r\n" });
+    auto server = era_server({ { "Store-Era: 3\r\n" },
+                               { "" },
+                               { "Store-Era: x\r\n" },
+                               { "Store-Era: -1\r\n" },
+                               { "Store-Era: 2\r\n" },
+                               { "Store-Era: 99999999999999999999\r\n" },
+                               { "Store-Era: 4\r\n" } });
     auto reader = store_client(context.get_executor(), { .addresses = { server.address() } }, counters);
     for (const auto expected : { 3U, 3U, 3U, 3U, 3U, 3U, 4U }) {
         const auto listed = run(reader.list("kind", why));
@@ -188,4 +200,40 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_list_below_a_known_revision_begins_an_era_where_the_store_states_none)
+{
+    // The list that shows it is read again.
+    auto server = era_server({ { "", 9 }, { "", 9 }, { "", 5 }, { "", 5 }, { "", 6 } });
+    auto reader = store_client(context.get_executor(), { .addresses = { server.address() } }, counters);
+    for (const auto expected :
+         { orderedRevision(0, 9), orderedRevision(0, 9), orderedRevision(1, 5), orderedRevision(1, 6) }) {
+        const auto listed = run(reader.list("kind", why));
+        BOOST_REQUIRE(listed);
+        BOOST_TEST(listed->revision == expected);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stale_list_or_one_below_a_stated_eras_revision_begins_no_era)
+{
+    auto server = era_server({ { "", 9 }, { "", 5 }, { "Store-Era: 1\r\n", 9 }, { "Store-Era: 1\r\n", 5 } });
+    auto reader = store_client(context.get_executor(), { .addresses = { server.address() } }, counters);
+    BOOST_REQUIRE(run(reader.list("kind", why)));
+    BOOST_TEST(run(reader.list("kind", why, read_freshness::mayBeStale))->revision == 5U);
+    BOOST_TEST(run(reader.list("kind", why))->revision == orderedRevision(1, 9));
+    BOOST_TEST(run(reader.list("kind", why))->revision == orderedRevision(1, 5));
+    reader.noteEraOfOthers(4);
+    BOOST_TEST(reader.era() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_era_that_another_router_found_holds_where_the_store_states_none)
+{
+    auto server = era_server({ { "", 9 }, { "", 5 } });
+    auto reader = store_client(context.get_executor(), { .addresses = { server.address() } }, counters);
+    BOOST_REQUIRE(run(reader.list("kind", why)));
+    reader.noteEraOfOthers(3);
+    BOOST_TEST(run(reader.list("kind", why))->revision == orderedRevision(3, 5));
+    reader.noteEraOfOthers(2);
+    BOOST_TEST(reader.era() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
