Routers that notice an era at different times do not take each other's revisions for those of their own era

Two ways led there: an answer that was on its way when another router told of the era, and an update from a router that had not noticed it and was taken for one of an earlier version, which knows of no eras. Now such an answer is dropped, and messages say whether the sender knows of eras. A sender that is an era behind does not count as current, and learns of the era from the next query.

--- a/include/marjoramloom/gateway/knowledge/evacuated_data_centres.h
+++ b/include/marjoramloom/gateway/knowledge/evacuated_data_centres.h
@@ -12,6 +12,7 @@
 {
     std::uint64_t revision = 0; ///< The set is complete up to this revision.
     std::set<std::string> names; ///< Of the data centres to whose backend servers nothing is sent.
+    bool statesEra = true; ///< The revision has an era; routers of an earlier version know of none.
 };
 
 /// The data centres to whose backend servers nothing is sent, from whatever source knows the newest revision.
--- a/include/marjoramloom/gateway/knowledge/platform_feed.h
+++ b/include/marjoramloom/gateway/knowledge/platform_feed.h
@@ -58,6 +58,10 @@
     [[nodiscard]] auto updateSince(std::uint64_t serversRevision, std::uint64_t configurationRevision) const
         -> store_update;
 
+    /// Learns of the store's era from a query of another router. Returns the query; if that router knows nothing of eras,
+    /// with its revisions in those of this router.
+    auto takeQuery(store_query query) -> store_query;
+
     /// Revision of the configuration; 0 before one was read.
     [[nodiscard]] auto configurationRevision() const -> std::uint64_t;
 
@@ -73,7 +77,7 @@
     /// Applies an update of another router, which answers a query sent at \p queriedAt; an update that answers no query
     /// validates no keys. Returns true if this router is then as current as the update. Returns false if the other
     /// router has lost the store or is behind, or if this one first has to read from the store, which it starts to do.
-    auto applyUpdate(store_update update, std::optional<boot_time> queriedAt) -> bool;
+    auto applyUpdate(const store_update &received, std::optional<boot_time> queriedAt) -> bool;
 
 private:
     /// The store counts as lost after this time without a valid answer: one long poll and a slow answer.
@@ -107,6 +111,7 @@
     auto noteOwnStoreAnswer() -> void;
     auto limitRenewals(time_point now) -> void;
     auto noteStoreFailure(const last_reason &why) -> void;
+    [[nodiscard]] auto inOwnEras(store_update update) const -> store_update;
     auto noteEra(std::uint64_t listRevision, time_point now) -> void;
 
     boost::asio::any_io_executor m_executor;
--- a/include/marjoramloom/gateway/knowledge/store_relay.h
+++ b/include/marjoramloom/gateway/knowledge/store_relay.h
@@ -36,7 +36,7 @@
     auto noteRoutersKnown() -> void;
 
     /// Answers the query of \p router.
-    auto onQuery(std::uint64_t router, const store_query &query) -> void;
+    auto onQuery(std::uint64_t router, const store_query &received) -> void;
 
     /// Applies an update of another router.
     auto onUpdate(const store_update &update) -> void;
--- a/include/marjoramloom/gateway/knowledge/store_update.h
+++ b/include/marjoramloom/gateway/knowledge/store_update.h
@@ -18,6 +18,7 @@
     std::uint64_t number = 0; ///< Repeated in the update that answers the query.
     std::uint64_t serversRevision = 0; ///< Revision of the querying router's list of backend servers.
     std::uint64_t configurationRevision = 0; ///< Of its configuration; 0 if it has none, and is to get none.
+    bool statesEras = true; ///< The revisions have eras; routers of an earlier version know of none.
 };
 
 /// What a router knows of the store's contents, as sent to another router.
@@ -40,6 +41,7 @@
     std::chrono::milliseconds answerAge{ 0 }; ///< Time since the store last answered the sender itself.
     std::chrono::milliseconds renewalLeft{ 0 }; ///< How much longer expired entries may be renewed.
     std::optional<evacuation_set> evacuations = std::nullopt; ///< Nothing if the sender does not know them.
+    bool statesEras = true; ///< The revisions have eras; routers of an earlier version know of none.
 };
 
 } // namespace marjoramloom
--- a/src/gateway/knowledge/datagram_codec.cpp
+++ b/src/gateway/knowledge/datagram_codec.cpp
@@ -250,7 +250,9 @@
 
 auto readEvacuations(const wire::EvacuatedSet &message) -> evacuation_set
 {
-    auto evacuations = evacuation_set{ .revision = readRevision(message.era(), message.revision()), .names = {} };
+    auto evacuations = evacuation_set{ .revision = readRevision(message.era(), message.revision()),
+                                       .names = {},
+                                       .statesEra = message.has_era() };
     for (const auto &name : message.data_centres()) {
         if (platform::isDataCentreName(name)) {
             evacuations.names.insert(name);
@@ -272,7 +274,8 @@
 {
     return { .number = message.number(),
              .serversRevision = readRevision(message.servers_era(), message.servers_revision()),
-             .configurationRevision = readRevision(message.configuration_era(), message.configuration_revision()) };
+             .configurationRevision = readRevision(message.configuration_era(), message.configuration_revision()),
+             .statesEras = message.has_servers_era() };
 }
 
 auto write(const store_query &query, wire::StoreQuestion &message) -> void
@@ -298,6 +301,7 @@
                       .storeLost = message.store_lost(),
                       .answerAge = std::chrono::milliseconds(message.answer_age_ms()),
                       .renewalLeft = std::chrono::milliseconds(message.renewal_left_ms()) };
+    update.statesEras = message.has_servers_era();
     if (message.has_evacuated()) {
         update.evacuations = readEvacuations(message.evacuated());
     }
--- a/src/gateway/knowledge/evacuation_feed.cpp
+++ b/src/gateway/knowledge/evacuation_feed.cpp
@@ -148,8 +148,7 @@
 auto evacuation_feed::applyRelayed(evacuation_set relayed) -> void
 {
     m_lastRelayed = system_clock_source().now();
-    if (eraOf(relayed.revision) == 0) {
-        // Routers of an earlier version state no era.
+    if (!relayed.statesEra) {
         relayed.revision = orderedRevision(eraOf(m_state.evacuations.current().revision), relayed.revision);
     }
     m_state.evacuations.apply(std::move(relayed));
--- a/src/gateway/knowledge/platform_feed_updates.cpp
+++ b/src/gateway/knowledge/platform_feed_updates.cpp
@@ -14,19 +14,41 @@
 /// Ages are reported up to this limit.
 constexpr auto maxReportedAge = std::chrono::milliseconds(600'000);
 
-/// Routers of an earlier version state no era; a revision without one is taken for one of the era of \p own.
+/// A revision from a router that knows nothing of eras, as one of the era of \p own.
 auto inEraOf(std::uint64_t own, std::uint64_t revision) -> std::uint64_t
 {
-    return revision != 0 && eraOf(revision) == 0 ? orderedRevision(eraOf(own), revision) : revision;
+    return revision != 0 ? orderedRevision(eraOf(own), revision) : revision;
 }
 
 } // namespace
 
+auto platform_feed::takeQuery(store_query query) -> store_query
+{
+    if (query.statesEras) {
+        m_client.noteEraOfOthers(eraOf(std::max(query.serversRevision, query.configurationRevision)));
+    } else {
+        query.serversRevision = inEraOf(m_serverChanges.revision(), query.serversRevision);
+        query.configurationRevision = inEraOf(m_configurationRevision, query.configurationRevision);
+    }
+    return query;
+}
+
+auto platform_feed::inOwnEras(store_update update) const -> store_update
+{
+    if (!update.statesEras) {
+        update.configurationRevision = inEraOf(m_configurationRevision, update.configurationRevision);
+        update.serversBaseRevision = inEraOf(m_serverChanges.revision(), update.serversBaseRevision);
+        update.serversRevision = inEraOf(m_serverChanges.revision(), update.serversRevision);
+        for (auto &change : update.changes) {
+            change.object.revision = inEraOf(m_serverChanges.revision(), change.object.revision);
+        }
+    }
+    return update;
+}
+
 auto platform_feed::updateSince(std::uint64_t serversRevision, std::uint64_t configurationRevision) const
     -> store_update
 {
-    serversRevision = inEraOf(m_serverChanges.revision(), serversRevision);
-    configurationRevision = inEraOf(m_configurationRevision, configurationRevision);
     auto update = store_update();
     const auto age = m_state.keys.age(boot_clock::now());
     if (m_isNewestApplied && m_state.keys.isFresh(boot_clock::now())) {
@@ -59,15 +81,10 @@
     return update;
 }
 
-auto platform_feed::applyUpdate(store_update update, std::optional<boot_time> queriedAt) -> bool
+auto platform_feed::applyUpdate(const store_update &received, std::optional<boot_time> queriedAt) -> bool
 {
+    const auto update = inOwnEras(received);
     m_client.noteEraOfOthers(eraOf(std::max(update.serversRevision, update.configurationRevision)));
-    update.configurationRevision = inEraOf(m_configurationRevision, update.configurationRevision);
-    update.serversBaseRevision = inEraOf(m_serverChanges.revision(), update.serversBaseRevision);
-    update.serversRevision = inEraOf(m_serverChanges.revision(), update.serversRevision);
-    for (auto &change : update.changes) {
-        change.object.revision = inEraOf(update.serversRevision, change.object.revision);
-    }
     const auto now = system_clock_source().now();
     if (update.configuration && update.configurationRevision > m_configurationRevision) {
         applyConfiguration({ .kind = std::string(platform::configurationKind),
@@ -93,6 +110,9 @@
     }
     m_state.servers.expectRenewals(now + update.renewalLeft);
     limitRenewals(now);
+    // A router that has not noticed an era may know the newest revisions only of the one before.
+    const auto isBehind = eraOf(update.serversRevision) < eraOf(m_serverChanges.revision())
+        || eraOf(update.configurationRevision) < eraOf(m_configurationRevision);
     const auto isListContinued = m_state.hasServers && update.serversBaseRevision <= m_serverChanges.revision();
     if (isListContinued) {
         for (const auto &change : update.changes) {
@@ -100,18 +120,18 @@
         }
         m_serverChanges.advanceTo(update.serversRevision);
         m_serversWatchRevision = std::max(m_serversWatchRevision, update.serversRevision);
-        if (update.listAge && queriedAt) {
+        if (update.listAge && queriedAt && !isBehind) {
             m_state.serverListFreshness.noteValidation(*queriedAt - *update.listAge);
         }
     }
     const auto hasNewestConfiguration = update.configurationRevision <= m_configurationRevision;
     m_state.hasNewerConfiguration = m_state.hasNewerConfiguration || !hasNewestConfiguration;
-    if (hasNewestConfiguration && m_isNewestApplied && update.validationAge && queriedAt) {
+    if (hasNewestConfiguration && m_isNewestApplied && !isBehind && update.validationAge && queriedAt) {
         m_state.keys.noteValidation(*queriedAt - *update.validationAge);
     }
     if (m_watching && !m_storeLost) {
         // The watch is about to deliver what is missing; the update only shows whether watching is still necessary.
-        return update.configurationRevision >= m_configurationRevision;
+        return update.configurationRevision >= m_configurationRevision && !isBehind;
     }
     m_needsServers = m_needsServers || (!isListContinued && update.serversRevision > 0);
     m_needsConfiguration = m_needsConfiguration || !hasNewestConfiguration;
@@ -119,7 +139,7 @@
         m_isReadingMissing = true;
         runTask(m_executor, "missing changes", m_state.counters, [this] { return readMissing(); });
     }
-    return isListContinued && hasNewestConfiguration;
+    return isListContinued && hasNewestConfiguration && !isBehind;
 }
 
 /// Reads the missing configuration or list of servers from the store once. A failed read is retried with an update of
--- a/src/gateway/knowledge/store_relay.cpp
+++ b/src/gateway/knowledge/store_relay.cpp
@@ -70,8 +70,9 @@
     m_senders.query(target, query);
 }
 
-auto store_relay::onQuery(std::uint64_t router, const store_query &query) -> void
+auto store_relay::onQuery(std::uint64_t router, const store_query &received) -> void
 {
+    const auto query = m_feed.takeQuery(received);
     auto &follower = m_followers[router];
     follower = { .queriedAt = system_clock_source().now(),
                  .serversRevision = query.serversRevision,
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -334,8 +334,8 @@
     co_return write_outcome{ write_result::conflict, std::move(*current) };
 }
 
-/// The era of an answer to a request that was sent in \p eraAtRequest; nothing if a later era began since. An answer
-/// without a valid era counts as one of the current era.
+/// The era of an answer to a request that was sent in \p eraAtRequest; nothing if it may be of an era that has ended
+/// since. An answer without a valid era counts as one of the current era.
 auto store_client::eraOfAnswer(const http_response &response, std::uint32_t eraAtRequest, last_reason &why)
     -> std::optional<std::uint32_t>
 {
@@ -353,11 +353,12 @@
         }
         return stated;
     }
-    if (stated && *stated < known && eraAtRequest < known) {
+    if (stated.value_or(eraAtRequest) < known && eraAtRequest < known) {
         m_earlierEraAnswers.add();
         return why.fail(failure_kind::unavailable, "read answer", "platform", "an answer of an earlier era");
     }
-    if (stated != known && (known > 0 || !text.empty())) {
+    const auto isMissing = text.empty() && m_statesEra.load(std::memory_order_relaxed);
+    if (isMissing || (!text.empty() && stated != known)) {
         noteOddEra(text);
     }
     return known;
--- a/tests/unit/gateway/datagram_codec_test.cpp
+++ b/tests/unit/gateway/datagram_codec_test.cpp
@@ -33,8 +33,15 @@
     BOOST_TEST(read.serversRevision == update.serversRevision);
     BOOST_TEST(read.changes.front().object.revision == update.changes.front().object.revision);
     BOOST_TEST(read.evacuations->revision == update.evacuations->revision);
+    BOOST_TEST(read.statesEras);
+    BOOST_TEST(read.evacuations->statesEra);
     news.clear_servers_era();
+    news.mutable_evacuated()->clear_era();
     BOOST_TEST(readStoreUpdate(news).serversRevision == 991U);
+    BOOST_TEST(!readStoreUpdate(news).statesEras);
+    BOOST_TEST(!readStoreUpdate(news).evacuations->statesEra);
+    question.clear_servers_era();
+    BOOST_TEST(!readStoreQuery(question).statesEras);
 }
 
 BOOST_AUTO_TEST_CASE(a_change_of_an_entry_whose_name_is_not_utf8_does_not_make_the_datagram_unreadable)
--- a/tests/unit/gateway/platform_feed_test.cpp
+++ b/tests/unit/gateway/platform_feed_test.cpp
@@ -354,18 +354,36 @@
     BOOST_TEST(state.routes->version() == 9U);
 }
 
-BOOST_AUTO_TEST_CASE(a_revision_without_an_era_is_one_of_the_receivers_era)
+BOOST_AUTO_TEST_CASE(only_a_router_that_knows_nothing_of_eras_speaks_of_the_receivers_era)
 {
     state.hasServers = true;
     auto first = entryOf("a", orderedRevision(2, 5), "ready");
     BOOST_TEST(feed.applyUpdate(updateOf({ first }, orderedRevision(2, 5)), std::nullopt));
-    // From a router of an earlier version.
     auto update = updateOf({ entryOf("a", 6, "draining") }, 6);
     update.serversBaseRevision = 5;
+    feed.applyUpdate(update, std::nullopt); // From a router that has not noticed the era.
+    BOOST_TEST(state.servers.usable("pool").size() == 1U);
+    BOOST_TEST(feed.serversRevision() == orderedRevision(2, 5));
+    update.statesEras = false;
     BOOST_TEST(feed.applyUpdate(update, std::nullopt));
     BOOST_TEST(state.servers.usable("pool").empty());
     BOOST_TEST(feed.serversRevision() == orderedRevision(2, 6));
-    BOOST_TEST(feed.updateSince(6, 0).serversBaseRevision == orderedRevision(2, 6));
+    const auto query = store_query{ .number = 1, .serversRevision = 6, .statesEras = false };
+    BOOST_TEST(feed.takeQuery(query).serversRevision == orderedRevision(2, 6));
+}
+
+BOOST_AUTO_TEST_CASE(a_router_that_has_not_noticed_an_era_does_not_count_as_current)
+{
+    state.hasServers = true;
+    feed.applyUpdate(updateOf({ entryOf("a", orderedRevision(2, 5), "ready") }, orderedRevision(2, 5)), std::nullopt);
+    auto update = updateOf({}, orderedRevision(1, 9));
+    update.listAge = 0ms;
+    BOOST_TEST(!feed.applyUpdate(update, boot_clock::now()));
+    BOOST_TEST(!state.serverListFreshness.isFresh(boot_clock::now()));
+    // It learns of the era from the query.
+    const auto query = store_query{ .number = 1, .serversRevision = orderedRevision(4, 6) };
+    BOOST_TEST(feed.takeQuery(query).serversRevision == query.serversRevision);
+    BOOST_TEST(client.era() == 4U);
 }
 
 BOOST_AUTO_TEST_CASE(a_list_that_the_store_does_not_continue_is_not_read_without_end)
--- a/tests/unit/store/store_revision_test.cpp
+++ b/tests/unit/store/store_revision_test.cpp
@@ -53,7 +53,7 @@
     }
 };
 
-/// Answers the calls on one connection by empty lists, each with the next of \p answers.
+/// Answers calls by empty lists, each with the next of \p answers.
 class era_server
 {
 public:
@@ -62,6 +62,8 @@
     {
         std::string header;
         int revision = 7;
+        std::chrono::milliseconds delay{ 0 };
+        bool isLast = false; ///< The next answer is on another connection.
     };
 
     explicit era_server(std::vector<answer> answers)
@@ -94,8 +96,13 @@
             const auto body = R"({"entries":[],"truncated":false,"at":)" + std::to_string(next.revision) + "}";
             const auto size = boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
             received.erase(0, error ? 0 : size);
+            std::this_thread::sleep_for(next.delay);
             const auto head = "HTTP/1.1 200 OK\r\n" + next.header + "Content-Length: " + std::to_string(body.size());
             boost::asio::write(socket, boost::asio::buffer(head + "\r\n\r\n" + body), error);
+            if (next.isLast) {
+                socket = m_acceptor.accept(error);
+                received.clear();
+            }
         }
     }
 
@@ -225,6 +232,20 @@
     BOOST_TEST(reader.era() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_that_was_on_its_way_when_an_era_began_is_not_taken_for_one_of_that_era)
+{
+    constexpr auto delay = std::chrono::milliseconds(100);
+    auto server = era_server({ { "", 9 }, { "", 9, delay, true }, { "", 5 } });
+    auto reader = store_client(context.get_executor(), { .addresses = { server.address() } }, counters);
+    BOOST_REQUIRE(run(reader.list("kind", why)));
+    auto timer = boost::asio::steady_timer(context, delay / 2);
+    timer.async_wait([&](const boost::system::error_code &) { reader.noteEraOfOthers(1); });
+    const auto listed = run(reader.list("kind", why));
+    BOOST_REQUIRE(listed);
+    BOOST_TEST(listed->revision == orderedRevision(1, 5));
+    BOOST_TEST(counters.at("marjoramloom_platform_earlier_era_answers_total").value() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(an_era_that_another_router_found_holds_where_the_store_states_none)
 {
     auto server = era_server({ { "", 9 }, { "", 5 } });
