--- a/include/marjoramloom/gateway/knowledge/platform_feed.h
+++ b/include/marjoramloom/gateway/knowledge/platform_feed.h
@@ -58,8 +58,8 @@
     [[nodiscard]] auto updateSince(std::uint64_t serversRevision, std::uint64_t configurationRevision) const
         -> store_update;
 
-    /// Learns of the store's era from a query of another router. Returns the query; if that router knows nothing of eras,
-    /// with its revisions in those of this router.
+    /// Learns of the store's era from a query of another router. Returns the query; if that router knows nothing of
+    /// eras, with its revisions in those of this router.
     auto takeQuery(store_query query) -> store_query;
 
     /// Revision of the configuration; 0 before one was read.
