--- a/tests/process/gateway/store_restore_test.cpp
+++ b/tests/process/gateway/store_restore_test.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <csignal>
 
 using namespace marjoramloom::test;
 
@@ -12,6 +11,7 @@
 /// A change is in force at all routers at this time after its acknowledgement, and a leaving server gets nothing more.
 constexpr auto changeBoundMs = 2'000;
 
+/// A fleet, and what it does after its store returned from an older copy.
 struct restored_fleet
 {
     explicit restored_fleet(bool statesEra)
