--- a/tests/unit/store/store_client_test.cpp
+++ b/tests/unit/store/store_client_test.cpp
@@ -1,7 +1,6 @@
 #include "marjoramloom/store/store_client.h"
 
-#include "support/fleet.h"
-#include "support/run_coroutine.h"
+#include "store_fixture.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -13,12 +12,9 @@
 
 namespace {
 
-/// A client and a test server that implements the platform's object API and injects faults.
-struct platform_fixture
+/// A client with short timeouts.
+struct platform_fixture : test::store_fixture
 {
-    boost::asio::io_context context;
-    counter_registry counters;
-    test::standin platform{ "platform", { "platform" }, "/dev/null" };
     store_client client{ context.get_executor(), options(), counters };
 
     auto options() const -> store_options
@@ -30,15 +26,6 @@
                  .retryLimit = std::chrono::milliseconds(20) };
     }
 
-    template<typename Value>
-    auto run(boost::asio::awaitable<Value> work) -> Value
-    {
-        auto result = boost::asio::co_spawn(context, std::move(work), boost::asio::use_future);
-        context.restart();
-        context.run();
-        return result.get();
-    }
-
     auto create(const std::string &name) -> write_result
     {
         auto why = last_reason();
--- a/tests/unit/store/store_revision_test.cpp
+++ b/tests/unit/store/store_revision_test.cpp
@@ -1,9 +1,7 @@
 #include "marjoramloom/store/store_revision.h"
 
-#include "marjoramloom/store/store_client.h"
 #include "platform/object_format.h"
-#include "support/fleet.h"
-#include "support/run_coroutine.h"
+#include "store_fixture.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -15,23 +13,11 @@
 
 namespace {
 
-struct restored_store_fixture
+struct restored_store_fixture : test::store_fixture
 {
-    boost::asio::io_context context;
-    counter_registry counters;
-    test::standin platform{ "platform", { "platform" }, "/dev/null" };
     store_client client{ context.get_executor(), { .addresses = { platform.address() } }, counters };
     last_reason why;
 
-    template<typename Value>
-    auto run(boost::asio::awaitable<Value> work) -> Value
-    {
-        auto result = boost::asio::co_spawn(context, std::move(work), boost::asio::use_future);
-        context.restart();
-        context.run();
-        return result.get();
-    }
-
     auto create(const std::string &name) -> std::uint64_t
     {
         return run(client.create("kind", name, name, why)).current.revision;
