A router's processor time is measured by getrusage(), not by the process clock

What callers saw: nothing yet, as the measure is only used with gateway.shared_rotation, which is off. With it, every router asked to leave the rotation at once. Cause: CLOCK_PROCESS_CPUTIME_ID runs with the time of day on the users' platform, so that a router of 0.09 of a core reported a use of 11.1 while it was idle, and one of 0.5 a use of 2.

--- a/src/gateway/traffic/rotation.cpp
+++ b/src/gateway/traffic/rotation.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
-#include <ctime>
+#include <sys/resource.h>
 
 namespace marjoramloom {
 
@@ -14,15 +14,19 @@
 
 namespace {
 
-/// Processor time that this process has used, in seconds of a core.
+/// Processor time that this process has used, in seconds of a core. The processor time clocks of some platforms run
+/// with the time of day.
 auto processCpuSeconds() -> double
 {
-    constexpr double nanosecond = 1e-9;
-    auto used = timespec();
-    if (::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used) != 0) {
+    constexpr double microsecond = 1e-6;
+    auto used = rusage();
+    if (::getrusage(RUSAGE_SELF, &used) != 0) {
         return 0;
     }
-    return static_cast<double>(used.tv_sec) + nanosecond * static_cast<double>(used.tv_nsec);
+    const auto seconds = [](const timeval &span) {
+        return static_cast<double>(span.tv_sec) + microsecond * static_cast<double>(span.tv_usec);
+    };
+    return seconds(used.ru_utime) + seconds(used.ru_stime);
 }
 
 } // namespace
