A router without processor time for a connection tunnels it to one of its data centre with room

Cause: the gates before the dispatcher (queue of new connections, connection_pacing, event_loop_delay) decide by what one router has time for, and know neither the account nor the fleet. Change: connection_admission serves what 0.4 of the processor time is enough for, tunnels what is beyond to routers with room (tunnel_choice, by the reports of routers' use, which are now always exchanged) and refuses only what it can do neither with. connection_tunnel copies bytes on bare descriptors; most of its cost is that of its system calls. The other router's process takes a tunnel by an opening with the version of its configuration; until then the connection can go elsewhere. caller_intake carries the decisions out, and takes the callers' part out of gateway_process.

--- a/include/marjoramloom/gateway/knowledge/gateway_settings.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_settings.h
@@ -25,6 +25,8 @@
     bool sharedRotation = false;
     /// A router that is behind refuses requests by the accounts' shares, not all of them.
     bool fairRefusals = false;
+    /// A router with too little processor time for its callers passes their connections to others of its data centre.
+    bool tunnels = true;
     std::uint32_t memoryMegabytes = 0; ///< Memory that the process may use, in units of 2^20 bytes; 0 if not known.
     gateway_retry_budget_settings retryBudgetSettings; ///< Limits of the retries to the servers of each service.
     /// From the store's acknowledgement of an evacuation until nothing is sent to the data centre any more; 0 where
--- a/include/marjoramloom/gateway/knowledge/gateway_state.h
+++ b/include/marjoramloom/gateway/knowledge/gateway_state.h
@@ -8,7 +8,7 @@
 #include "marjoramloom/gateway/decisions/admission_policy.h"
 #include "marjoramloom/gateway/decisions/block_quarantine.h"
 #include "marjoramloom/gateway/decisions/cold_budget.h"
-#include "marjoramloom/gateway/decisions/connection_pacing.h"
+#include "marjoramloom/gateway/decisions/connection_admission.h"
 #include "marjoramloom/gateway/decisions/event_batching.h"
 #include "marjoramloom/gateway/decisions/event_loop_delay.h"
 #include "marjoramloom/gateway/decisions/fair_request_limit.h"
@@ -18,6 +18,7 @@
 #include "marjoramloom/gateway/decisions/plain_placement.h"
 #include "marjoramloom/gateway/decisions/prompt_placement.h"
 #include "marjoramloom/gateway/decisions/request_shares.h"
+#include "marjoramloom/gateway/decisions/router_use_meter.h"
 #include "marjoramloom/gateway/decisions/slot_grants.h"
 #include "marjoramloom/gateway/knowledge/admission_record.h"
 #include "marjoramloom/gateway/knowledge/cold_engines.h"
@@ -139,7 +140,8 @@
     bool stopping = false; ///< The process stops: callers' connections are closed after the next answer.
     bool rejectingRequests = false; ///< The stop is so far advanced that new requests are rejected.
     event_loop_delay loopDelay;
-    connection_pacing pacing;
+    connection_admission connectionAdmission;
+    double requestCost = router_use_meter::INITIAL_COST; ///< Processor time of a request, in seconds of a core.
     fair_request_limit requestLimit; ///< Used only with the setting fairRefusals.
     bool shouldMoveCallers = false; ///< Kept connections are closed after the next answer, as other routers have room.
     knowledge_freshness keys;
@@ -169,6 +171,7 @@
     time_point lastAdmissionLog{};
     std::vector<prefill_record> unreportedPrefills; ///< Not yet sent to the other routers.
     std::size_t running = 0; ///< Requests that are being forwarded.
+    std::uint64_t handledRequests = 0; ///< Requests that this router read, refused ones included.
     std::size_t bufferedAnswerBytes = 0; ///< Size of the answers that are being read before they are forwarded.
     event_batching eventBatching;
     prompt_placement placement;
--- a/include/marjoramloom/gateway/knowledge/router_roster.h
+++ b/include/marjoramloom/gateway/knowledge/router_roster.h
@@ -46,6 +46,9 @@
     /// Whether most other known routers of the same data centre have less processor time than this one.
     [[nodiscard]] auto isLargerThanMost() const -> bool;
 
+    /// Address of the router \p id; empty if it is not known. The reference is valid until the next put().
+    [[nodiscard]] auto addressOf(std::uint64_t id) const -> const std::string &;
+
     [[nodiscard]] auto others() const -> std::vector<std::uint64_t>;
 
     /// Whether any known router is in \p dataCentre.
--- a/include/marjoramloom/gateway/traffic/rotation.h
+++ b/include/marjoramloom/gateway/traffic/rotation.h
@@ -40,20 +40,30 @@
     /// Counts a new connection. Call for each one, also if it is refused.
     auto noteConnection() -> void;
 
+    /// Counts a connection that is passed to another router.
+    auto noteTunnel() -> void;
+
     /// Records whether this router could serve if it had no load.
     auto setAvailable(bool isAvailable, time_point now) -> void;
 
+    /// What setAvailable() recorded last.
+    [[nodiscard]] auto isAvailable() const -> bool;
+
     /// Takes over what another router reports or relays; what is not about routers of this data centre is ignored.
     auto handleReports(const std::vector<router_use> &reports, time_point now) -> void;
 
-    /// Measures, decides and sends reports, until the executor stops. Does nothing while the setting is off.
+    /// Measures, decides and sends reports, until the executor stops. Without the setting, nothing is decided.
     auto run() -> boost::asio::awaitable<void>;
 
+    /// The newest reports of the other routers of the data centre.
+    [[nodiscard]] auto reports(time_point now) -> const std::vector<router_use> &;
+
     /// Whether new connections should go to other routers.
     [[nodiscard]] auto isAbsent() const -> bool;
 
 private:
     auto update(time_point now) -> void;
+    auto decide(time_point now) -> void;
     auto sendReports(time_point now) -> void;
     auto logChange(const rotation_policy::decision &decision, time_point now) const -> void;
 
@@ -69,6 +79,7 @@
     bool m_isAvailable = false;
     time_point m_availabilityChange{};
     double m_connections = 0; ///< Arrived so far.
+    double m_tunnels = 0; ///< Passed to other routers so far.
     const counter &m_refusedConnections;
     counter &m_absences;
 };
--- a/include/marjoramloom/router/http_exchange.h
+++ b/include/marjoramloom/router/http_exchange.h
@@ -72,6 +72,18 @@
     /// Makes the connection close after this answer.
     auto closeAfterAnswer() -> void;
 
+    /// Records whether this is the first request of its connection.
+    auto setFirst(bool isFirst) -> void
+    {
+        m_isFirst = isFirst;
+    }
+
+    /// Whether this is the first request of its connection.
+    [[nodiscard]] auto isFirst() const -> bool
+    {
+        return m_isFirst;
+    }
+
     /// Sends a complete response. Returns false if the write failed: the caller disconnected or the write timed out.
     auto reply(http_reply answer) -> boost::asio::awaitable<bool>;
 
@@ -132,6 +144,7 @@
     std::string m_peer;
     duration m_writeTimeout;
     bool m_answered = false;
+    bool m_isFirst = true;
     bool m_reusable = true;
     std::shared_ptr<output_queue> m_output; ///< Null until a part of a relayed response is sent.
     std::string m_unsentHead; ///< Head of a relayed response, until the first chunk is sent.
--- a/include/marjoramloom/router/http_server.h
+++ b/include/marjoramloom/router/http_server.h
@@ -38,6 +38,13 @@
     singleThread, ///< One thread runs the context; strands would be needless overhead.
 };
 
+/// What becomes of a new connection.
+enum class connection_gate_result {
+    serve,
+    refuse, ///< It is closed without being read.
+    taken, ///< The gate has taken over the descriptor.
+};
+
 /// Listens on one address and serves HTTP/1.1 connections.
 ///
 /// Thread safe, except for setLimits(), setConnectionGate() and setMemoryBudget(). After stopAccepting(), connections
@@ -54,9 +61,13 @@
     /// Replaces the limits of later requests. Call on the thread of a context that has only one.
     auto setLimits(http_limits limits) -> void;
 
-    /// Sets a function that is called for each new connection. If it returns false, the connection is closed without
-    /// being read, so that the caller retries on another router at the lowest cost for this one. Call before listen().
-    auto setConnectionGate(std::function<bool()> mayAccept) -> void;
+    /// Decides about a new connection, of which nothing has been read.
+    using connection_gate = std::function<connection_gate_result(int descriptor)>;
+
+    /// Sets a function that is called for each new connection. A connection that it refuses is closed at once, and no
+    /// other one is accepted for a moment: callers whose connections are refused open new ones, and further ones wait
+    /// in the queue of the listening socket at no cost. Call before listen().
+    auto setConnectionGate(connection_gate gate) -> void;
 
     /// Counts the memory of all connections in \p budget, which outlives the server, and applies
     /// http_limits::maxConnections. Call before listen(). Precondition: session_concurrency::singleThread.
@@ -82,7 +93,7 @@
     auto waitForRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer)
         -> boost::asio::awaitable<bool>;
     auto serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, connection_memory &memory,
-                      const std::string &peer) -> boost::asio::awaitable<bool>;
+                      const std::string &peer, bool isFirst) -> boost::asio::awaitable<bool>;
     auto rejectRequest(boost::beast::tcp_stream &stream, connection_memory &memory, const std::string &peer,
                        boost::system::error_code error) -> boost::asio::awaitable<void>;
     auto refuseForLackOfMemory(boost::beast::tcp_stream &stream, connection_memory &memory, const std::string &peer,
@@ -96,7 +107,7 @@
     std::string m_name;
     http_limits m_limits;
     session_concurrency m_concurrency;
-    std::function<bool()> m_connectionGate;
+    connection_gate m_connectionGate;
     memory_budget *m_memoryBudget = nullptr;
     connection_registry m_registry; ///< Used if there is a memory budget.
     counter &m_refusedConnections;
@@ -110,3 +121,4 @@
 } // namespace marjoramloom
 
 #include "marjoramloom/router/http_server.inl"
+#include "marjoramloom/router/http_server_accept.inl"
--- a/include/marjoramloom/router/http_server.inl
+++ b/include/marjoramloom/router/http_server.inl
@@ -1,38 +1,24 @@
 #include "marjoramloom/core/endpoint.h"
-#include "marjoramloom/core/event_loop.h"
 #include "marjoramloom/core/log.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cassert>
-#include <cerrno>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <utility>
 
 namespace marjoramloom {
 
 /// How long an idle connection stays open after stopAccepting().
 constexpr auto idleCloseDelay = std::chrono::seconds(2);
-/// Backlog of the listening socket. An overloaded router accepts some hundred connections a second, and a caller that
-/// is not accepted within a second retries on another router. In a longer backlog, callers would wait without an
-/// answer.
-constexpr int listenBacklog = 128;
-/// Connections accepted in one iteration of the event loop, so that an overloaded server still accepts new connections.
-constexpr std::size_t maxAcceptBatch = 128;
 /// An idle connection keeps a buffer of this size at most.
 constexpr std::size_t maxIdleBufferBytes = 4U << 10U;
 /// Limits of what is read after the refusal of a request that was not read to its end.
 constexpr std::size_t maxDiscardedBytes = 256U << 10U;
 constexpr std::size_t discardReadBytes = 4U << 10U;
 constexpr auto discardTime = std::chrono::milliseconds(200);
-/// Delay after a failed accept, for example when no file descriptor is free.
-constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
 /// Counts an open connection for as long as the object lives.
 class connection_count
@@ -69,31 +55,6 @@
 {
 }
 
-template<http_handler Handler>
-auto http_server<Handler>::listen(const std::string &address, last_reason &why) -> std::optional<std::uint16_t>
-{
-    const auto endpoint = parseEndpoint(address, why);
-    if (!endpoint) {
-        return std::nullopt;
-    }
-    auto error = boost::system::error_code();
-    m_acceptor.open(endpoint->protocol(), error);
-    if (!error) {
-        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-        m_acceptor.bind(*endpoint, error);
-    }
-    if (!error) {
-        m_acceptor.listen(listenBacklog, error);
-        m_protocol = endpoint->protocol();
-    }
-    if (error) {
-        return why.fail(failure_kind::unavailable, "listen", address, error.message());
-    }
-    runTask(m_acceptor.get_executor(), "accept", m_counters,
-            [self = this->shared_from_this()] { return self->acceptLoop(); });
-    return m_acceptor.local_endpoint().port();
-}
-
 template<http_handler Handler>
 auto http_server<Handler>::setLimits(http_limits limits) -> void
 {
@@ -101,9 +62,9 @@
 }
 
 template<http_handler Handler>
-auto http_server<Handler>::setConnectionGate(std::function<bool()> mayAccept) -> void
+auto http_server<Handler>::setConnectionGate(connection_gate gate) -> void
 {
-    m_connectionGate = std::move(mayAccept);
+    m_connectionGate = std::move(gate);
 }
 
 template<http_handler Handler>
@@ -129,70 +90,12 @@
     return m_connections;
 }
 
-template<http_handler Handler>
-auto http_server<Handler>::acceptLoop() -> boost::asio::awaitable<void>
-{
-    auto error = boost::system::error_code();
-    auto pause = boost::asio::steady_timer(m_acceptor.get_executor());
-    m_acceptor.non_blocking(true, error);
-    while (!m_stopping) {
-        co_await m_acceptor.async_wait(tcp::acceptor::wait_read,
-                                       boost::asio::redirect_error(boost::asio::use_awaitable, error));
-        for (auto accepted = std::size_t(0); !error && accepted < maxAcceptBatch; ++accepted) {
-            const auto descriptor = ::accept(m_acceptor.native_handle(), nullptr, nullptr);
-            if (descriptor < 0) {
-                const auto isOfOneConnection = errno == EINTR || errno == ECONNABORTED;
-                error = isOfOneConnection ? error : boost::system::error_code(errno, boost::system::system_category());
-            } else if (m_connectionGate && !m_connectionGate()) {
-                // A connection that is closed unread costs no registration with the event loop.
-                m_refusedConnections.add();
-                ::close(descriptor);
-            } else {
-                auto socket = tcp::socket(makeExecutor());
-                socket.assign(m_protocol, descriptor, error);
-                if (error) {
-                    ::close(descriptor);
-                } else if (!m_registry.makeRoom(m_limits.maxConnections)) {
-                    m_connectionsOverLimit.add();
-                } else {
-                    spawnConnection(std::move(socket));
-                }
-            }
-        }
-        if (error && error != boost::asio::error::would_block) {
-            log_line(log_level::warning, "accept_failed").with("listener", m_name).with("reason", error.message());
-            pause.expires_after(acceptRetryDelay);
-            co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
-        }
-    }
-}
-
-template<http_handler Handler>
-auto http_server<Handler>::makeExecutor() const -> boost::asio::any_io_executor
-{
-    if (m_concurrency == session_concurrency::singleThread) {
-        return m_context.get_executor();
-    }
-    return boost::asio::make_strand(m_context);
-}
-
-template<http_handler Handler>
-auto http_server<Handler>::spawnConnection(tcp::socket socket) -> void
-{
-    auto executor = socket.get_executor();
-    auto connection = std::make_shared<tcp::socket>(std::move(socket));
-    boost::asio::co_spawn(
-        executor, [self = this->shared_from_this(), connection] { return self->serve(std::move(*connection)); },
-        boost::asio::detached);
-}
-
 template<http_handler Handler>
 auto http_server<Handler>::serve(tcp::socket socket) -> boost::asio::awaitable<void>
 {
     // An exception within an operation of the library ends this coroutine without resuming it.
     const auto counted = connection_count(m_connections);
     auto error = boost::system::error_code();
-    socket.set_option(tcp::no_delay(true), error);
     const auto remote = socket.remote_endpoint(error);
     auto peer = error ? std::string("unknown") : endpointText(remote);
     auto stream = boost::beast::tcp_stream(std::move(socket));
@@ -221,11 +124,12 @@
         });
     }
     auto buffer = boost::beast::flat_buffer();
+    auto isFirst = true;
     while (co_await waitForRequest(stream, buffer)) {
         if (place) {
             place->setState(connection_registry::state::busy);
         }
-        if (!co_await serveRequest(stream, buffer, memory, peer)) {
+        if (!co_await serveRequest(stream, buffer, memory, peer, std::exchange(isFirst, false))) {
             co_return;
         }
         if (buffer.size() == 0 && buffer.capacity() > maxIdleBufferBytes) {
@@ -273,7 +177,7 @@
 
 template<http_handler Handler>
 auto http_server<Handler>::serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer,
-                                        connection_memory &memory, const std::string &peer)
+                                        connection_memory &memory, const std::string &peer, bool isFirst)
     -> boost::asio::awaitable<bool>
 {
     auto reader = request_reader(stream, buffer, m_limits, memory);
@@ -288,6 +192,7 @@
     }
     auto exchange =
         http_exchange(stream, memory, reader.releaseRequest(), peer, m_limits.idleTimeout, reader.releaseLongFields());
+    exchange.setFirst(isFirst);
     if (m_stopping || m_connections > m_limits.maxKeepAliveConnections) {
         exchange.closeAfterAnswer();
     }
--- a/src/gateway/decisions/router_use_meter.cpp
+++ b/src/gateway/decisions/router_use_meter.cpp
@@ -12,14 +12,13 @@
 constexpr double newestWeight = 0.5;
 /// Weight of the newest period in the cost of a connection.
 constexpr double newestCostWeight = 0.1;
-/// Processor time of a connection before it was measured. A request on a new connection took 0.14 ms of a full core on
-/// a development machine, and about 0.35 ms under a quota of 0.12 of a core.
-constexpr double initialConnectionCost = 0.35e-3;
 /// Bounds of the measured cost. Longer ones come from streams on few connections, which no balancer can move.
 constexpr double minConnectionCost = 0.1e-3;
 constexpr double maxConnectionCost = 2e-3;
 /// The cost is measured while the use is within these bounds: below, other work than requests prevails.
 constexpr double minUseForCost = 0.25;
+/// The same for the cost of a request, which decides what is served here.
+constexpr double minUseForRequestCost = 0.5;
 /// Longer periods are those of a process that was suspended, which say nothing about its load.
 constexpr auto maxPeriod = std::chrono::milliseconds(1'500);
 
@@ -31,7 +30,6 @@
 } // namespace
 
 router_use_meter::router_use_meter(double cores)
-    : m_connectionCost(initialConnectionCost)
 {
     setCores(cores);
 }
@@ -59,11 +57,19 @@
     }
     const auto arrivals = (totals.arrivals - last.arrivals) / seconds;
     const auto refusals = (totals.refusals - last.refusals) / seconds;
+    const auto tunnels = (totals.tunnels - last.tunnels) / seconds;
+    const auto requests = (totals.requests - last.requests) / seconds;
     const auto use = (totals.cpuSeconds - last.cpuSeconds) / (seconds * m_use.cores);
-    if (use >= minUseForCost && arrivals > refusals) {
-        const auto cost = use * m_use.cores / (arrivals - refusals);
+    const auto accepted = arrivals - refusals - (1 - TUNNEL_COST) * tunnels;
+    if (use >= minUseForCost && accepted > 0) {
+        const auto cost = use * m_use.cores / accepted;
         smooth(m_connectionCost, std::clamp(cost, minConnectionCost, maxConnectionCost), newestCostWeight);
     }
+    const auto equivalentRequests = requests + TUNNEL_COST * tunnels;
+    if (use >= minUseForRequestCost && equivalentRequests > 0) {
+        const auto cost = use * m_use.cores / equivalentRequests;
+        smooth(m_requestCost, std::clamp(cost, minConnectionCost, maxConnectionCost), newestCostWeight);
+    }
     smooth(m_use.arrivals, arrivals, newestWeight);
     smooth(m_use.refusals, refusals, newestWeight);
     smooth(m_use.use, use, newestWeight);
@@ -80,6 +86,11 @@
     return m_use;
 }
 
+auto router_use_meter::requestCost() const -> double
+{
+    return m_requestCost;
+}
+
 auto router_use_meter::connectionCost() const -> double
 {
     return m_connectionCost;
--- a/src/gateway/knowledge/router_roster.cpp
+++ b/src/gateway/knowledge/router_roster.cpp
@@ -83,6 +83,13 @@
                        [&](const auto &entry) { return entry.second.identity.dataCentre == dataCentre; });
 }
 
+auto router_roster::addressOf(std::uint64_t id) const -> const std::string &
+{
+    static const auto unknown = std::string();
+    const auto found = m_routers.find(id);
+    return found == m_routers.end() ? unknown : found->second.identity.address;
+}
+
 auto router_roster::others() const -> std::vector<std::uint64_t>
 {
     auto ids = std::vector<std::uint64_t>();
--- a/src/gateway/traffic/gateway_handler.cpp
+++ b/src/gateway/traffic/gateway_handler.cpp
@@ -50,6 +50,10 @@
 
 auto gateway_handler::handle(http_exchange &exchange) -> asio::awaitable<void>
 {
+    ++m_state.handledRequests;
+    if (!exchange.isFirst()) {
+        m_state.connectionAdmission.noteFurtherRequest(system_clock_source().now());
+    }
     auto why = last_reason();
     auto request = platform::decodeRequest(exchange.request().base(), exchange.longFields(), why);
     if (!request) {
--- a/src/gateway/traffic/gateway_process.cpp
+++ b/src/gateway/traffic/gateway_process.cpp
@@ -7,6 +7,7 @@
 #include "marjoramloom/gateway/knowledge/platform_feed.h"
 #include "marjoramloom/gateway/knowledge/router_discovery.h"
 #include "marjoramloom/gateway/knowledge/store_relay.h"
+#include "marjoramloom/gateway/traffic/caller_intake.h"
 #include "marjoramloom/gateway/traffic/gateway_handler.h"
 #include "marjoramloom/gateway/traffic/places_status.h"
 #include "marjoramloom/gateway/traffic/rotation.h"
@@ -62,24 +63,6 @@
              .region = config.region };
 }
 
-/// Fraction of the file descriptors for callers' idle connections. A caller with much traffic opens thousands of
-/// connections, and each running request needs another descriptor for the connection to its backend server.
-constexpr auto idleConnectionFraction = 0.4;
-
-/// Fraction of the file descriptors for callers' connections in all. The rest is for connections to backend servers, to
-/// the store and between routers; a running request needs one of each kind, so that callers may hold less than half.
-constexpr auto callerConnectionFraction = 0.45;
-
-auto httpLimits(const caller_limits &limits, const gateway_settings &settings) -> http_limits
-{
-    return { .bodyBytes = limits.bodyBytes,
-             .headerBytes = limits.headerBytes,
-             .headerTimeout = limits.headerTimeout,
-             .idleTimeout = limits.idleTimeout,
-             .maxKeepAliveConnections = static_cast<std::size_t>(settings.maxFileDescriptors * idleConnectionFraction),
-             .maxConnections = static_cast<std::size_t>(settings.maxFileDescriptors * callerConnectionFraction) };
-}
-
 /// Sets up the allocator so that the memory of bodies and answers returns to the system as soon as it is freed. By
 /// default, the size from which blocks are mapped grows with the blocks that are freed.
 auto releaseFreedMemory() -> void
@@ -102,7 +85,6 @@
     /// Joins the fleet of routers and keeps discovering others. Does not return.
     auto join() -> asio::awaitable<void>;
     auto tickLoop() -> asio::awaitable<void>;
-    auto measureLoopDelay() -> asio::awaitable<void>;
     auto waitForStop() -> asio::awaitable<void>;
     auto waitForReload() -> asio::awaitable<void>;
     auto reload() -> void;
@@ -124,7 +106,7 @@
     gateway_handler callerHandler;
     request_explainer explainer;
     status_handler statusHandler;
-    std::shared_ptr<http_server<gateway_handler>> callerServer;
+    caller_intake intake;
     std::shared_ptr<http_server<status_handler>> statusServer;
     platform_feed feed;
     store_relay relay;
@@ -146,13 +128,11 @@
     , explainer(state, exchange.dispatch())
     , statusHandler(
           ready, counters, [this] { return placesStatus(state); }, explainer, config.operatorKeyHash)
-    , callerServer(std::make_shared<http_server<gateway_handler>>(context, callerHandler, counters, "callers",
-                                                                  httpLimits(caller_limits(), *config.gateway),
-                                                                  session_concurrency::singleThread))
+    , intake(context, state, callerHandler, memory, connectionRotation)
     , statusServer(std::make_shared<http_server<status_handler>>(context, statusHandler, counters, "operators",
                                                                  http_limits(), session_concurrency::singleThread))
     , feed(context.get_executor(), store, state,
-           { .onRoutes = [this] { callerServer->setLimits(httpLimits(state.routes->limits(), state.settings)); },
+           { .onRoutes = [this] { intake.updateLimits(); },
              .onStoreChange =
                  [this] {
                      relay.notifyFollowers();
@@ -189,13 +169,6 @@
     exchange.setUseHandler(
         [this](const auto &reports) { connectionRotation.handleReports(reports, system_clock_source().now()); });
     releaseFreedMemory();
-    callerServer->setMemoryBudget(memory);
-    callerServer->setConnectionGate([this] {
-        const auto now = system_clock_source().now();
-        connectionRotation.noteConnection();
-        const auto refusesAll = !state.settings.fairRefusals && state.loopDelay.isOverloaded(now);
-        return !refusesAll && state.pacing.mayAccept(now);
-    });
     counters.setGauge("marjoramloom_log_lines_dropped", "", [] { return static_cast<double>(droppedLogLines()); });
 }
 
@@ -252,44 +225,6 @@
     }
 }
 
-auto gateway_process::components::measureLoopDelay() -> asio::awaitable<void>
-{
-    auto timer = asio::steady_timer(context);
-    auto wasOverloaded = false;
-    auto wasLimited = false;
-    const auto &turnedAway = counters.at("marjoramloom_connections_turned_away_total", "listener=\"callers\"");
-    while (true) {
-        const auto isOverloaded = state.loopDelay.isOverloaded(system_clock_source().now());
-        if (isOverloaded != wasOverloaded) {
-            wasOverloaded = isOverloaded;
-            log_line(log_level::warning, "overload")
-                .with("overloaded", isOverloaded ? "yes" : "no")
-                .with("running", state.running)
-                .with("connections", callerServer->connections())
-                .with("turned_away", turnedAway.value());
-        }
-        const auto now = system_clock_source().now();
-        timer.expires_at(state.loopDelay.onTimer(now));
-        state.pacing.onTimer(state.loopDelay.lastDelay(), now);
-        state.requestLimit.onTimer(state.loopDelay.lastDelay(), now);
-        const auto isLimited = state.pacing.refusingFor(now) >= event_loop_delay::OVERLOAD_DURATION;
-        // The callers whose connections are refused would most likely come to a smaller router next.
-        if (isLimited && !state.roster.isLargerThanMost()) {
-            state.loopDelay.noteCapacityExceeded(now);
-        }
-        if (isLimited != wasLimited) {
-            wasLimited = isLimited;
-            log_line(log_level::warning, "connection_limit")
-                .with("limited", isLimited ? "yes" : "no")
-                .with("per_second", state.pacing.limit())
-                .with("running", state.running)
-                .with("connections", callerServer->connections())
-                .with("turned_away", turnedAway.value());
-        }
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-}
-
 auto gateway_process::components::waitForStop() -> asio::awaitable<void>
 {
     auto signals = asio::signal_set(context, SIGTERM, SIGINT);
@@ -340,15 +275,13 @@
     co_await timer.async_wait(asio::use_awaitable);
     // Requests that arrive from now on might not finish before the process is killed.
     state.rejectingRequests = true;
-    callerServer->stopAccepting();
-    while (callerServer->connections() > 0 && system_clock_source().now() < deadline) {
+    intake.stopAccepting();
+    while (intake.connections() > 0 && system_clock_source().now() < deadline) {
         timer.expires_after(drainPollPeriod);
         co_await timer.async_wait(asio::use_awaitable);
     }
     exchange.announceStop();
-    log_line(log_level::info, "stop_ends")
-        .with("unfinished", state.running)
-        .with("connections", callerServer->connections());
+    log_line(log_level::info, "stop_ends").with("unfinished", state.running).with("connections", intake.connections());
 }
 
 gateway_process::gateway_process(settings config)
@@ -364,7 +297,7 @@
     const auto &config = m_components->config;
     if (!m_components->exchange.listen(config.peersListen, why)
         || !m_components->statusServer->listen(config.operatorsListen, why)
-        || !m_components->callerServer->listen(config.callersListen, why)) {
+        || !m_components->intake.listen(config.callersListen, config.peersListen, why)) {
         return false;
     }
     log_line(log_level::info, "started")
@@ -393,7 +326,8 @@
     runAlways("datagrams", [&components] { return components.exchange.receive(); });
     runAlways("ticks", [&components] { return components.tickLoop(); });
     runAlways("rotation", [&components] { return components.connectionRotation.run(); });
-    runAlways("loop delay", [&components] { return components.measureLoopDelay(); });
+    runAlways("tunnels", [&components] { return components.intake.runTunnels(); });
+    runAlways("loop delay", [&components] { return components.intake.measureLoopDelay(); });
     runAlways("stop", [&components] { return components.waitForStop(); });
     runAlways("reload", [&components] { return components.waitForReload(); });
     runEventLoop(components.context, components.counters);
--- a/src/gateway/traffic/rotation.cpp
+++ b/src/gateway/traffic/rotation.cpp
@@ -50,6 +50,16 @@
     m_connections += 1;
 }
 
+auto rotation::noteTunnel() -> void
+{
+    m_tunnels += 1;
+}
+
+auto rotation::reports(time_point now) -> const std::vector<router_use> &
+{
+    return m_reports.recent(now);
+}
+
 auto rotation::setAvailable(bool isAvailable, time_point now) -> void
 {
     if (isAvailable != m_isAvailable) {
@@ -58,6 +68,11 @@
     }
 }
 
+auto rotation::isAvailable() const -> bool
+{
+    return m_isAvailable;
+}
+
 auto rotation::handleReports(const std::vector<router_use> &reports, time_point now) -> void
 {
     const auto &local = m_state.roster.watchOrder();
@@ -81,13 +96,8 @@
         timer.expires_after(router_use_meter::PERIOD);
         co_await timer.async_wait(asio::use_awaitable);
         const auto now = system_clock_source().now();
-        if (m_state.settings.sharedRotation) {
-            update(now);
-            sendReports(now);
-        } else {
-            m_decision = {};
-            m_state.shouldMoveCallers = false;
-        }
+        update(now);
+        sendReports(now);
     }
 }
 
@@ -95,8 +105,15 @@
 {
     m_meter.setCores(m_state.settings.cores);
     const auto refusals = static_cast<double>(m_refusedConnections.value() + m_state.requestsOverShare.value());
-    m_meter.update({ .cpuSeconds = processCpuSeconds(), .arrivals = m_connections, .refusals = refusals }, now);
+    m_meter.update({ .cpuSeconds = processCpuSeconds(),
+                     .arrivals = m_connections,
+                     .refusals = refusals,
+                     .tunnels = m_tunnels,
+                     .requests = static_cast<double>(m_state.handledRequests) },
+                   now);
+    m_state.requestCost = m_meter.requestCost();
     m_own = m_meter.use();
+
     m_own.router = m_state.roster.self();
     m_own.measuredAt = now;
     if (!m_isAvailable) {
@@ -105,6 +122,19 @@
     } else if (now - m_availabilityChange < START_TIME) {
         m_own.demand = 0;
     }
+    if (m_state.loopDelay.lastDelay() > connection_pacing::LONG_DELAY) {
+        m_own.demand = std::max(m_own.demand, 1.0);
+    }
+    if (m_state.settings.sharedRotation) {
+        decide(now);
+    } else {
+        m_decision = {};
+        m_own.isAbsent = !m_isAvailable;
+    }
+}
+
+auto rotation::decide(time_point now) -> void
+{
     const auto wasAbsent = m_decision.isAbsent;
     const auto previousReason = m_decision.reason;
     m_decision = m_policy.update(m_own, m_reports.recent(now), m_state.roster.watchOrder().size(), now);
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -191,6 +191,7 @@
         reader.whole("descriptors", gateway.maxFileDescriptors, 64, 1'000'000);
         reader.flag("shared_rotation", gateway.sharedRotation);
         reader.flag("fair_refusals", gateway.fairRefusals);
+        reader.flag("tunnels", gateway.tunnels);
         reader.whole("memory_mb", gateway.memoryMegabytes, 32, 1'048'576);
         reader.number("repeat_ratio", gateway.retryBudgetSettings.ratio, 0, 1);
         reader.number("repeat_window_seconds", windowSeconds, 0.1, 3'600);
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -134,6 +134,9 @@
          << "[gateway]\nkey_revocation_ms = " << m_plan.revocationMs << "\ngrace_seconds = " << m_plan.graceSeconds
          << "\nrepeat_reserve = " << m_plan.retryReserve << "\n"
          << m_plan.gatewaySettings;
+    if (static_cast<std::size_t>(number) < m_plan.cores.size()) {
+        text << "cores = " << m_plan.cores[static_cast<std::size_t>(number)] << "\n";
+    }
     if (m_plan.sharesLoad) {
         text << "shared_rotation = true\nfair_refusals = true\n";
     }
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -35,6 +35,7 @@
     int headerTimeoutMs = 2'000; ///< Time limit of a request's head and body in the configuration.
     int memoryMb = 0; ///< Setting memory_mb of the routers; 0 if it is not set.
     int descriptors = 0; ///< Setting descriptors of the routers; 0 if it is not set.
+    std::vector<double> cores; ///< Setting cores of each router; not set for further ones.
     /// Optional. Returns the address at which the router with this index connects to the store, which listens at
     /// \p address.
     std::function<std::string(int router, const std::string &address)> storeAddressForRouter;
--- a/tests/unit/router/http_server_test.cpp
+++ b/tests/unit/router/http_server_test.cpp
@@ -5,8 +5,11 @@
 #include "support/keep_alive_client.h"
 #include "support/raw_connection.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace marjoramloom;
 
@@ -43,7 +46,8 @@
     auto isOpen = std::atomic<bool>(false);
     auto server = std::make_shared<http_server<counting_handler>>(context, handler, counters, "test", http_limits(),
                                                                   session_concurrency::singleThread);
-    server->setConnectionGate([&] { return isOpen.load(); });
+    server->setConnectionGate(
+        [&](int) { return isOpen ? connection_gate_result::serve : connection_gate_result::refuse; });
     auto why = last_reason();
     const auto port = server->listen("127.0.0.1:0", why);
     BOOST_REQUIRE(port.has_value());
@@ -64,6 +68,39 @@
     loop.join();
 }
 
+// A descriptor that the gate has taken must be neither served nor closed here, and another one follows at once.
+BOOST_AUTO_TEST_CASE(a_connection_that_the_gate_takes_stays_open_and_unread)
+{
+    auto context = boost::asio::io_context(1);
+    auto counters = counter_registry();
+    auto handler = counting_handler();
+    auto server = std::make_shared<http_server<counting_handler>>(context, handler, counters, "test", http_limits(),
+                                                                  session_concurrency::singleThread);
+    auto taken = std::atomic<int>(-1);
+    server->setConnectionGate([&](int descriptor) {
+        auto expected = -1;
+        return taken.compare_exchange_strong(expected, descriptor) ? connection_gate_result::taken
+                                                                   : connection_gate_result::serve;
+    });
+    auto why = last_reason();
+    const auto port = server->listen("127.0.0.1:0", why);
+    BOOST_REQUIRE(port.has_value());
+    auto loop = std::thread([&] { context.run(); });
+    const auto address = "127.0.0.1:" + std::to_string(*port);
+    auto first = test::raw_connection(address);
+    first.send("request");
+    BOOST_TEST(test::httpCall(address, {}).body == "served");
+    context.stop();
+    loop.join();
+    auto bytes = std::array<char, 16>();
+    BOOST_REQUIRE(taken >= 0);
+    BOOST_TEST(::recv(taken, bytes.data(), bytes.size(), MSG_DONTWAIT) == 7);
+    BOOST_TEST(::close(taken) == 0);
+    BOOST_TEST(first.readAll().empty());
+    BOOST_TEST(handler.handled == 1);
+    BOOST_TEST(counters.at("marjoramloom_connections_turned_away_total", "listener=\"test\"").value() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(an_overloaded_server_keeps_a_short_accept_backlog)
 {
     // In a long backlog, callers would find out too late that they should retry on another router.
--- a/tests/unit/router/settings_test.cpp
+++ b/tests/unit/router/settings_test.cpp
@@ -98,6 +98,22 @@
     BOOST_TEST(parsed->gateway->fairRefusals);
 }
 
+// A fleet whose settings do not name it would lose the tunnels.
+BOOST_AUTO_TEST_CASE(a_gateway_opens_tunnels_unless_they_are_switched_off)
+{
+    const auto single =
+        std::string("[instance]\nthreads = 1\n") + complete.substr(complete.find('\n') + 1) + "[gateway]\n";
+    auto why = last_reason();
+    const auto plain = parseSettings(single, "router.toml", why);
+    BOOST_REQUIRE_MESSAGE(plain, why.text());
+    BOOST_TEST(plain->gateway->tunnels);
+    const auto without = parseSettings(single + "tunnels = false\n", "router.toml", why);
+    BOOST_REQUIRE_MESSAGE(without, why.text());
+    BOOST_TEST(!without->gateway->tunnels);
+    const auto error = errorOf(single + "tunnels = 1\n");
+    BOOST_TEST(contains(error, "'gateway.tunnels' must be"), error);
+}
+
 BOOST_AUTO_TEST_CASE(a_gateway_has_no_limits_of_places_unless_they_are_set)
 {
     const auto single =
