A router serves as much as leaves time to tunnel the rest, and its tunnels do not fall below half of its processor time

Cause: the limit by the event loop's delay follows work that was accepted long before. In a trace the tunnels of a router of 0.09 of a core fell from 742 to 24 a second within 1.25 s; then it had no work while its accept queue was full. Up to 128 connections were accepted in one iteration of the event loop, 160 ms of work at that router. Change: what is served follows the arrivals of the last period (connection_admission::TOTAL_FRACTION); tunnels have a minimum in proportion to the processor time; 32 connections are accepted in one iteration.

--- a/include/marjoramloom/gateway/decisions/connection_admission.h
+++ b/include/marjoramloom/gateway/decisions/connection_admission.h
@@ -37,6 +37,14 @@
     /// Fraction of the processor time that requests served here may use while others have room. The rest is for
     /// tunnels, dispatching and the exchange between routers.
     static constexpr double SERVED_FRACTION = 0.4;
+    /// Fraction of the processor time that serving and tunnelling may use together. The more connections arrive, the
+    /// fewer are served here, so that time is left to tunnel the others.
+    static constexpr double TOTAL_FRACTION = 0.6;
+    /// Time over which arrivals are counted.
+    static constexpr duration ARRIVAL_PERIOD = std::chrono::milliseconds(200);
+    /// Fraction of the processor time that tunnels may use however late the event loop is. The limit by its delay
+    /// follows work that was accepted long before, so that it would fall far below what the router can do.
+    static constexpr double MIN_TUNNEL_FRACTION = 0.5;
     /// Requests that may be served at once: those of this time.
     static constexpr duration BURST_TIME = std::chrono::milliseconds(100);
     /// Time for which requests on open connections may use processor time in advance.
@@ -73,11 +81,17 @@
 
 private:
     auto refill(time_point now) -> void;
+    auto countArrivals(time_point now) -> void;
     auto noteRefusal(time_point now) -> void;
 
     connection_pacing m_served;
     connection_pacing m_tunnelled;
-    double m_ratePerSecond = 0; ///< Requests a second in the served fraction.
+    double m_cores = 0;
+    double m_requestSeconds = 0; ///< Of a core.
+    double m_ratePerSecond = 0; ///< Requests a second that are served.
+    double m_arrivals = 0; ///< Connections in this period.
+    double m_arrivalsPerSecond = 0;
+    time_point m_periodStart{};
     double m_budget = 0; ///< Requests that may be served at once; negative if served in advance.
     time_point m_lastRefill{};
     time_point m_refusingSince{};
--- a/include/marjoramloom/gateway/decisions/connection_pacing.h
+++ b/include/marjoramloom/gateway/decisions/connection_pacing.h
@@ -22,7 +22,7 @@
     static constexpr duration MAX_DELAY = std::chrono::milliseconds(20);
     /// A timer that fires later than this is very late, so that the limit falls faster.
     static constexpr duration LONG_DELAY = std::chrono::milliseconds(60);
-    /// Connections a second that are accepted in any case.
+    /// Connections a second that are accepted in any case, unless setMinRate() sets another number.
     static constexpr double MIN_RATE = 20;
     /// Longer periods are those of a process that was suspended, which say nothing about its load.
     static constexpr duration MAX_PERIOD = std::chrono::seconds(1);
@@ -31,6 +31,9 @@
     /// Refusals further apart than this count as separate ones.
     static constexpr duration MAX_REFUSAL_GAP = std::chrono::milliseconds(500);
 
+    /// Sets the connections a second that are accepted in any case. Precondition: \p perSecond is positive.
+    auto setMinRate(double perSecond) -> void;
+
     /// Call whenever the event loop's timer fires, with its delay.
     auto onTimer(duration delay, time_point now) -> void;
 
@@ -46,6 +49,7 @@
 private:
     auto adjust(time_point now) -> void;
 
+    double m_minRate = MIN_RATE;
     double m_limit = std::numeric_limits<double>::infinity();
     double m_tokens = 0;
     time_point m_lastRefill{};
--- a/include/marjoramloom/router/http_server_accept.inl
+++ b/include/marjoramloom/router/http_server_accept.inl
@@ -24,8 +24,9 @@
 /// is not accepted within a second retries on another router. In a longer backlog, callers would wait without an
 /// answer.
 constexpr int listenBacklog = 128;
-/// Connections accepted in one iteration of the event loop, so that an overloaded server still accepts new connections.
-constexpr std::size_t maxAcceptBatch = 128;
+/// Connections accepted in one iteration of the event loop: several, so that an overloaded server still accepts new
+/// ones, but no more than leave time for those that are open.
+constexpr std::size_t maxAcceptBatch = 32;
 /// Time for which nothing is accepted after a connection was refused.
 constexpr auto refusalPause = std::chrono::milliseconds(2);
 /// A refused connection is read once, with this many bytes at most.
--- a/src/gateway/decisions/connection_admission.cpp
+++ b/src/gateway/decisions/connection_admission.cpp
@@ -1,5 +1,7 @@
 #include "marjoramloom/gateway/decisions/connection_admission.h"
 
+#include "marjoramloom/gateway/decisions/router_use_meter.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -17,11 +19,22 @@
 auto connection_admission::setCapacity(double cores, double requestSeconds) -> void
 {
     assert(cores > 0 && requestSeconds > 0);
-    m_ratePerSecond = SERVED_FRACTION * cores / requestSeconds;
+    m_cores = cores;
+    m_requestSeconds = requestSeconds;
+    const auto tunnelSeconds = requestSeconds * router_use_meter::TUNNEL_COST;
+    const auto timeToServe = TOTAL_FRACTION * cores - m_arrivalsPerSecond * tunnelSeconds;
+    m_ratePerSecond = std::clamp(timeToServe / (requestSeconds - tunnelSeconds),
+                                 std::min(connection_pacing::MIN_RATE, SERVED_FRACTION * cores / requestSeconds),
+                                 SERVED_FRACTION * cores / requestSeconds);
+    const auto minTunnels = MIN_TUNNEL_FRACTION * cores / tunnelSeconds;
+    m_tunnelled.setMinRate(std::max(connection_pacing::MIN_RATE, minTunnels));
 }
 
 auto connection_admission::onTimer(duration delay, time_point now) -> void
 {
+    if (m_cores > 0) {
+        countArrivals(now);
+    }
     m_served.onTimer(delay, now);
     const auto isServedReduced = m_served.limit() <= servedRateBeforeTunnelLimit * connection_pacing::MIN_RATE;
     m_tunnelled.onTimer(isServedReduced ? delay : duration::zero(), now);
@@ -30,6 +43,7 @@
 auto connection_admission::decide(bool mayServe, bool mayTunnel, time_point now) -> connection_action
 {
     refill(now);
+    m_arrivals += 1;
     if (mayServe && (m_budget >= 1 || !mayTunnel) && m_served.mayAccept(now)) {
         m_budget -= 1;
         return connection_action::serve;
@@ -61,6 +75,18 @@
     m_lastRefill = now;
 }
 
+auto connection_admission::countArrivals(time_point now) -> void
+{
+    if (now - m_periodStart < ARRIVAL_PERIOD) {
+        return;
+    }
+    const auto rate = m_arrivals / toSeconds(now - m_periodStart);
+    m_arrivalsPerSecond = std::max(rate, (rate + m_arrivalsPerSecond) / 2);
+    m_arrivals = 0;
+    m_periodStart = now;
+    setCapacity(m_cores, m_requestSeconds);
+}
+
 auto connection_admission::noteRefusal(time_point now) -> void
 {
     if (now - m_lastRefusal > MAX_REFUSAL_GAP) {
--- a/src/gateway/decisions/connection_pacing.cpp
+++ b/src/gateway/decisions/connection_pacing.cpp
@@ -1,6 +1,7 @@
 #include "marjoramloom/gateway/decisions/connection_pacing.h"
 
 #include <algorithm>
+#include <cassert>
 #include <cmath>
 
 namespace marjoramloom {
@@ -17,6 +18,12 @@
 
 } // namespace
 
+auto connection_pacing::setMinRate(double perSecond) -> void
+{
+    assert(perSecond > 0);
+    m_minRate = perSecond;
+}
+
 auto connection_pacing::onTimer(duration delay, time_point now) -> void
 {
     ++m_timers;
@@ -43,7 +50,7 @@
     if (isMost(m_lateTimers)) {
         const auto rate = static_cast<double>(m_accepted) / toSeconds(now - m_periodStart);
         const auto reduction = isMost(m_veryLateTimers) ? reductionIfVeryLate : reductionIfLate;
-        m_limit = std::max(MIN_RATE, reduction * std::min(m_limit, rate));
+        m_limit = std::max(m_minRate, reduction * std::min(m_limit, rate));
     } else if (m_lateTimers == 0) {
         m_limit = now - m_lastRefusal > LIFT_TIME ? std::numeric_limits<double>::infinity() : m_limit * growthIfInTime;
     }
