A tunnelled request is answered by its route's timeout whatever the serving router does (CONFIG)

Cause: the route's timeout was kept by the router that serves a tunnel only. The router that the caller is connected to limits the opening of a tunnel; once open, its system's confirmations are all that it looks at, and the system of a process that stands still goes on confirming. Nothing was unconfirmed, so that TCP_USER_TIMEOUT had no effect either.

The new log line tunnel_timed_out names the request, the serving router, whether that is known to be responsive, and the time waited.

Change: tunnel_time_limit, a decision of its own, gives each tunnelled request the timeout of its own route, 0.1 s later than the serving router's; tunnelled_request keeps the first 4 KiB and the last bytes of it, which are parsed only once it has waited for 0.1 s. Then the caller gets 504, which does not say that the request was not run, or its begun answer ends incomplete; the connection to the other router is reset, so that bytes held up on the way never arrive. It does not depend on whether the other router is known to be silent: a channel that went silent, or a router that is late, has the same limit.

Why it works: the limit is kept where the caller is connected, by a clock that counts suspension, and cannot cut off what a sound router still works on, as that ends its work before.

--- a/include/marjoramloom/gateway/traffic/connection_tunnel.h
+++ b/include/marjoramloom/gateway/traffic/connection_tunnel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramloom/core/clock.h"
+#include "marjoramloom/gateway/traffic/tunnelled_request.h"
 #include "marjoramloom/router/memory_budget.h"
 
 #include <array>
@@ -64,17 +65,30 @@
     /// Handles the \p events of one descriptor, as epoll reports them.
     auto handle(const side &side, std::uint32_t events) -> void;
 
+    /// Answers the caller with \p answer, after which its connection ends. The router's connection is reset, so that
+    /// bytes which have not arrived there never do. Preconditions: the state is open; hasAnswer() is false.
+    auto answerCaller(std::string_view answer) -> void;
+
+    /// Closes the caller's connection within the answer, and resets the router's. Precondition: the state is open.
+    auto breakOff() -> void;
+
     /// Closes both connections. The object must live until all events that were reported with it have been handled.
     auto close() -> void;
 
     [[nodiscard]] auto current() const -> state;
     [[nodiscard]] auto router() const -> std::uint64_t; ///< Id of the router it was last connected to.
+    [[nodiscard]] auto request() const -> const tunnelled_request &; ///< What the caller has sent.
     [[nodiscard]] auto hasRequest() const -> bool; ///< Whether the caller has sent a byte.
+    [[nodiscard]] auto hasAnswer() const -> bool; ///< Whether the router has sent a byte.
+    [[nodiscard]] auto isCallerBehind() const -> bool; ///< Whether a part of the answer waits for the caller.
     [[nodiscard]] auto hasEnded() const -> bool; ///< Whether one direction has ended.
 
     /// Returns whether bytes were copied since the last call.
     auto takeProgress() -> bool;
 
+    /// Returns whether bytes of the request were read since the last call.
+    auto takeRequestProgress() -> bool;
+
 private:
     struct direction
     {
@@ -106,8 +120,10 @@
     std::uint64_t m_routerId = 0;
     std::uint64_t m_minVersion = 0;
     state m_state = state::idle;
-    bool m_hasRequest = false;
+    tunnelled_request m_requestBytes;
+    bool m_hasAnswer = false;
     bool m_hasProgress = false;
+    bool m_hasRequestProgress = false;
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/traffic/connection_tunnels.h
+++ b/include/marjoramloom/gateway/traffic/connection_tunnels.h
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/core/counters.h"
 #include "marjoramloom/gateway/decisions/tunnel_choice.h"
+#include "marjoramloom/gateway/decisions/tunnel_time_limit.h"
 #include "marjoramloom/gateway/knowledge/gateway_state.h"
 #include "marjoramloom/gateway/traffic/connection_tunnel.h"
 
@@ -16,7 +17,7 @@
 namespace marjoramloom {
 
 /// The tunnels of this router: chooses the router that serves a connection, tries another one if it cannot be reached,
-/// and closes tunnels that no longer serve anybody.
+/// answers requests that the other router does not answer in time, and closes tunnels that no longer serve anybody.
 ///
 /// With few tunnels, bytes are copied as they arrive; with many, in periods of BATCH_PERIOD, so that the cost of a
 /// tunnel does not grow with the number of its events. Not thread safe: belongs to the router's only thread.
@@ -68,6 +69,7 @@
         }
 
         connection_tunnel tunnel;
+        tunnel_time_limit timeLimit;
         time_point lastProgress{};
         int attempts = 0;
     };
@@ -78,6 +80,8 @@
     auto handleEvents(time_point now) -> std::size_t;
     auto removeClosed() -> void;
     auto endpointOf(std::uint64_t router) -> const boost::asio::ip::tcp::endpoint *;
+    [[nodiscard]] auto hasTimedOut(entry &one, time_point now, boot_time bootNow) const -> bool;
+    auto endTimedOut(entry &one, time_point now, boot_time bootNow) -> void;
     [[nodiscard]] auto isOverdue(const entry &one, time_point now) const -> bool;
 
     boost::asio::any_io_executor m_executor;
@@ -93,6 +97,7 @@
     counter &m_failed;
     counter &m_notTaken;
     counter &m_closed;
+    counter &m_timedOut;
 };
 
 } // namespace marjoramloom
--- a/include/marjoramloom/gateway/traffic/error_reply.h
+++ b/include/marjoramloom/gateway/traffic/error_reply.h
@@ -13,4 +13,8 @@
 auto makeErrorReply(gateway_state &state, const routed_request &request, unsigned status, std::string_view reason,
                     duration unservableFor = duration::zero()) -> http_reply;
 
+/// \p reply as the bytes of an HTTP/1.1 response with the reason phrase \p phrase, after which the connection closes.
+/// The answer to a HEAD request, \p ofHead, has no body. Thread safe.
+auto formatReply(const http_reply &reply, std::string_view phrase, bool ofHead) -> std::string;
+
 } // namespace marjoramloom
--- a/src/gateway/traffic/caller_intake.cpp
+++ b/src/gateway/traffic/caller_intake.cpp
@@ -158,13 +158,7 @@
     const auto refusal =
         makeErrorReply(m_state, request, unavailable, "this router is behind with its work", RETURN_TIME);
     m_state.counters.at("marjoramloom_refused_total", "status=\"503\"").add();
-    auto text = std::string("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n");
-    text.append("Content-Type: ").append(refusal.contentType).append("\r\n");
-    for (const auto &[name, value] : refusal.headers) {
-        text.append(name).append(": ").append(value).append("\r\n");
-    }
-    text.append("Content-Length: ").append(std::to_string(refusal.body.size())).append("\r\n\r\n");
-    return text.append(refusal.body);
+    return formatReply(refusal, "Service Unavailable", false);
 }
 
 auto caller_intake::measureLoopDelay() -> asio::awaitable<void>
--- a/src/gateway/traffic/connection_tunnel.cpp
+++ b/src/gateway/traffic/connection_tunnel.cpp
@@ -31,6 +31,14 @@
     }
 }
 
+/// Closes the connection without sending what is still queued, for example behind a cut of the network.
+auto resetDescriptor(int &descriptor) -> void
+{
+    const auto atOnce = linger{ .l_onoff = 1, .l_linger = 0 };
+    ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+    closeDescriptor(descriptor);
+}
+
 auto addTo(int events, int descriptor, connection_tunnel::side &side) -> bool
 {
     auto event = epoll_event{ .events = bothWays, .data = { .ptr = &side } };
@@ -103,7 +111,8 @@
         }
         return;
     }
-    if (m_state != state::open) {
+    const auto isRouterClosed = !side.isCaller && m_router < 0;
+    if (m_state != state::open || isRouterClosed) {
         return;
     }
     auto &input = side.isCaller ? m_request : m_answer;
@@ -163,6 +172,29 @@
     return ::poll(&polled, 1, 0) == 1 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+auto connection_tunnel::answerCaller(std::string_view answer) -> void
+{
+    assert(m_state == state::open && !m_hasAnswer);
+    resetDescriptor(m_router);
+    std::string().swap(m_request.unsent);
+    m_memory.hold(memory_use::request, 0);
+    // The rest of the request is read and discarded: a connection that is closed with unread bytes is reset, and the
+    // caller would lose the answer.
+    m_request.failed = true;
+    if (send(m_answer, answer.data(), answer.size()) < answer.size()) {
+        close();
+        return;
+    }
+    end(m_answer);
+}
+
+auto connection_tunnel::breakOff() -> void
+{
+    assert(m_state == state::open);
+    resetDescriptor(m_router);
+    close();
+}
+
 auto connection_tunnel::close() -> void
 {
     closeDescriptor(m_caller);
@@ -180,9 +212,24 @@
     return m_routerId;
 }
 
+auto connection_tunnel::request() const -> const tunnelled_request &
+{
+    return m_requestBytes;
+}
+
 auto connection_tunnel::hasRequest() const -> bool
 {
-    return m_hasRequest;
+    return m_requestBytes.hasBegun();
+}
+
+auto connection_tunnel::hasAnswer() const -> bool
+{
+    return m_hasAnswer;
+}
+
+auto connection_tunnel::isCallerBehind() const -> bool
+{
+    return !m_answer.unsent.empty();
 }
 
 auto connection_tunnel::hasEnded() const -> bool
@@ -195,6 +242,11 @@
     return std::exchange(m_hasProgress, false);
 }
 
+auto connection_tunnel::takeRequestProgress() -> bool
+{
+    return std::exchange(m_hasRequestProgress, false);
+}
+
 /// Copies what can be read and sent without waiting. After a read that did not fill the buffer, the next bytes cause
 /// another event; an end that was reported together with them does not, so that \p untilEnd must be set for it.
 auto connection_tunnel::copy(direction &way, bool untilEnd) -> void
@@ -213,8 +265,13 @@
             return;
         }
         m_hasProgress = true;
-        m_hasRequest = m_hasRequest || &way == &m_request;
         const auto size = static_cast<std::size_t>(received);
+        if (&way == &m_request) {
+            m_requestBytes.add({ buffer.data(), size });
+            m_hasRequestProgress = true;
+        } else {
+            m_hasAnswer = true;
+        }
         const auto written = send(way, buffer.data(), size);
         if (written < size) {
             // One part is kept in any case, as it was read.
--- a/src/gateway/traffic/connection_tunnels.cpp
+++ b/src/gateway/traffic/connection_tunnels.cpp
@@ -2,6 +2,7 @@
 
 #include "marjoramloom/core/endpoint.h"
 #include "marjoramloom/core/log.h"
+#include "marjoramloom/gateway/traffic/error_reply.h"
 
 #include <algorithm>
 #include <array>
@@ -20,6 +21,8 @@
 /// Further events wait for the next iteration of the event loop.
 constexpr std::size_t maxEventsAtOnce = 128;
 
+constexpr unsigned gatewayTimeout = 504;
+
 } // namespace
 
 connection_tunnels::connection_tunnels(asio::any_io_executor executor, gateway_state &state, memory_budget &budget)
@@ -31,6 +34,7 @@
     , m_failed(state.counters.at("marjoramloom_tunnels_total", "end=\"not_opened\""))
     , m_notTaken(state.counters.at("marjoramloom_tunnels_total", "end=\"not_taken\""))
     , m_closed(state.counters.at("marjoramloom_tunnels_total", "end=\"overdue\""))
+    , m_timedOut(state.counters.at("marjoramloom_tunnels_total", "end=\"timed_out\""))
 {
     state.counters.setGauge("marjoramloom_tunnels", "", [this] { return static_cast<double>(m_tunnels.size()); });
 }
@@ -157,10 +161,15 @@
 {
     // What has arrived while this router was late counts before its time is judged.
     while (handleEvents(now) == maxEventsAtOnce) {}
+    const auto bootNow = boot_clock::now();
     for (auto &one : m_tunnels) {
-        if (one.tunnel.takeProgress()) {
+        const auto hasProgress = one.tunnel.takeProgress();
+        if (hasProgress) {
             one.lastProgress = now;
-        } else if (isOverdue(one, now)) {
+        }
+        if (hasTimedOut(one, now, bootNow)) {
+            endTimedOut(one, now, bootNow);
+        } else if (!hasProgress && isOverdue(one, now)) {
             if (one.tunnel.current() == connection_tunnel::state::connecting) {
                 one.tunnel.disconnect();
                 m_notTaken.add();
@@ -176,6 +185,56 @@
     removeClosed();
 }
 
+/// Whether the other router has not answered the request in time.
+auto connection_tunnels::hasTimedOut(entry &one, time_point now, boot_time bootNow) const -> bool
+{
+    const auto &tunnel = one.tunnel;
+    if (one.tunnel.takeRequestProgress()) {
+        one.timeLimit.noteRequestBytes(bootNow);
+    }
+    if (tunnel.current() != connection_tunnel::state::open || tunnel.hasEnded() || !m_state.routes) {
+        return false;
+    }
+    if (one.timeLimit.needsLimits(bootNow)) {
+        const auto request = tunnel.request().summarize();
+        const auto *route = m_state.routes->findRoute(request.host, request.path);
+        one.timeLimit.setLimits(
+            { .answerTimeout = route != nullptr ? std::optional<duration>(route->timeout) : std::nullopt,
+              .readTimeout = m_state.routes->limits().headerTimeout,
+              .isComplete = request.isComplete });
+    }
+    const auto isAnswerMoving =
+        tunnel.hasAnswer() && (tunnel.isCallerBehind() || now - one.lastProgress < tunnel_time_limit::ANSWER_GAP);
+    return !isAnswerMoving && one.timeLimit.isOver(bootNow);
+}
+
+/// Answers the caller in place of the other router, or breaks off an answer that has begun. The request may have been
+/// executed, or may be yet, so that the answer does not say that it was not.
+auto connection_tunnels::endTimedOut(entry &one, time_point now, boot_time bootNow) -> void
+{
+    const auto summary = one.tunnel.request().summarize();
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(one.timeLimit.waited(bootNow));
+    log_line(log_level::warning, "tunnel_timed_out")
+        .with("request", summary.id)
+        .with("router", m_state.roster.addressOf(one.tunnel.router()))
+        .with("router_responsive", m_state.roster.isResponsive(one.tunnel.router(), now) ? "yes" : "no")
+        .with("ms", waited.count())
+        .with("answer_begun", one.tunnel.hasAnswer() ? "yes" : "no");
+    m_timedOut.add();
+    if (one.tunnel.hasAnswer()) {
+        one.tunnel.breakOff();
+    } else {
+        auto request = routed_request();
+        request.id = summary.id;
+        const auto reply =
+            makeErrorReply(m_state, request, gatewayTimeout, "the router that the request was tunnelled to is late");
+        one.tunnel.answerCaller(formatReply(reply, "Gateway Timeout", summary.isHead));
+    }
+    if (one.tunnel.current() == connection_tunnel::state::closed) {
+        m_closing.push_back(&one.tunnel);
+    }
+}
+
 auto connection_tunnels::isOverdue(const entry &one, time_point now) const -> bool
 {
     const auto idle = now - one.lastProgress;
--- a/src/gateway/traffic/error_reply.cpp
+++ b/src/gateway/traffic/error_reply.cpp
@@ -41,4 +41,15 @@
     return answer;
 }
 
+auto formatReply(const http_reply &reply, std::string_view phrase, bool ofHead) -> std::string
+{
+    auto text = std::string("HTTP/1.1 ").append(std::to_string(reply.status)).append(" ").append(phrase);
+    text.append("\r\nConnection: close\r\nContent-Type: ").append(reply.contentType).append("\r\n");
+    for (const auto &[name, value] : reply.headers) {
+        text.append(name).append(": ").append(value).append("\r\n");
+    }
+    text.append("Content-Length: ").append(std::to_string(reply.body.size())).append("\r\n\r\n");
+    return ofHead ? text : text.append(reply.body);
+}
+
 } // namespace marjoramloom
--- a/tests/process/gateway/tunnel_test.cpp
+++ b/tests/process/gateway/tunnel_test.cpp
@@ -1,4 +1,5 @@
 #include "support/gateway_fleet.h"
+#include "tunnel_fixture.h"
 
 #include "marjoramloom/core/hash.h"
 
@@ -7,7 +8,6 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <functional>
 #include <map>
 #include <thread>
 
@@ -35,47 +35,6 @@
         && parsed.at("body_hash").as_string() == std::to_string(hash64(body));
 }
 
-/// Value of a counter or gauge of \p router; 0 if it does not exist.
-auto metric(const router_handle &router, const std::string &name) -> double
-{
-    const auto text = "\n" + httpCall(router.operators, { "GET", "/metrics", {}, "" }).body;
-    const auto found = text.find("\n" + name + " ");
-    return found == std::string::npos ? 0 : std::stod(text.substr(found + name.size() + 2));
-}
-
-auto openedTunnels(const router_handle &router) -> double
-{
-    return metric(router, "marjoramloom_tunnels_total{end=\"opened\"}");
-}
-
-/// Calls \p work(0) to \p work(threads - 1) at the same time.
-auto runInThreads(int threads, const std::function<void(int index)> &work) -> void
-{
-    auto running = std::vector<std::thread>();
-    for (auto index = 0; index < threads; ++index) {
-        running.emplace_back([&work, index] { work(index); });
-    }
-    for (auto &thread : running) {
-        thread.join();
-    }
-}
-
-/// Sends requests to the tiny router until all others have answered some, which they do once it has reports of them.
-auto waitForTunnels(gateway_fleet &fleet) -> void
-{
-    const auto &routers = fleet.routers();
-    auto number = 0;
-    BOOST_REQUIRE(waitUntil(10'000, [&] {
-        runInThreads(8, [&, first = number](int index) {
-            fleet.call(routers.front(), "/read/warm", "warm-" + std::to_string(first + index));
-        });
-        number += 8;
-        return std::all_of(routers.begin() + 1, routers.end(), [](const router_handle &router) {
-            return metric(router, "marjoramloom_answer_seconds_count") > 0;
-        });
-    }));
-}
-
 /// What the callers of one test have got. Thread safe.
 struct tally
 {
--- a/tests/support/gateway_fleet.cpp
+++ b/tests/support/gateway_fleet.cpp
@@ -18,8 +18,10 @@
 /// Declared slots of a backend server that does not limit its calls.
 constexpr auto defaultSlots = 8;
 
-auto routeEntry(const std::string &prefix, const std::string &kind, int attempts, bool anonymous, bool resumable)
-    -> json::object
+constexpr auto timeoutMs = 5'000;
+
+auto routeEntry(const std::string &prefix, const std::string &kind, int attempts, bool anonymous, bool resumable,
+                int limitMs = timeoutMs) -> json::object
 {
     return json::object{
         { "name", "route" + prefix },
@@ -27,7 +29,7 @@
         { "path_prefix", prefix },
         { "route_kind", kind },
         { "service", serviceName },
-        { "timeout_ms", 5'000 },
+        { "timeout_ms", limitMs },
         { "slo_ms", 500 },
         { "max_attempts", attempts },
         { "anonymous", anonymous },
@@ -172,9 +174,9 @@
         { "version", ++m_version },
         { "routes",
           json::array{ routeEntry("/read/", "idempotent", 2, false, false),
-                       routeEntry("/post/", "non_idempotent", 1, false, false),
+                       routeEntry("/post/", "non_idempotent", 1, false, false, m_plan.onceTimeoutMs),
                        routeEntry("/talk/", "streaming", 2, false, true),
-                       routeEntry("/once/", "streaming", 1, false, false),
+                       routeEntry("/once/", "streaming", 1, false, false, m_plan.onceTimeoutMs),
                        routeEntry("/open/", "idempotent", 2, true, false) } },
         { "services",
           json::array{ json::object{ { "name", serviceName },
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -33,6 +33,7 @@
     std::vector<std::string> serverVersions; ///< Software versions of the backend servers; "v1" for further ones.
     int bodyBytes = 100'000; ///< Limit of a request's body in the configuration.
     int headerTimeoutMs = 2'000; ///< Time limit of a request's head and body in the configuration.
+    int onceTimeoutMs = 5'000; ///< Time limit of the routes "/post/" and "/once/"; it is 5,000 for the others.
     int memoryMb = 0; ///< Setting memory_mb of the routers; 0 if it is not set.
     int descriptors = 0; ///< Setting descriptors of the routers; 0 if it is not set.
     std::vector<double> cores; ///< Setting cores of each router; not set for further ones.
